wisteriawinch: add membership, facts and version moves to the daemon

Cause: daemons acted alone; a change reached others only by polling, and no move could be carried. What: winch-wire frames, winch-gossip node, winch-move machine, and the actors that carry them; the driver split by what it does. Ruled out: evidence from every daemon each second (58 KB/s at one holder with 970 daemons by arithmetic), so reports are paced and only the stage's share counts.

--- a/crates/winch-route/src/choose.rs
+++ b/crates/winch-route/src/choose.rs
@@ -103,13 +103,12 @@
     Ok(best.0)
 }
 
-/// The members of a version, or the first few of a move's order.
+/// The members of a version, or the first few of a move's order over the whole fleet.
 fn members(pool: &Pool, request: &Request<'_>) -> Vec<Key> {
-    let members = pool.members(request.runs);
     let Some((seed, count)) = request.first else {
-        return members.to_vec();
+        return pool.members(request.runs).to_vec();
     };
-    let nodes = members.iter().filter_map(|key| Some((pool.get(*key)?.hash, *key)));
+    let nodes = pool.all(request.runs).iter().filter_map(|key| Some((pool.get(*key)?.hash, *key)));
     hash::subset(seed, nodes, count)
 }
 
--- a/crates/winch-route/src/pool.rs
+++ b/crates/winch-route/src/pool.rs
@@ -42,6 +42,7 @@
     replicas: SlotMap<Key, Replica>,
     names: HashMap<Arc<str>, Key>,
     members: HashMap<Arc<str>, Vec<Key>>,
+    all: HashMap<Arc<str>, Vec<Key>>,
     leaving: HashSet<Arc<str>>,
     started: bool,
 }
@@ -56,6 +57,7 @@
             replicas: SlotMap::with_key(),
             names: HashMap::new(),
             members: HashMap::new(),
+            all: HashMap::new(),
             leaving: HashSet::new(),
             started: false,
         }
@@ -108,7 +110,9 @@
             let local = replica.spec.dc == self.dc;
             all.entry(replica.spec.runs.clone()).or_default().push((local, replica.hash, key));
         }
-        self.members = all.into_iter().map(|(runs, nodes)| (runs, self.pick(&nodes))).collect();
+        self.members = all.iter().map(|(runs, nodes)| (runs.clone(), self.pick(nodes))).collect();
+        let keys = |nodes: Vec<(bool, u64, Key)>| nodes.into_iter().map(|node| node.2).collect();
+        self.all = all.into_iter().map(|(runs, nodes)| (runs, keys(nodes))).collect();
     }
 
     /// Up to half of the subset from the own data centre, the rest from all others.
@@ -130,6 +134,11 @@
         self.members.get(runs).map_or(&[], Vec::as_slice)
     }
 
+    /// All upstreams of one version or service, whatever the daemon's subset.
+    pub fn all(&self, runs: &str) -> &[Key] {
+        self.all.get(runs).map_or(&[], Vec::as_slice)
+    }
+
     /// One upstream.
     pub fn get(&self, key: Key) -> Option<&Replica> {
         self.replicas.get(key)
--- a/crates/winch-route/src/router.rs
+++ b/crates/winch-route/src/router.rs
@@ -119,6 +119,16 @@
         }
     }
 
+    /// Starts a call if an upstream has room now; it never waits.
+    ///
+    /// # Errors
+    /// A [`choose::Error`]; the call did not run.
+    pub fn try_start(&mut self, call: &Call, now: Duration) -> Result<Key, choose::Error> {
+        let key = self.choose(call, &[], now)?;
+        self.pool.begin(key, call.prefix);
+        Ok(key)
+    }
+
     fn wait(&mut self, call: Call, now: Duration) -> Placement {
         let options = self.options.gate;
         let line = self
--- a/crates/wisteriawinch/src/command.rs
+++ b/crates/wisteriawinch/src/command.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+pub mod moves;
 pub mod operate;
 pub mod serve;
 
@@ -53,6 +54,10 @@
     Get(operate::Get),
     #[options(help = "print upstreams, versions, moves, peers and the revision in force")]
     Status(operate::Status),
+    #[options(help = "start, show or cancel a move")]
+    Move(moves::Move),
+    #[options(help = "take an upstream out of service, or back")]
+    Drain(operate::Drain),
     #[options(help = "print the digest of a team's API key, for its object")]
     KeyDigest(operate::KeyDigest),
 }
@@ -71,6 +76,8 @@
             Some(Command::Apply(options)) => operate::apply(&options).await,
             Some(Command::Get(options)) => operate::get(&options).await,
             Some(Command::Status(options)) => operate::status(&options).await,
+            Some(Command::Move(options)) => moves::run(&options).await,
+            Some(Command::Drain(options)) => operate::drain(&options).await,
             Some(Command::KeyDigest(options)) => operate::key_digest(&options),
             None => Exit::Usage,
         }
--- a/crates/wisteriawinch/src/command/operate.rs
+++ b/crates/wisteriawinch/src/command/operate.rs
@@ -63,6 +63,21 @@
     json: bool,
 }
 
+/// Flags of `drain`.
+#[derive(Debug, Options)]
+pub struct Drain {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, help = "name of the upstream")]
+    upstream: Option<String>,
+    #[options(help = "take it back into service", no_short)]
+    undo: bool,
+    #[options(help = "base URL of a daemon")]
+    daemon: Option<String>,
+    #[options(help = "operator token [WINCH_OPERATOR_TOKEN]", no_short)]
+    token: Option<String>,
+}
+
 /// Flags of `key-digest`.
 #[derive(Debug, Options)]
 pub struct KeyDigest {
@@ -144,7 +159,7 @@
     Exit::Refused
 }
 
-fn done(result: Result<Exit, Exit>) -> Exit {
+pub(super) fn done(result: Result<Exit, Exit>) -> Exit {
     result.unwrap_or_else(|exit| exit)
 }
 
@@ -272,3 +287,23 @@
     println!("{}", blake3::hash(key.as_bytes()).to_hex());
     Exit::Success
 }
+
+/// Runs `drain`.
+pub async fn drain(options: &Drain) -> Exit {
+    done(try_drain(options).await)
+}
+
+async fn try_drain(options: &Drain) -> Result<Exit, Exit> {
+    let Some(upstream) = &options.upstream else {
+        eprintln!("wisteriawinch: name an upstream");
+        return Err(Exit::Usage);
+    };
+    let daemon = Daemon::new(&options.daemon, &options.token)?;
+    let body = json!({ "upstream": upstream, "leaving": !options.undo });
+    let (status, body) = daemon.call("/admin/drain", Some(body)).await?;
+    if status != 200 {
+        return Ok(refused(&body));
+    }
+    println!("revision {}", body["revision"]);
+    Ok(Exit::Success)
+}
--- /dev/null
+++ b/crates/wisteriawinch/src/control/members.rs
@@ -0,0 +1,100 @@
+//! Reads the platform's list of VMs and registers this one.
+
+use tokio::time::{MissedTickBehavior, interval};
+use winch_gossip::member::{Member, State};
+use winch_platform::membership::{Kind, Membership, Vm};
+use winch_route::hash;
+
+use super::{
+    facts,
+    peers::{Members, Seed},
+    supervisor::Child,
+};
+use crate::prelude::*;
+
+/// Time between two looks at the list.
+const INTERVAL: Duration = Duration::from_secs(2);
+/// Daemons that read the list on behalf of all.
+const READERS: usize = 3;
+
+/// The supervised task that reads the list.
+#[derive(Clone, Debug)]
+pub struct Listing(pub Arc<Fleet>);
+
+impl Child for Listing {
+    fn name(&self) -> &'static str {
+        "members"
+    }
+
+    async fn run(self) {
+        let mut ticks = interval(INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut registered = false;
+        loop {
+            ticks.tick().await;
+            registered = registered || self.register().await;
+            let alive = self.alive().await;
+            if is_reader(&self.0.settings.name, &alive) {
+                self.read().await;
+            }
+        }
+    }
+}
+
+/// Whether this daemon is among the few that read for all.
+fn is_reader(me: &Name, alive: &[Name]) -> bool {
+    first(me, alive, "members", READERS)
+}
+
+/// Whether `me` is among the first `count` of the live daemons in the order for `task`.
+pub fn first(me: &Name, alive: &[Name], task: &str, count: usize) -> bool {
+    let key = hash::name(task);
+    let mine = hash::score(key, hash::name(me));
+    let ahead = alive.iter().filter(|name| hash::score(key, hash::name(name)) > mine);
+    ahead.count() < count
+}
+
+impl Listing {
+    async fn register(&self) -> bool {
+        let settings = &self.0.settings;
+        let vm = Vm {
+            name: settings.name.clone(),
+            address: settings.peer,
+            dc: settings.dc.clone(),
+            kind: Kind::Daemon,
+            leaving: false,
+        };
+        self.0.platform.register(vm).await.is_ok()
+    }
+
+    async fn alive(&self) -> Vec<Name> {
+        let Some(link) = self.0.link() else {
+            return Vec::new();
+        };
+        let members = link.send(Members).await.unwrap_or_default();
+        members.into_iter().filter(|m| m.state <= State::Suspect).map(|m| m.name).collect()
+    }
+
+    async fn read(&self) {
+        let Ok(vms) = self.0.platform.list().await else {
+            return;
+        };
+        self.0.heard_table();
+        let daemons = vms.iter().filter(|vm| vm.kind == Kind::Daemon && !vm.leaving);
+        let members = daemons.map(|vm| Member {
+            name: vm.name.clone(),
+            address: vm.address,
+            dc: vm.dc.clone(),
+            incarnation: 0,
+            state: State::Alive,
+        });
+        if let Some(link) = self.0.link() {
+            let _ = link.send(Seed(members.collect())).await;
+        }
+        for vm in vms.iter().filter(|vm| vm.kind == Kind::Upstream && vm.leaving) {
+            if !self.0.is_leaving(&vm.name) {
+                self.0.publish(facts::leave(&vm.name, true));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/wisteriawinch/src/control/peers.rs
@@ -0,0 +1,395 @@
+//! The link to other daemons: gossip over datagrams, large facts over streams.
+
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+};
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use tokio::{
+    net::{TcpListener, TcpStream, UdpSocket},
+    time::{MissedTickBehavior, interval, timeout},
+};
+use tokio_util::codec::Framed;
+use winch_gossip::{
+    facts::Fact,
+    member::{Member, State},
+    node::{self, Effect, Node},
+};
+use winch_wire::{
+    codec::{Codec, Key, decode, encode},
+    message::{Ask, Body, Envelope, Evidence, Facts, Holdings, Told},
+};
+use xtra::prelude::*;
+
+use super::{facts, supervisor::Child};
+use crate::{counter, emit, prelude::*};
+
+const TICK: Duration = Duration::from_millis(100);
+const DATAGRAM_BYTES: usize = 65_535;
+const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Actor that owns the gossip node and its socket.
+#[derive(Debug, xtra::Actor)]
+pub struct Link {
+    fleet: Arc<Fleet>,
+    node: Node,
+    socket: Arc<UdpSocket>,
+    key: Key,
+    confirmed: HashMap<Name, u64>,
+    asked: u64,
+    address: WeakAddress,
+}
+
+type WeakAddress = xtra::WeakAddress<Link>;
+
+/// Time passes.
+#[derive(Clone, Copy, Debug)]
+pub struct Tick;
+
+/// A datagram arrived.
+#[derive(Clone, Debug)]
+pub struct Datagram(pub Bytes, pub SocketAddr);
+
+/// A fact that the fleet should know.
+#[derive(Clone, Debug)]
+pub struct Publish(pub Fact);
+
+/// A fact whose body was fetched.
+#[derive(Clone, Debug)]
+pub struct Fetched(pub Fact, pub SocketAddr);
+
+/// Members from the platform's list.
+#[derive(Clone, Debug)]
+pub struct Seed(pub Vec<Member>);
+
+/// Asks for all members.
+#[derive(Clone, Copy, Debug)]
+pub struct Members;
+
+/// Asks for whole facts by the hashes of their keys.
+#[derive(Clone, Debug)]
+pub struct Whole(pub Holdings);
+
+/// Asks all peers for their revision, and returns what they told so far.
+#[derive(Clone, Copy, Debug)]
+pub struct Confirm {
+    /// Whether to ask again those that are behind this revision.
+    pub revision: u64,
+}
+
+/// Sends evidence to the holder of a move.
+#[derive(Clone, Debug)]
+pub struct Report(pub Name, pub Evidence);
+
+/// Tells peers that this daemon leaves.
+#[derive(Clone, Copy, Debug)]
+pub struct Leave;
+
+impl Link {
+    async fn carry_out(&mut self, effects: Vec<Effect>) {
+        let now = self.fleet.now();
+        if let Some(heard) = self.node.heard() {
+            self.fleet.heard_peer(heard);
+        }
+        for effect in effects {
+            match effect {
+                Effect::Send(to, envelope) => self.send(to, &envelope).await,
+                Effect::Changed(member) => self.changed(&member),
+                Effect::Learned(fact, from) if fact.left_out => self.fetch(fact, from),
+                Effect::Learned(fact, _) => facts::apply(&self.fleet, &fact, now),
+                Effect::Asked(from, seq) => {
+                    let revision = self.fleet.view.load().revision();
+                    let answer = self.node.envelope(Body::Told(Told { seq, revision }));
+                    self.send(from, &answer).await;
+                }
+                Effect::Told(name, told) => {
+                    let known = self.confirmed.entry(name).or_default();
+                    *known = told.revision.max(*known);
+                }
+                Effect::Evidence(name, evidence) => facts::evidence(&self.fleet, name, &evidence),
+            }
+        }
+    }
+
+    async fn send(&self, to: SocketAddr, envelope: &Envelope) {
+        let frame = encode(envelope, &self.key);
+        counter::peer_bytes("sent", frame.len());
+        // A datagram that cannot be sent is as good as one that was lost.
+        let _ = self.socket.send_to(&frame, to).await;
+    }
+
+    fn changed(&self, member: &Member) {
+        let alive = self.node.alive().count();
+        counter::peers(alive);
+        self.fleet.set_peers(alive);
+        emit!(
+            Event::PeerChanged,
+            peer = member.name,
+            state = format!("{:?}", member.state),
+            incarnation = member.incarnation
+        );
+    }
+
+    /// Fetches a large fact in a task of its own.
+    fn fetch(&self, fact: Fact, from: SocketAddr) {
+        let (key, address) = (self.key.clone(), self.address.clone());
+        let envelope = self.node.envelope(Body::Want(holdings(&fact)));
+        let fleet = self.fleet.clone();
+        self.fleet.work.spawn(async move {
+            let fetched = timeout(FETCH_TIMEOUT, fetch(from, envelope, key)).await;
+            match fetched.ok().flatten() {
+                Some(fact) => {
+                    if let Some(address) = address.try_upgrade() {
+                        let _ = address.send(Fetched(fact, from)).await;
+                    }
+                }
+                // The table has it too.
+                None => fleet.poll_config(),
+            }
+        });
+    }
+}
+
+fn holdings(fact: &Fact) -> Holdings {
+    let mut facts = winch_gossip::facts::Facts::default();
+    facts.learn(Fact { fleeting: false, ..fact.clone() }, Duration::ZERO);
+    facts.holdings()
+}
+
+async fn fetch(from: SocketAddr, envelope: Envelope, key: Key) -> Option<Fact> {
+    let stream = TcpStream::connect(from).await.ok()?;
+    let mut framed = Framed::new(stream, Codec(key));
+    framed.send(envelope).await.ok()?;
+    let answer = framed.next().await?.ok()?;
+    match answer.body {
+        Some(Body::Push(facts)) => facts.facts.into_iter().next().map(Fact::from),
+        _ => None,
+    }
+}
+
+impl Handler<Tick> for Link {
+    type Return = ();
+
+    async fn handle(&mut self, _: Tick, _: &mut Context<Self>) {
+        let effects = self.node.tick(self.fleet.now());
+        self.carry_out(effects).await;
+    }
+}
+
+impl Handler<Datagram> for Link {
+    type Return = ();
+
+    async fn handle(&mut self, datagram: Datagram, _: &mut Context<Self>) {
+        counter::peer_bytes("received", datagram.0.len());
+        match decode(datagram.0, &self.key) {
+            Ok(envelope) => {
+                let effects = self.node.receive(datagram.1, envelope, self.fleet.now());
+                self.carry_out(effects).await;
+            }
+            Err(error) => counter::frame_refused(error.reason()),
+        }
+    }
+}
+
+impl Handler<Publish> for Link {
+    type Return = ();
+
+    async fn handle(&mut self, publish: Publish, _: &mut Context<Self>) {
+        let now = self.fleet.now();
+        facts::apply(&self.fleet, &publish.0, now);
+        let effects = self.node.publish(publish.0, now);
+        self.carry_out(effects).await;
+    }
+}
+
+impl Handler<Fetched> for Link {
+    type Return = ();
+
+    async fn handle(&mut self, fetched: Fetched, _: &mut Context<Self>) {
+        let effects = self.node.fetched(fetched.0, fetched.1, self.fleet.now());
+        self.carry_out(effects).await;
+    }
+}
+
+impl Handler<Seed> for Link {
+    type Return = ();
+
+    async fn handle(&mut self, seed: Seed, _: &mut Context<Self>) {
+        self.node.seed(seed.0, self.fleet.now());
+        self.fleet.set_peers(self.node.alive().count());
+    }
+}
+
+impl Handler<Members> for Link {
+    type Return = Vec<Member>;
+
+    async fn handle(&mut self, _: Members, _: &mut Context<Self>) -> Vec<Member> {
+        self.node.members().cloned().collect()
+    }
+}
+
+impl Handler<Whole> for Link {
+    type Return = Envelope;
+
+    async fn handle(&mut self, whole: Whole, _: &mut Context<Self>) -> Envelope {
+        let facts = self.node.facts().whole(&whole.0, self.fleet.now());
+        self.node.envelope(Body::Push(Facts { facts }))
+    }
+}
+
+impl Handler<Confirm> for Link {
+    type Return = Vec<Name>;
+
+    async fn handle(&mut self, confirm: Confirm, _: &mut Context<Self>) -> Vec<Name> {
+        self.asked += 1;
+        let ask = self.node.envelope(Body::Ask(Ask { seq: self.asked }));
+        let alive: Vec<Member> = self.node.alive().cloned().collect();
+        let mut behind = Vec::new();
+        for member in alive {
+            if self.confirmed.get(&member.name).is_none_or(|told| *told < confirm.revision) {
+                self.send(member.address, &ask).await;
+                behind.push(member.name);
+            }
+        }
+        behind
+    }
+}
+
+impl Handler<Report> for Link {
+    type Return = ();
+
+    async fn handle(&mut self, report: Report, _: &mut Context<Self>) {
+        let holder = self.node.alive().find(|member| member.name == report.0);
+        if let Some(address) = holder.map(|member| member.address) {
+            let envelope = self.node.envelope(Body::Evidence(report.1));
+            self.send(address, &envelope).await;
+        }
+    }
+}
+
+impl Handler<Leave> for Link {
+    type Return = ();
+
+    async fn handle(&mut self, _: Leave, _: &mut Context<Self>) {
+        let effects = self.node.leave();
+        self.carry_out(effects).await;
+    }
+}
+
+/// The supervised task around a [`Link`].
+#[derive(Clone, Debug)]
+pub struct Linking {
+    /// The daemon's state.
+    pub fleet: Arc<Fleet>,
+    /// Bound before the daemon starts, so that a fault shows at once.
+    pub socket: Arc<UdpSocket>,
+    /// Bound to the same address as `socket`.
+    pub listener: Arc<TcpListener>,
+}
+
+impl Child for Linking {
+    fn name(&self) -> &'static str {
+        "peers"
+    }
+
+    async fn run(self) {
+        let (address, mailbox) = Mailbox::bounded(1_024);
+        let settings = &self.fleet.settings;
+        let me = Member {
+            name: settings.name.clone(),
+            address: self.socket.local_addr().unwrap_or(settings.peer),
+            dc: settings.dc.clone(),
+            incarnation: unix_now(),
+            state: State::Alive,
+        };
+        let key = Key::derive(settings.fleet_key.expose().as_bytes());
+        let link = Link {
+            fleet: self.fleet.clone(),
+            node: Node::new(me, node::Options::default(), rand::random()),
+            socket: self.socket.clone(),
+            key: key.clone(),
+            confirmed: HashMap::new(),
+            asked: 0,
+            address: address.downgrade(),
+        };
+        self.fleet.set_link(address.clone());
+        tokio::select! {
+            () = xtra::run(mailbox, link) => {}
+            () = tick(address.clone()) => {}
+            () = receive(self.socket.clone(), address.clone()) => {}
+            () = serve(&self.listener, address, key) => {}
+        }
+    }
+}
+
+async fn tick(link: Address<Link>) {
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        if link.send(Tick).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn receive(socket: Arc<UdpSocket>, link: Address<Link>) {
+    let mut buffer = vec![0; DATAGRAM_BYTES];
+    loop {
+        // An error here tells of an earlier datagram that found nobody.
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        let datagram = Bytes::copy_from_slice(&buffer[..length]);
+        if link.send(Datagram(datagram, from)).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Answers peers that fetch large facts, one at a time.
+async fn serve(listener: &TcpListener, link: Address<Link>, key: Key) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let answered = answer(stream, &link, key.clone());
+        let _ = timeout(FETCH_TIMEOUT, answered).await;
+    }
+}
+
+async fn answer(stream: TcpStream, link: &Address<Link>, key: Key) -> Option<()> {
+    let mut framed = Framed::new(stream, Codec(key));
+    let asked = match framed.next().await? {
+        Ok(envelope) => envelope,
+        Err(error) => {
+            counter::frame_refused(error.reason());
+            return None;
+        }
+    };
+    let Some(Body::Want(wanted)) = asked.body else {
+        return None;
+    };
+    let facts = link.send(Whole(wanted)).await.ok()?;
+    framed.send(facts).await.ok()
+}
+
+/// Names of daemons that have not confirmed a revision when the time is up.
+pub async fn wait_confirmed(link: &Address<Link>, revision: u64, wait: Duration) -> Vec<Name> {
+    const PAUSE: Duration = Duration::from_millis(200);
+    let end = tokio::time::Instant::now() + wait;
+    let mut behind: HashSet<Name> = HashSet::new();
+    loop {
+        if let Ok(names) = link.send(Confirm { revision }).await {
+            behind = names.into_iter().collect();
+        }
+        if behind.is_empty() || tokio::time::Instant::now() >= end {
+            let mut names: Vec<Name> = behind.into_iter().collect();
+            names.sort();
+            return names;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
--- a/crates/wisteriawinch/src/control/status.rs
+++ b/crates/wisteriawinch/src/control/status.rs
@@ -1,42 +1,86 @@
 //! What an operator sees of the fleet through one daemon.
 
 use serde_json::{Value, json};
+use winch_route::{pool::Key, replica::Replica};
 
-use crate::prelude::*;
+use super::peers::{Members, wait_confirmed};
+use crate::{prelude::*, trial::Trial};
 
 /// The daemon's view of the fleet, for `status`.
 pub async fn collect(fleet: &Arc<Fleet>) -> Value {
     let now = fleet.now();
     let view = fleet.view.load_full();
-    let routing = fleet.routing();
-    let pool = &routing.router.pool;
-    let mut upstreams: Vec<Value> = pool
+    let upstreams = upstreams(fleet, now);
+    let moves: Vec<Value> = fleet.trials().iter().map(|trial| describe(trial, now)).collect();
+    let members = match fleet.link() {
+        Some(link) => link.send(Members).await.unwrap_or_default(),
+        None => Vec::new(),
+    };
+    let peers: Vec<Value> = members
         .iter()
-        .map(|(key, replica)| {
+        .map(|member| {
             json!({
-                "name": replica.spec.name,
-                "dc": replica.spec.dc,
-                "runs": replica.spec.runs,
-                "inflight": replica.inflight(),
-                "load": replica.load(now),
-                "limit": replica.limit(now),
-                "ejected": replica.is_ejected(now),
-                "leaving": pool.is_leaving(key),
+                "name": member.name,
+                "dc": member.dc,
+                "address": member.address,
+                "incarnation": member.incarnation,
+                "state": format!("{:?}", member.state).to_lowercase(),
             })
         })
         .collect();
-    drop(routing);
-    upstreams.sort_by_key(|upstream| upstream["name"].to_string());
     json!({
         "daemon": fleet.settings.name,
         "incarnation": fleet.incarnation,
         "revision": view.revision(),
         "stopping": fleet.is_stopping(),
+        "isolated": fleet.is_isolated(),
         "upstreams": upstreams,
+        "moves": moves,
+        "peers": peers,
+    })
+}
+
+fn upstreams(fleet: &Fleet, now: Duration) -> Vec<Value> {
+    let routing = fleet.routing();
+    let pool = &routing.router.pool;
+    let describe = |(key, replica): (Key, &Replica)| {
+        json!({
+            "name": replica.spec.name,
+            "dc": replica.spec.dc,
+            "runs": replica.spec.runs,
+            "inflight": replica.inflight(),
+            "load": replica.load(now),
+            "limit": replica.limit(now),
+            "ejected": replica.is_ejected(now),
+            "leaving": pool.is_leaving(key),
+        })
+    };
+    let mut upstreams: Vec<Value> = pool.iter().map(describe).collect();
+    upstreams.sort_by_key(|upstream| upstream["name"].to_string());
+    upstreams
+}
+
+fn describe(trial: &Trial, now: Duration) -> Value {
+    let (new, old) = trial.pooled();
+    json!({
+        "name": trial.planned.name,
+        "route": trial.planned.route,
+        "from": trial.planned.from,
+        "to": trial.planned.to,
+        "stage": trial.stage(now),
+        "verdict": trial.verdict,
+        "reason": trial.reason,
+        "fault": trial.fault,
+        "late": trial.told_late,
+        "new": new,
+        "old": old,
     })
 }
 
 /// Waits until a revision is in force everywhere; returns the daemons that did not confirm it.
-pub async fn wait_in_force(_fleet: &Arc<Fleet>, _revision: u64, _wait: Duration) -> Vec<Name> {
-    Vec::new()
+pub async fn wait_in_force(fleet: &Arc<Fleet>, revision: u64, wait: Duration) -> Vec<Name> {
+    match fleet.link() {
+        Some(link) => wait_confirmed(&link, revision, wait).await,
+        None => Vec::new(),
+    }
 }
--- a/crates/wisteriawinch/src/edge/generation.rs
+++ b/crates/wisteriawinch/src/edge/generation.rs
@@ -40,12 +40,12 @@
 }
 
 async fn start(edge: &Edge, job: Job) -> Response {
-    let Some((version, first)) = edge.fleet.plan(&job.model, job.request) else {
+    let Some(plan) = edge.fleet.plan(&job.model, job.request) else {
         return refuse(Code::UnknownModel, "no route serves this model");
     };
     let stream = job.stream;
     let (output, head, chunks) = Output::new(job.request, job.chat);
-    let driver = Driver::new(edge.fleet.clone(), edge.engine.clone(), job, output, version, first);
+    let driver = Driver::new(edge.fleet.clone(), edge.engine.clone(), job, output, plan);
     edge.fleet.work.spawn(driver.run());
     match head.await {
         Ok(Ok(())) if stream => streamed(chunks),
--- a/crates/wisteriawinch/src/edge/operator.rs
+++ b/crates/wisteriawinch/src/edge/operator.rs
@@ -10,11 +10,17 @@
 use winch_config::{
     change::{Edit, parse},
     check::{Fault, check},
+    object::{Object, Upstream},
     publish::{self, publish},
+    set::Set,
 };
 
 use super::{Edge, Request, refuse};
-use crate::{control::status, emit, prelude::*};
+use crate::{
+    control::{facts, status},
+    emit,
+    prelude::*,
+};
 
 /// Body of `POST /admin/apply`.
 #[derive(Debug, Serialize, Deserialize)]
@@ -42,6 +48,7 @@
         (&Method::GET, "/admin/status") => {
             reply::json(&status::collect(&edge.fleet).await).into_response()
         }
+        (&Method::POST, "/admin/drain") => drain(edge, &request).await,
         _ => refuse(Code::NotFound, "there is no such operator endpoint"),
     }
 }
@@ -97,16 +104,20 @@
         Ok(edit) => edit,
         Err(faults) => return faulty(&faults),
     };
-    let fleet = &edge.fleet;
-    let known = fleet.view.load().set.clone();
+    let known = edge.fleet.view.load().set.clone();
     let options = publish::Options { edit, base: apply.base, nonce: rand::random() };
-    match publish(&fleet.platform, &known, &options).await {
+    commit(edge, &known, options, Duration::from_millis(apply.wait_ms)).await
+}
+
+/// Publishes a change and waits until it is in force.
+async fn commit(edge: &Edge, known: &Set, options: publish::Options, wait: Duration) -> Response {
+    let fleet = &edge.fleet;
+    match publish(&fleet.platform, known, &options).await {
         Ok(outcome) => {
             let revision = outcome.change.revision;
             emit!(Event::ChangeCommitted, revision = revision, nonce = options.nonce);
             fleet.install(outcome.set);
             fleet.spread_change(&outcome.change);
-            let wait = Duration::from_millis(apply.wait_ms);
             let missing = status::wait_in_force(fleet, revision, wait).await;
             reply::json(&json!({ "revision": revision, "not_confirmed": missing })).into_response()
         }
@@ -114,6 +125,33 @@
     }
 }
 
+/// Body of `POST /admin/drain`.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Drain {
+    /// The upstream's name.
+    pub upstream: Name,
+    /// Whether it leaves or comes back.
+    pub leaving: bool,
+}
+
+/// Takes an upstream out of service, or back: at once by a fact, for good by its object.
+async fn drain(edge: &Edge, request: &Request) -> Response {
+    let drain: Drain = match serde_json::from_slice(&request.body) {
+        Ok(drain) => drain,
+        Err(error) => return refuse(Code::BadRequest, &error.to_string()),
+    };
+    let fleet = &edge.fleet;
+    let set = fleet.view.load().set.clone();
+    let Some(upstream) = set.upstream(&drain.upstream).cloned() else {
+        return refuse(Code::NotFound, "no upstream is called so");
+    };
+    fleet.publish(facts::leave(&drain.upstream, drain.leaving));
+    let object = Object::Upstream(Upstream { leaving: drain.leaving, ..upstream });
+    let edit = Edit { puts: vec![Arc::new(object)], deletes: Vec::new() };
+    let options = publish::Options { edit, base: None, nonce: rand::random() };
+    commit(edge, &set, options, Duration::ZERO).await
+}
+
 fn refused(refusal: &publish::Error) -> Response {
     let code = match refusal {
         publish::Error::Faulty { faults } => return faulty(faults),
--- a/crates/wisteriawinch/src/fleet.rs
+++ b/crates/wisteriawinch/src/fleet.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::HashMap,
-    sync::{Mutex, MutexGuard, atomic::AtomicBool},
+    sync::{
+        Mutex, MutexGuard,
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    },
 };
 
 use arc_swap::ArcSwap;
@@ -17,6 +20,7 @@
     stall::{self, Norm},
     ticket,
 };
+use winch_gossip::facts::Fact;
 use winch_platform::http::{self, Platform};
 use winch_route::{
     pool::Key,
@@ -27,7 +31,18 @@
 
 use xtra::Address;
 
-use crate::{control::config::Keeper, counter, emit, prelude::*, settings::Stall, view::View};
+use crate::{
+    control::{
+        config::{Keeper, Offer, Poll},
+        facts,
+        peers::{Link, Publish},
+    },
+    counter, emit,
+    prelude::*,
+    settings::Stall,
+    trial::{Plan, Trials},
+    view::View,
+};
 
 /// What a waiting call is told.
 pub type Start = Option<Key>;
@@ -99,6 +114,11 @@
     pub ready: AtomicBool,
     metrics: PrometheusHandle,
     keeper: Mutex<Option<Address<Keeper>>>,
+    link: Mutex<Option<Address<Link>>>,
+    trials: Mutex<Trials>,
+    heard_table: AtomicU64,
+    heard_peer: AtomicU64,
+    peers: AtomicUsize,
     stopped: watch::Sender<bool>,
     routing: Mutex<Routing>,
     norms: Mutex<HashMap<Name, Norm>>,
@@ -138,6 +158,11 @@
             ready: AtomicBool::new(false),
             metrics: recorder(),
             keeper: Mutex::default(),
+            link: Mutex::default(),
+            trials: Mutex::default(),
+            heard_table: AtomicU64::new(0),
+            heard_peer: AtomicU64::new(0),
+            peers: AtomicUsize::new(0),
             stopped: watch::Sender::new(false),
             routing: Mutex::new(Routing { router, waiters: HashMap::new() }),
             norms: Mutex::default(),
@@ -174,14 +199,24 @@
         *self.keeper.lock().expect("no holder of this lock panics") = Some(keeper);
     }
 
-    /// Notes that the table answered.
-    pub fn heard_table(&self) {}
+    /// Tells peers of a committed change.
+    pub fn spread_change(&self, change: &Change) {
+        self.publish(facts::change(change));
+    }
 
-    /// Notes that the process was paused and has woken at `now`.
-    pub fn woke(&self, _now: Duration) {}
+    /// Registers the actor that talks to peers.
+    pub fn set_link(&self, link: Address<Link>) {
+        *self.link.lock().expect("no holder of this lock panics") = Some(link);
+    }
 
-    /// Tells peers of a committed change.
-    pub fn spread_change(&self, _change: &Change) {}
+    /// The actor that talks to peers, once it runs.
+    pub fn link(&self) -> Option<Address<Link>> {
+        self.link.lock().expect("no holder of this lock panics").clone()
+    }
+
+    fn keeper(&self) -> Option<Address<Keeper>> {
+        self.keeper.lock().expect("no holder of this lock panics").clone()
+    }
 
     /// Whether a planned stop began.
     pub fn is_stopping(&self) -> bool {
@@ -229,6 +264,7 @@
         routing.router.pool.sync(view.specs(), self.now());
         self.view.store(view.clone());
         drop(routing);
+        self.trials().sync(view.set.moves());
         counter::revision(view.revision());
         emit!(Event::RevisionInForce, revision = view.revision());
     }
@@ -249,22 +285,108 @@
         routing.carry_out(wakes);
     }
 
-    /// The version that serves a new request for `model`, and how its choice is restricted.
-    pub fn plan(&self, model: &str, _request: u64) -> Option<(Name, Option<(u64, usize)>)> {
-        self.view.load().model(model).map(|model| (model.version.clone(), None))
+    /// Where a new request for `model` goes.
+    pub fn plan(&self, model: &str, request: u64) -> Option<Plan> {
+        let view = self.view.load();
+        let model = view.model(model)?;
+        let trials = self.trials();
+        let routing = self.routing();
+        let replicas = |version: &str| routing.router.pool.all(version).len();
+        let (now, isolated) = (self.now(), self.is_isolated());
+        Some(trials.plan(&model.route, &model.version, request, now, isolated, replicas))
     }
 
     /// Counts an attempt that failed, as evidence about its version.
-    pub fn failed(&self, _version: &Name, _key: Key) {}
-
-    /// Counts an answer that completed, as evidence about its version.
-    pub fn completed(&self, _version: &Name) {}
+    pub fn failed(&self, version: &Name, key: Key) {
+        let name = self.routing().router.pool.get(key).map(|replica| replica.spec.name.clone());
+        if let Some(name) = name {
+            self.trials().failed(version, &name, self.now());
+        }
+    }
 
-    /// Counts a first token, as evidence about its version.
-    pub fn first_token(&self, _version: &Name, _key: Key, _time: Duration) {}
+    /// Counts an attempt that went well, as evidence about its version.
+    pub fn good(&self, version: &Name, first_token: Duration, gap: Duration) {
+        self.trials().good(version, first_token, gap);
+    }
 
     /// Tells peers of strikes found here.
-    pub fn spread_strikes(&self, _struck: &[(Fingerprint, Death)]) {}
+    pub fn spread_strikes(&self, struck: &[(Fingerprint, Death)]) {
+        for (fingerprint, death) in struck {
+            self.publish(facts::strike(*fingerprint, *death));
+        }
+    }
+
+    /// Makes a fact known here and to the fleet.
+    pub fn publish(&self, fact: Fact) {
+        if let Some(link) = self.link() {
+            self.work.spawn(async move { link.send(Publish(fact)).await });
+        }
+    }
+
+    /// Hands a change told by a peer to the keeper of the configuration.
+    pub fn offer(&self, offer: Offer) {
+        if let Some(keeper) = self.keeper() {
+            self.work.spawn(async move { keeper.send(offer).await });
+        }
+    }
+
+    /// Asks the keeper of the configuration to look at the table.
+    pub fn poll_config(&self) {
+        if let Some(keeper) = self.keeper() {
+            self.work.spawn(async move { keeper.send(Poll).await });
+        }
+    }
+
+    /// The moves as this daemon sees them. Never held across an await.
+    pub fn trials(&self) -> MutexGuard<'_, Trials> {
+        self.trials.lock().expect("no holder of this lock panics")
+    }
+
+    /// Whether an upstream gets no new work from this daemon.
+    pub fn is_leaving(&self, name: &str) -> bool {
+        let routing = self.routing();
+        let pool = &routing.router.pool;
+        pool.find(name).is_none_or(|key| pool.is_leaving(key))
+    }
+
+    /// Notes that the table answered.
+    pub fn heard_table(&self) {
+        self.heard_table.store(self.now().as_millis() as u64, Ordering::Relaxed);
+    }
+
+    /// Notes that a peer was heard at `at`.
+    pub fn heard_peer(&self, at: Duration) {
+        self.heard_peer.store(at.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    /// Notes how many peers are alive.
+    pub fn set_peers(&self, alive: usize) {
+        self.peers.store(alive, Ordering::Relaxed);
+    }
+
+    /// Whether neither peers nor the table were heard lately.
+    ///
+    /// A daemon without peers that are alive relies on the table alone.
+    pub fn is_isolated(&self) -> bool {
+        const PEER_SILENCE: u64 = 4_000;
+        const TABLE_SILENCE: u64 = 12_000;
+        let now = self.now().as_millis() as u64;
+        let since = |heard: &AtomicU64| now.saturating_sub(heard.load(Ordering::Relaxed));
+        let peers = self.peers.load(Ordering::Relaxed) > 0;
+        let peer_silent = since(&self.heard_peer) > PEER_SILENCE;
+        if peers { peer_silent } else { since(&self.heard_table) > TABLE_SILENCE }
+    }
+
+    /// Notes that the process was paused and has woken: what it held may have passed to others.
+    pub fn woke(&self, _now: Duration) {
+        self.heard_peer.store(0, Ordering::Relaxed);
+        self.heard_table.store(0, Ordering::Relaxed);
+        self.trials().iter_mut().for_each(|trial| {
+            trial.grant = None;
+            trial.machine = None;
+        });
+        self.poll_config();
+    }
 
     /// Address of an upstream in the configuration in force.
     pub fn address(&self, key: Key) -> Option<std::net::SocketAddr> {
--- /dev/null
+++ b/crates/wisteriawinch/src/generate/drive/recover.rs
@@ -0,0 +1,230 @@
+//! How an answer begins, goes on after a loss, and is taken up from elsewhere.
+
+use tokio::time::sleep;
+use winch_generation::{answer::Answer, ticket::Ticket};
+use winch_route::{pool::Key, router::Call, suspect::Standing};
+
+use super::{Driver, End, not_resumable};
+use crate::{
+    emit,
+    generate::{
+        admit::{self, admit},
+        engine::Engine,
+        job::Refusal,
+        strike,
+    },
+    prelude::*,
+};
+
+/// Time without progress after which an accepted answer is given up.
+const GIVE_UP: Duration = Duration::from_secs(60);
+/// Pause between looks for a fit upstream.
+const SEARCH_PAUSE: Duration = Duration::from_millis(50);
+
+impl<E: Engine> Driver<E> {
+    pub(super) async fn begin(&mut self) -> Result<(), End> {
+        if let Some(held) = self.job.held.clone() {
+            return self.take_up(held.ticket, held.tokens);
+        }
+        self.check_standing().await?;
+        if let Some(key) = self.try_trial() {
+            self.submit(key, false, false);
+            return Ok(());
+        }
+        let admitted = admit(&self.fleet, self.call.clone(), self.output.closed()).await;
+        let key = admitted.map_err(refused)?;
+        self.submit(key, false, false);
+        Ok(())
+    }
+
+    /// Starts on a version on trial, if it has room; otherwise the old version serves.
+    pub(super) fn try_trial(&mut self) -> Option<Key> {
+        self.fallback.as_ref()?;
+        let now = self.fleet.now();
+        let key = self.fleet.routing().router.try_start(&self.call, now).ok();
+        if key.is_none() {
+            self.fall_back();
+        }
+        key
+    }
+
+    /// Starts the answer afresh on the old version, of which nothing has reached the caller.
+    pub(super) fn fall_back(&mut self) {
+        if let Some(version) = self.fallback.take() {
+            self.answer = Answer::new(self.job.prompt.as_bytes());
+            self.call.runs = version;
+            self.call.first = None;
+            self.tried.clear();
+        }
+    }
+
+    /// Goes on where another daemon, or an earlier connection, left off.
+    pub(super) fn take_up(
+        &mut self,
+        ticket: Ticket,
+        tokens: Option<Vec<String>>,
+    ) -> Result<(), End> {
+        self.call.runs = ticket.version.as_str().into();
+        self.call.first = None;
+        let home = self.fleet.routing().router.pool.find(&ticket.replica);
+        let home = home.filter(|key| self.fleet.address(*key).is_some());
+        if let Some(tokens) = tokens {
+            let prefix = tokens.iter().map(String::as_str);
+            self.answer = Answer::with_prefix(self.job.prompt.as_bytes(), prefix);
+            let key = match home {
+                Some(key) => key,
+                None => self.replace().map_err(|()| End::Failed(no_upstream()))?,
+            };
+            if home.is_some() {
+                self.fleet.routing().router.begin(key, self.call.prefix);
+            }
+            self.submit(key, false, false);
+            return Ok(());
+        }
+        // Without the tokens only the engine that made them can tell them again.
+        let Some(key) = home else {
+            return Err(End::Failed(not_resumable()));
+        };
+        self.skip = ticket.offset;
+        self.fleet.routing().router.begin(key, self.call.prefix);
+        self.submit(key, true, false);
+        Ok(())
+    }
+
+    /// Refuses a suspect, or makes it wait until no other suspect runs here.
+    pub(super) async fn check_standing(&mut self) -> Result<(), End> {
+        let standing = strike::standing(&self.fleet, self.job.fingerprint);
+        if standing == Standing::Refused {
+            let request = format!("{:016x}", self.job.request);
+            emit!(Event::SuspectFound, request = request, standing = "refused");
+            let message = "engines died of this request".to_owned();
+            return Err(End::Failed((Code::Suspect, message)));
+        }
+        if standing != Standing::Isolated || self.isolated.is_some() {
+            return Ok(());
+        }
+        let request = format!("{:016x}", self.job.request);
+        emit!(Event::SuspectFound, request = request, standing = "isolated");
+        let turn = self.fleet.isolation.clone().acquire_owned();
+        tokio::select! {
+            permit = turn => self.isolated = permit.ok(),
+            () = self.output.closed() => return Err(End::Left),
+        }
+        Ok(())
+    }
+
+    pub(super) fn resume_call(&self) -> Call {
+        let mut call = self.call.clone();
+        call.prefill_tokens += self.answer.len();
+        call
+    }
+
+    /// Chooses the upstream of a resume; the attempts that failed come last.
+    pub(super) fn replace(&mut self) -> Result<Key, ()> {
+        let mut avoid = self.tried.clone();
+        if strike::standing(&self.fleet, self.job.fingerprint) != Standing::Clear {
+            avoid.extend(strike::avoid(&self.fleet, self.job.fingerprint));
+        }
+        let call = self.resume_call();
+        let now = self.fleet.now();
+        let mut routing = self.fleet.routing();
+        let tried = &self.tried;
+        let chosen = routing.router.replace(&call, &avoid, now);
+        let chosen = chosen.or_else(|_| routing.router.replace(&call, tried, now));
+        let chosen = chosen.or_else(|_| routing.router.replace(&call, &[], now));
+        chosen.map_err(drop)
+    }
+
+    /// Starts the next attempt after all were lost.
+    pub(super) async fn recover(&mut self) -> Result<(), End> {
+        if self.skip > self.answer.len() {
+            return Err(End::Failed(not_resumable()));
+        }
+        self.check_standing().await?;
+        if !self.output.has_begun() {
+            self.fall_back();
+        }
+        self.wait_turn().await?;
+        loop {
+            if let Ok(key) = self.replace() {
+                self.submit(key, false, false);
+                if let Some(live) = self.live.first_mut() {
+                    live.paced = true;
+                    return Ok(());
+                }
+            }
+            if self.fleet.now().saturating_sub(self.progress) > GIVE_UP {
+                self.unpace();
+                let message = "no engine could go on with the answer".to_owned();
+                return Err(End::Failed((Code::GenerationFailed, message)));
+            }
+            self.tried.clear();
+            self.restart_elsewhere();
+            self.pause().await?;
+        }
+    }
+
+    /// Moves an answer of which nothing reached the caller to the route's version of now.
+    pub(super) fn restart_elsewhere(&mut self) {
+        if self.output.has_begun() || self.job.held.is_some() {
+            return;
+        }
+        let Some(plan) = self.fleet.plan(&self.job.model, self.job.request) else {
+            return;
+        };
+        let version = plan.fallback.unwrap_or(plan.version);
+        if version != self.call.runs {
+            self.answer = Answer::new(self.job.prompt.as_bytes());
+            self.call.runs = version;
+            self.call.first = None;
+        }
+    }
+
+    /// Waits until the pacer lets this resume go.
+    pub(super) async fn wait_turn(&mut self) -> Result<(), End> {
+        let now = self.fleet.now();
+        let ticket =
+            self.fleet.routing().router.pacer(&self.call.runs, now).0.arrive(self.answer.len());
+        loop {
+            {
+                let now = self.fleet.now();
+                let mut routing = self.fleet.routing();
+                let (pacer, replicas) = routing.router.pacer(&self.call.runs, now);
+                if pacer.start(ticket, replicas) {
+                    return Ok(());
+                }
+            }
+            if let Err(end) = self.pause().await {
+                let now = self.fleet.now();
+                self.fleet.routing().router.pacer(&self.call.runs, now).0.leave(ticket);
+                return Err(end);
+            }
+        }
+    }
+
+    pub(super) async fn pause(&mut self) -> Result<(), End> {
+        tokio::select! {
+            () = sleep(SEARCH_PAUSE) => Ok(()),
+            () = self.output.closed() => Err(End::Left),
+        }
+    }
+}
+
+fn refused(error: admit::Error) -> End {
+    match error {
+        admit::Error::Left => End::Left,
+        error => {
+            let code = error.code();
+            End::Failed((code, retry_message(code, error.retry_after())))
+        }
+    }
+}
+
+fn retry_message(code: Code, seconds: Option<u64>) -> String {
+    let seconds = seconds.unwrap_or(1);
+    format!("{}; try again in {seconds} s", code.name())
+}
+
+fn no_upstream() -> Refusal {
+    (Code::NoUpstream, "no upstream can take the request".to_owned())
+}
--- a/crates/wisteriawinch/src/generate/strike.rs
+++ b/crates/wisteriawinch/src/generate/strike.rs
@@ -3,6 +3,7 @@
 use winch_route::{
     hash,
     pool::Key,
+    replica::Spec,
     suspect::{Death, Fingerprint, Standing},
 };
 
@@ -17,10 +18,11 @@
     key: Key,
     running: &[Fingerprint],
 ) -> Vec<(Fingerprint, Death)> {
-    let name = fleet.routing().router.pool.get(key).map(|r| r.spec.name.clone());
-    let Some(name) = name else {
+    let spec = fleet.routing().router.pool.get(key).map(|replica| replica.spec.clone());
+    let Some(Spec { name, runs, .. }) = spec else {
         return Vec::new();
     };
+    fleet.trials().died(&runs, fleet.now());
     let death = Death(hash::score(hash::name(&name), unix_now() / DEATH_BUCKET));
     let struck = fleet.board().death(death, running, fleet.now());
     emit!(Event::UpstreamDied, upstream = name, running = running.len(), struck = struck.len());
