--- /dev/null
+++ b/crates/winch-generation/tests/answer_log.rs
@@ -0,0 +1,225 @@
+//! The log against a naive one, under attempts that are lost, late and crossed.
+
+use assert_matches::assert_matches;
+use proptest::prelude::*;
+use winch_generation::{
+    answer::{Answer, Attempt, Drop},
+    digest::Digest,
+};
+
+const PROMPT: &[u8] = b"stub layout";
+const LENGTH: usize = 12;
+
+/// What may happen to an answer, in any order.
+#[derive(Clone, Debug)]
+enum Input {
+    Start,
+    Hedge,
+    Abandon(usize),
+    Tell(usize),
+    Repeat(usize),
+    Skip(usize),
+    End(usize),
+}
+
+fn inputs() -> impl Strategy<Value = Vec<Input>> {
+    let which = 0..4_usize;
+    let input = prop_oneof![
+        2 => Just(Input::Start),
+        2 => Just(Input::Hedge),
+        1 => which.clone().prop_map(Input::Abandon),
+        12 => which.clone().prop_map(Input::Tell),
+        1 => which.clone().prop_map(Input::Repeat),
+        1 => which.clone().prop_map(Input::Skip),
+        2 => which.prop_map(Input::End),
+    ];
+    prop::collection::vec(input, 1..120)
+}
+
+/// An engine's attempt: it goes on from the prefix that it was fed, with tokens of its own.
+struct Engine {
+    attempt: Attempt,
+    offset: usize,
+    digest: Digest,
+    salt: usize,
+}
+
+impl Engine {
+    fn next(&mut self) -> (usize, String) {
+        let token = format!("{:x}.{}", self.digest.0 as u32, self.salt);
+        let offset = self.offset;
+        self.offset += 1;
+        self.digest = self.digest.push(&token);
+        (offset, token)
+    }
+}
+
+/// Whether each token follows all the tokens before it.
+fn is_exact<'a>(tokens: impl Iterator<Item = &'a str>) -> bool {
+    let mut digest = Digest::of(PROMPT);
+    tokens.into_iter().all(|token| {
+        let follows = token.starts_with(&format!("{:x}.", digest.0 as u32));
+        digest = digest.push(token);
+        follows
+    })
+}
+
+/// The log without attempts: it takes whatever arrives at its end.
+#[derive(Default)]
+struct Naive(Vec<String>);
+
+trait Log {
+    fn attempt(&mut self, beside: bool) -> Attempt;
+    fn append(&mut self, attempt: Attempt, offset: usize, token: &str);
+    fn tokens(&self) -> Vec<String>;
+    fn abandon(&mut self, attempt: Attempt);
+    fn end(&mut self, attempt: Attempt, total: usize) -> bool;
+}
+
+impl Log for Answer {
+    fn attempt(&mut self, beside: bool) -> Attempt {
+        if beside { self.hedge() } else { self.start() }
+    }
+
+    fn append(&mut self, attempt: Attempt, offset: usize, token: &str) {
+        let before = self.len();
+        let result = Answer::append(self, attempt, offset, token);
+        assert_eq!(self.len(), before + usize::from(result.is_ok()));
+    }
+
+    fn tokens(&self) -> Vec<String> {
+        Answer::tokens(self).map(str::to_owned).collect()
+    }
+
+    fn abandon(&mut self, attempt: Attempt) {
+        Answer::abandon(self, attempt);
+    }
+
+    fn end(&mut self, attempt: Attempt, total: usize) -> bool {
+        Answer::end(self, attempt, total).is_ok()
+    }
+}
+
+impl Log for Naive {
+    fn attempt(&mut self, _beside: bool) -> Attempt {
+        Attempt(0)
+    }
+
+    fn append(&mut self, _attempt: Attempt, _offset: usize, token: &str) {
+        self.0.push(token.to_owned());
+    }
+
+    fn tokens(&self) -> Vec<String> {
+        self.0.clone()
+    }
+
+    fn abandon(&mut self, _attempt: Attempt) {}
+
+    fn end(&mut self, _attempt: Attempt, total: usize) -> bool {
+        self.0.len() == total
+    }
+}
+
+/// Drives a log; true if its tokens are exact at every moment and after its end.
+fn survives(log: &mut impl Log, inputs: &[Input]) -> bool {
+    let mut engines: Vec<Engine> = Vec::new();
+    let mut ended: Option<usize> = None;
+    for input in inputs {
+        match input {
+            Input::Start | Input::Hedge => {
+                let attempt = log.attempt(matches!(input, Input::Hedge));
+                let tokens = log.tokens();
+                let digest = tokens.iter().fold(Digest::of(PROMPT), |d, t| d.push(t));
+                let salt = engines.len();
+                engines.push(Engine { attempt, offset: tokens.len(), digest, salt });
+            }
+            Input::Abandon(at) => {
+                if let Some(engine) = pick(&mut engines, *at) {
+                    log.abandon(engine.attempt);
+                }
+            }
+            Input::Tell(at) => {
+                if let Some(engine) = pick(&mut engines, *at).filter(|e| e.offset < LENGTH) {
+                    let (offset, token) = engine.next();
+                    log.append(engine.attempt, offset, &token);
+                }
+            }
+            Input::Repeat(at) | Input::Skip(at) => {
+                if let Some(engine) = pick(&mut engines, *at) {
+                    let ahead = usize::from(matches!(input, Input::Skip(_)));
+                    let offset = (engine.offset + ahead).saturating_sub(1 - ahead);
+                    let wrong = offset != log.tokens().len();
+                    if wrong {
+                        log.append(engine.attempt, offset, "stray");
+                    }
+                }
+            }
+            Input::End(at) => {
+                if let Some(engine) = pick(&mut engines, *at)
+                    && engine.offset == LENGTH
+                    && log.end(engine.attempt, LENGTH)
+                {
+                    ended.get_or_insert(log.tokens().len());
+                }
+            }
+        }
+        let tokens = log.tokens();
+        if !is_exact(tokens.iter().map(String::as_str)) || ended.is_some_and(|n| n != tokens.len())
+        {
+            return false;
+        }
+    }
+    true
+}
+
+fn pick(engines: &mut [Engine], at: usize) -> Option<&mut Engine> {
+    // The newest engines are the likeliest to be live.
+    let last = engines.len().checked_sub(1)?;
+    engines.get_mut(last - at.min(last))
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(4), ..Default::default() }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn tokens_exact(inputs in inputs()) {
+        prop_assert!(survives(&mut Answer::new(PROMPT), &inputs));
+    }
+
+    #[test]
+    fn same_without_faults(count in 1..LENGTH) {
+        let inputs: Vec<Input> = std::iter::once(Input::Start)
+            .chain(std::iter::repeat_n(Input::Tell(0), count)).collect();
+        let (mut log, mut naive) = (Answer::new(PROMPT), Naive::default());
+        prop_assert!(survives(&mut log, &inputs) && survives(&mut naive, &inputs));
+        prop_assert_eq!(Log::tokens(&log), naive.tokens());
+    }
+}
+
+#[test]
+fn naive_splices() {
+    use Input::{Hedge, Start, Tell};
+    let inputs = [Start, Tell(0), Hedge, Tell(0), Tell(1)];
+    assert!(!survives(&mut Naive::default(), &inputs));
+    assert!(survives(&mut Answer::new(PROMPT), &inputs));
+}
+
+#[test]
+fn late_tokens() {
+    let mut answer = Answer::new(PROMPT);
+    let first = answer.start();
+    assert_matches!(answer.append(first, 0, "a"), Ok(_));
+    let second = answer.start();
+    assert_matches!(answer.append(first, 1, "late"), Err(Drop::Stale));
+    assert_matches!(answer.append(second, 0, "again"), Err(Drop::Duplicate));
+    assert_matches!(answer.append(second, 2, "far"), Err(Drop::Gap));
+    assert_matches!(answer.append(second, 1, "b"), Ok(_));
+    assert_matches!(answer.end(second, 3), Err(Drop::Gap));
+    assert_matches!(answer.end(second, 2), Ok(()));
+    assert_matches!(answer.append(second, 2, "after"), Err(Drop::Ended));
+    assert_eq!(answer.text(), "ab");
+}
--- /dev/null
+++ b/crates/winch-generation/tests/ticket_forgery.rs
@@ -0,0 +1,71 @@
+//! Event ids come back whole, and only those that this fleet issued.
+
+use assert_matches::assert_matches;
+use proptest::prelude::*;
+use winch_generation::{
+    digest::Digest,
+    ticket::{Error, Key, Ticket},
+};
+
+fn config() -> ProptestConfig {
+    ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(6), ..Default::default() }
+}
+
+fn tickets() -> impl Strategy<Value = Ticket> {
+    (
+        any::<u64>(),
+        any::<u64>(),
+        "[a-z0-9-]{1,12}",
+        "[a-z0-9-]{1,12}",
+        0..100_000_usize,
+        any::<u64>(),
+    )
+        .prop_map(|(request, body, version, replica, offset, digest)| Ticket {
+            request,
+            body,
+            version,
+            replica,
+            offset,
+            digest: Digest(digest),
+        })
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn round_trip(ticket in tickets()) {
+        let key = Key::derive(b"fleet");
+        prop_assert_eq!(Ticket::decode(&ticket.encode(&key), &key), Ok(ticket));
+    }
+
+    #[test]
+    fn any_change_refused(ticket in tickets(), at in any::<prop::sample::Index>(), by in 1..9_u8) {
+        let key = Key::derive(b"fleet");
+        let mut bytes = ticket.encode(&key).into_bytes();
+        let at = at.index(bytes.len());
+        bytes[at] = b'0' + (bytes[at].wrapping_add(by) % 10);
+        let text = String::from_utf8(bytes).unwrap();
+        prop_assume!(text != ticket.encode(&key));
+        prop_assert!(Ticket::decode(&text, &key).is_err());
+    }
+
+    #[test]
+    fn never_panics(text in ".{0,120}") {
+        let _ = Ticket::decode(&text, &Key::derive(b"fleet"));
+    }
+}
+
+#[test]
+fn foreign_key() {
+    let ticket = Ticket {
+        request: 1,
+        body: 2,
+        version: "v".into(),
+        replica: "r".into(),
+        offset: 3,
+        digest: Digest(4),
+    };
+    let text = ticket.encode(&Key::derive(b"other fleet"));
+    assert_matches!(Ticket::decode(&text, &Key::derive(b"fleet")), Err(Error::Forged));
+}
--- /dev/null
+++ b/crates/winch-gossip/tests/fact_spread.rs
@@ -0,0 +1,131 @@
+//! Facts reach everybody, rise only, and outlive loss and partitions.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use winch_gossip::{
+    facts::{Fact, Facts},
+    memory::{Conditions, Network},
+    node::Options,
+};
+
+fn secs(secs: u64) -> Duration {
+    Duration::from_secs(secs)
+}
+
+fn network(size: usize, loss: f64, seed: u64) -> Network {
+    let conditions = Conditions { loss, ..Conditions::default() };
+    let mut network = Network::new(size, Options::default(), conditions, seed);
+    network.run(secs(3));
+    network
+}
+
+/// A change of configuration must be in force everywhere within this time.
+const IN_FORCE: Duration = Duration::from_secs(7);
+
+#[test]
+fn everywhere_in_time() {
+    for (size, loss) in [(12, 0.0), (12, 0.3), (200, 0.05), (200, 0.3)] {
+        for seed in 0..3 {
+            let mut network = network(size, loss, seed);
+            network.publish(0, Fact::new("config", 2, "change"));
+            network.run(IN_FORCE);
+            assert_eq!(
+                network.holders("config", 2),
+                size,
+                "{size} nodes, loss {loss}, seed {seed}"
+            );
+        }
+    }
+}
+
+#[test]
+fn fault_spreads_fast() {
+    // A fault verdict has about a second.
+    let mut network = network(200, 0.0, 1);
+    network.publish(7, Fact::new("fault/m", 1, ""));
+    network.run(secs(1));
+    assert!(network.holders("fault/m", 1) * 100 >= network.len() * 95);
+}
+
+#[test]
+fn after_partition() {
+    let mut network = network(20, 0.0, 2);
+    (10..20).for_each(|index| network.set_group(index, 1));
+    network.publish(0, Fact::new("config", 5, "left"));
+    network.publish(15, Fact::new("leave/e", 1, "right"));
+    network.run(secs(120));
+    assert_eq!((network.holders("config", 5), network.holders("leave/e", 1)), (10, 10));
+    (10..20).for_each(|index| network.set_group(index, 0));
+    network.run(secs(60));
+    assert_eq!((network.holders("config", 5), network.holders("leave/e", 1)), (20, 20));
+}
+
+#[test]
+fn restarted_catches_up() {
+    let mut network = network(12, 0.0, 3);
+    network.publish(0, Fact::new("config", 9, "x"));
+    network.run(secs(5));
+    network.kill(4);
+    network.run(secs(5));
+    network.restart(4, 2);
+    network.run(secs(10));
+    assert_eq!(network.holders("config", 9), 12);
+}
+
+#[test]
+fn fleeting_not_repaired() {
+    let mut network = network(12, 0.0, 4);
+    network.pause(3);
+    network.kill(5);
+    let life = secs(6);
+    network.publish(0, Fact::new("grant/m", 1, "").with_life(life).fleeting());
+    network.run(life + secs(1));
+    assert_eq!(network.holders("grant/m", 1), 0);
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(9), ..Default::default() }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Differential: a map that keeps the highest version of each key.
+    #[test]
+    fn highest_wins(news in prop::collection::vec((0..4_u8, 0..20_u64), 1..60)) {
+        let mut facts = Facts::default();
+        let mut naive = std::collections::BTreeMap::new();
+        for (key, version) in news {
+            let learnt = facts.learn(Fact::new(key.to_string(), version, ""), Duration::ZERO);
+            let known = naive.get(&key).copied();
+            prop_assert_eq!(learnt, known.is_none_or(|known| version > known));
+            naive.insert(key, known.map_or(version, |known: u64| known.max(version)));
+        }
+        for (key, version) in &naive {
+            prop_assert_eq!(facts.get(&key.to_string()).map(|fact| fact.version), Some(*version));
+        }
+    }
+
+    /// Two holdings that compare until nothing is missing are equal.
+    #[test]
+    fn repair_converges(a in prop::collection::vec((0..9_u8, 0..9_u64), 0..20),
+                        b in prop::collection::vec((0..9_u8, 0..9_u64), 0..20)) {
+        let hold = |news: &[(u8, u64)]| {
+            let mut facts = Facts::default();
+            for (key, version) in news {
+                facts.learn(Fact::new(key.to_string(), *version, ""), Duration::ZERO);
+            }
+            facts
+        };
+        let (mut a, mut b) = (hold(&a), hold(&b));
+        let (missing, wanted) = a.compare(&b.holdings(), Duration::ZERO);
+        for fact in b.wanted(&wanted, Duration::ZERO) {
+            a.learn(fact.into(), Duration::ZERO);
+        }
+        for fact in missing {
+            b.learn(fact.into(), Duration::ZERO);
+        }
+        prop_assert_eq!(a.digest(), b.digest());
+    }
+}
--- /dev/null
+++ b/crates/winch-gossip/tests/peer_failure.rs
@@ -0,0 +1,85 @@
+//! Peers that die, pause, restart and are cut off.
+
+use std::time::Duration;
+
+use winch_gossip::{
+    member::State,
+    memory::{Conditions, Network},
+    node::Options,
+};
+
+fn secs(secs: u64) -> Duration {
+    Duration::from_secs(secs)
+}
+
+fn network(size: usize, loss: f64, seed: u64) -> Network {
+    let conditions = Conditions { loss, ..Conditions::default() };
+    let mut network = Network::new(size, Options::default(), conditions, seed);
+    network.run(secs(3));
+    network
+}
+
+fn state(network: &Network, at: usize, of: usize) -> Option<State> {
+    let name = network.node(of).me().name.clone();
+    network.node(at).members().find(|member| member.name == name).map(|member| member.state)
+}
+
+#[test]
+fn death_noticed() {
+    let mut network = network(12, 0.0, 1);
+    network.kill(5);
+    network.run(secs(20));
+    for index in (0..12).filter(|index| *index != 5) {
+        assert_eq!(state(&network, index, 5), Some(State::Dead));
+        assert_eq!(network.alive(index).len(), 10);
+    }
+}
+
+#[test]
+fn loss_trusted() {
+    // A tenth of all messages lost kills nobody for long.
+    let mut network = network(50, 0.1, 2);
+    network.run(secs(120));
+    let wrong: usize = (0..50).map(|index| 49 - network.alive(index).len()).sum();
+    assert_eq!(wrong, 0);
+}
+
+#[test]
+fn pause_refuted() {
+    let mut network = network(12, 0.0, 3);
+    network.pause(2);
+    network.run(secs(20));
+    assert_eq!(state(&network, 0, 2), Some(State::Dead));
+    network.resume(2);
+    network.run(secs(40));
+    for index in (0..12).filter(|index| *index != 2) {
+        assert_eq!(state(&network, index, 2), Some(State::Alive));
+    }
+    assert!(network.node(2).me().incarnation > 1);
+}
+
+#[test]
+fn restart_same_address() {
+    let mut network = network(12, 0.0, 4);
+    network.kill(7);
+    network.run(secs(20));
+    network.restart(7, 2);
+    network.run(secs(20));
+    assert_eq!(network.alive(7).len(), 11);
+    for index in (0..12).filter(|index| *index != 7) {
+        assert_eq!(state(&network, index, 7), Some(State::Alive));
+    }
+}
+
+#[test]
+fn partition_heals() {
+    let mut network = network(20, 0.0, 5);
+    (10..20).for_each(|index| network.set_group(index, 1));
+    network.run(secs(60));
+    assert_eq!(network.alive(0).len(), 9);
+    (10..20).for_each(|index| network.set_group(index, 0));
+    network.run(secs(90));
+    for index in 0..20 {
+        assert_eq!(network.alive(index).len(), 19, "node {index}");
+    }
+}
