tests: hold routing and moves to naive versions and stated rates

Cause: routing, limits, suspects and moves had no proof. What: proptest against naive choosers, queues and counters; the sequential test run to its end 2,000 times at each stated rate.

--- /dev/null
+++ b/crates/winch-move/tests/fault_found.rs
@@ -0,0 +1,127 @@
+//! The sequential test keeps its stated error rates, and shared causes do not count.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use winch_move::{
+    evidence::{Collector, DEATH_WEIGHT, Finding, Options, Quantile, Side, Tally, test},
+    schedule::{LAST, is_chosen, replicas, share},
+};
+
+/// A repeatable source of chances.
+struct Chance(u64);
+
+impl Chance {
+    fn hit(&mut self, part: f64) -> bool {
+        self.0 =
+            self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        ((self.0 >> 11) as f64) < part * (1_u64 << 53) as f64
+    }
+}
+
+/// Runs the test to its end over `most` attempts.
+fn judge(failing: f64, slow: f64, seed: u64, most: u64) -> Finding {
+    let old = Tally { good: 9_950, failed: 50, slow: 1_000 };
+    let mut chance = Chance(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
+    let mut new = Tally::default();
+    for _ in 0..most {
+        if chance.hit(failing) {
+            new.failed += 1;
+        } else {
+            new.good += 1;
+        }
+        new.slow += u64::from(chance.hit(slow));
+        match test(new, old, &Options::default(), 1) {
+            Finding::Open => {}
+            finding => return finding,
+        }
+    }
+    Finding::Open
+}
+
+fn part(findings: impl Iterator<Item = Finding>, wanted: fn(Finding) -> bool) -> f64 {
+    let findings: Vec<Finding> = findings.collect();
+    findings.iter().filter(|finding| wanted(**finding)).count() as f64 / findings.len() as f64
+}
+
+#[test]
+fn error_rates() {
+    let bad = |finding| matches!(finding, Finding::Failing | Finding::Slow);
+    let good = |finding| finding == Finding::Good;
+    let runs = 2_000;
+    // Stated: one good version in a thousand is called bad, one bad one in a hundred good.
+    // The bounds leave room for the spread of a finite number of runs.
+    let alarms = part((0..runs).map(|seed| judge(0.005, 0.1, seed, 2_000)), bad);
+    assert!(alarms <= 0.004, "false alarms {alarms}");
+    let missed = part((0..runs).map(|seed| judge(0.1, 0.1, seed, 2_000)), good);
+    assert!(missed <= 0.02, "failing versions missed {missed}");
+    let missed = part((0..runs).map(|seed| judge(0.005, 0.5, seed, 2_000)), good);
+    assert!(missed <= 0.02, "slow versions missed {missed}");
+}
+
+#[test]
+fn incident_spares() {
+    // Old and new fail alike: the new version is not to blame.
+    let old = Tally { good: 800, failed: 200, slow: 300 };
+    let new = Tally { good: 80, failed: 20, slow: 30 };
+    let finding = test(new, old, &Options::default(), 1);
+    assert!(!matches!(finding, Finding::Failing | Finding::Slow), "{finding:?}");
+}
+
+#[test]
+fn death_counts_once() {
+    let mut collector = Collector::default();
+    let now = Duration::from_secs(10);
+    (0..16).for_each(|_| collector.failed(Side::New, 7, now));
+    assert_eq!(collector.new.failed, 1);
+    collector.died(Side::New, now);
+    collector.settle(now + Duration::from_secs(3));
+    assert_eq!(collector.new.failed, 1 + DEATH_WEIGHT);
+}
+
+#[test]
+fn shared_death_spares() {
+    let mut collector = Collector::default();
+    collector.died(Side::New, Duration::from_secs(10));
+    collector.died(Side::Old, Duration::from_secs(11));
+    collector.settle(Duration::from_secs(13));
+    assert_eq!(collector.new.failed, 0);
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(17), ..Default::default() }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn shares_rise(old in 1..2_000_usize, new in 1..2_000_usize) {
+        let shares: Vec<f64> = (0..=LAST).map(|stage| share(stage, old)).collect();
+        prop_assert!(shares.windows(2).all(|pair| pair[0] <= pair[1]));
+        prop_assert!(shares[1] <= 0.05, "the first stage stays small");
+        prop_assert_eq!((shares[0], shares[5]), (0.0, 1.0));
+        for stage in 1..=LAST {
+            prop_assert!((1..=new).contains(&replicas(stage, old, new)));
+        }
+    }
+
+    #[test]
+    fn chosen_by_share(part in 0.0..1.0_f64) {
+        let hits = (0..4_000_u64).filter(|n| is_chosen(n.wrapping_mul(0x9e37_79b9_7f4a_7c15), part));
+        let found = hits.count() as f64 / 4_000.0;
+        prop_assert!((found - part).abs() < 0.05);
+    }
+
+    #[test]
+    fn quantile_near(part in 0.5..0.95_f64, seed in any::<u64>()) {
+        let mut quantile = Quantile::new(part);
+        let mut x = seed;
+        for _ in 0..5_000 {
+            x = x.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            quantile.add(1.0 + (x >> 11) as f64 / (1_u64 << 53) as f64);
+        }
+        let found = quantile.get().unwrap();
+        prop_assert!((found - 1.0 - part).abs() < 0.2, "{} for {}", found, part);
+    }
+}
--- a/crates/winch-route/src/suspect.rs
+++ b/crates/winch-route/src/suspect.rs
@@ -144,6 +144,16 @@
         }
     }
 
+    /// Number of fingerprints remembered.
+    pub fn len(&self) -> usize {
+        self.strikes.len()
+    }
+
+    /// Whether nobody was struck.
+    pub fn is_empty(&self) -> bool {
+        self.strikes.is_empty()
+    }
+
     fn forget(&mut self, now: Duration) {
         if self.strikes.len() < self.options.most {
             return;
--- /dev/null
+++ b/crates/winch-route/tests/choose_fit.rs
@@ -0,0 +1,158 @@
+//! Choices against a naive chooser: fit upstreams only, and the cheapest sampled.
+
+use std::{sync::Arc, time::Duration};
+
+use proptest::prelude::*;
+use winch_route::{
+    choose::{Error, Options, Request, choose},
+    pool::{self, Key, Pool},
+    replica::{Finish, Spec},
+};
+
+const NOW: Duration = Duration::from_secs(100);
+
+#[derive(Clone, Debug)]
+struct Upstream {
+    runs: bool,
+    leaving: bool,
+    told: bool,
+    ejected: bool,
+    load: u32,
+    tried: bool,
+}
+
+fn upstreams() -> impl Strategy<Value = Vec<Upstream>> {
+    let upstream = (
+        any::<bool>(),
+        prop::bool::weighted(0.2),
+        prop::bool::weighted(0.1),
+        prop::bool::weighted(0.2),
+        0..12_u32,
+        prop::bool::weighted(0.2),
+    )
+        .prop_map(|(runs, leaving, told, ejected, load, tried)| Upstream {
+            runs,
+            leaving,
+            told,
+            ejected,
+            load,
+            tried,
+        });
+    prop::collection::vec(upstream, 0..24)
+}
+
+fn pool(upstreams: &[Upstream]) -> (Pool, Vec<Key>) {
+    let options = pool::Options { subset: 64, eject_share: 1.0 };
+    let mut pool = Pool::new("entry-1", "dc".into(), options);
+    let specs = upstreams.iter().enumerate().map(|(number, upstream)| Spec {
+        name: format!("u{number}").into(),
+        dc: if number % 2 == 0 { "dc".into() } else { "other".into() },
+        runs: if upstream.runs { "v1".into() } else { "v2".into() },
+        slots: 8,
+        leaving: upstream.leaving,
+    });
+    pool.sync(specs, NOW);
+    let keys: Vec<Key> =
+        (0..upstreams.len()).map(|number| pool.find(&format!("u{number}")).unwrap()).collect();
+    for (number, upstream) in upstreams.iter().enumerate() {
+        let key = keys[number];
+        (0..upstream.load).for_each(|_| pool.begin(key, 1));
+        if upstream.told {
+            pool.leave(format!("u{number}").into());
+        }
+        if upstream.ejected {
+            pool.begin(key, 1);
+            pool.finish(key, Finish::Unreachable, NOW);
+        }
+    }
+    (pool, keys)
+}
+
+/// All upstreams that may be chosen, found the long way.
+fn naive(upstreams: &[Upstream], keys: &[Key]) -> Vec<Key> {
+    const ROOM: u32 = 10;
+    let fit = upstreams.iter().zip(keys).filter(|(upstream, _)| {
+        upstream.runs
+            && !upstream.leaving
+            && !upstream.told
+            && !upstream.ejected
+            && !upstream.tried
+            && upstream.load < ROOM
+    });
+    fit.map(|(_, key)| *key).collect()
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..Default::default() }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn only_fit(upstreams in upstreams(), prefix in any::<u64>(), random in any::<u64>()) {
+        let (pool, keys) = pool(&upstreams);
+        let tried: Vec<Key> = upstreams.iter().zip(&keys)
+            .filter(|(upstream, _)| upstream.tried).map(|(_, key)| *key).collect();
+        let request = Request {
+            runs: "v1", prefix, prefill_tokens: 100, exclude: &tried, first: None, dc: "dc",
+        };
+        let fit = naive(&upstreams, &keys);
+        match choose(&pool, &request, &Options::default(), random, NOW) {
+            Ok(key) => prop_assert!(fit.contains(&key)),
+            Err(error) => {
+                prop_assert!(fit.is_empty());
+                let any = upstreams.iter().any(|upstream| upstream.runs);
+                prop_assert_eq!(error == Error::Nothing, !any);
+            }
+        }
+    }
+
+    /// With every upstream sampled the choice is the naive least-loaded one.
+    #[test]
+    fn least_loaded(loads in prop::collection::vec(0..9_u32, 1..12), random in any::<u64>()) {
+        let upstreams: Vec<Upstream> = loads.iter().map(|load| Upstream {
+            runs: true, leaving: false, told: false, ejected: false, load: *load, tried: false,
+        }).collect();
+        let (pool, keys) = pool(&upstreams);
+        let options = Options {
+            homes: 64, samples: 0, prefill_cost: 0.0, dc_cost: 0.0, ..Options::default()
+        };
+        let request = Request {
+            runs: "v1", prefix: 7, prefill_tokens: 0, exclude: &[], first: None, dc: "dc",
+        };
+        let chosen = choose(&pool, &request, &options, random, NOW).unwrap();
+        let least = loads.iter().min().copied().unwrap();
+        let at = keys.iter().position(|key| *key == chosen).unwrap();
+        prop_assert_eq!(loads[at], least);
+    }
+}
+
+#[test]
+fn cold_daemons_agree() {
+    let specs = |_: &str| {
+        (0..40).map(|number| Spec {
+            name: format!("u{number}").into(),
+            dc: "dc".into(),
+            runs: "v1".into(),
+            slots: 8,
+            leaving: false,
+        })
+    };
+    let home = |daemon: &str| -> Arc<str> {
+        let mut pool = Pool::new(daemon, "dc".into(), pool::Options::default());
+        pool.sync(specs(daemon), NOW);
+        let request = Request {
+            runs: "v1",
+            prefix: 99,
+            prefill_tokens: 500,
+            exclude: &[],
+            first: None,
+            dc: "dc",
+        };
+        let options = Options { samples: 0, homes: 1, ..Options::default() };
+        let key = choose(&pool, &request, &options, 1, NOW).unwrap();
+        pool.get(key).unwrap().spec.name.clone()
+    };
+    assert_eq!(home("entry-1"), home("entry-2"));
+}
--- /dev/null
+++ b/crates/winch-route/tests/pool_limits.rs
@@ -0,0 +1,119 @@
+//! Subsets stay stable, ejections stay few, and new replicas start slowly.
+
+use std::{collections::HashSet, sync::Arc, time::Duration};
+
+use proptest::prelude::*;
+use winch_route::{
+    pool::{Key, Options, Pool},
+    replica::{Finish, Spec},
+};
+
+fn at(secs: u64) -> Duration {
+    Duration::from_secs(secs)
+}
+
+fn spec(number: usize) -> Spec {
+    Spec {
+        name: format!("u{number}").into(),
+        dc: format!("dc-{}", number % 3).into(),
+        runs: "v1".into(),
+        slots: 8,
+        leaving: false,
+    }
+}
+
+fn names(pool: &Pool) -> HashSet<Arc<str>> {
+    pool.members("v1").iter().map(|key| pool.get(*key).unwrap().spec.name.clone()).collect()
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(12), ..Default::default() }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// One upstream that goes changes at most one place of a daemon's subset.
+    #[test]
+    fn stable_subset(size in 20..80_usize, gone in any::<prop::sample::Index>()) {
+        let options = Options { subset: 16, ..Options::default() };
+        let mut pool = Pool::new("entry-1", "dc-0".into(), options);
+        pool.sync((0..size).map(spec), at(1));
+        let before = names(&pool);
+        let gone = gone.index(size);
+        pool.sync((0..size).filter(|number| *number != gone).map(spec), at(2));
+        let after = names(&pool);
+        prop_assert_eq!(after.len(), 16);
+        prop_assert!(before.difference(&after).count() <= 1);
+    }
+
+    /// However upstreams fail, most of them stay in service.
+    #[test]
+    fn few_ejected(failures in prop::collection::vec((0..12_usize, 0..4_u64), 0..200)) {
+        let mut pool = Pool::new("entry-1", "dc-0".into(), Options::default());
+        pool.sync((0..12).map(spec), at(1));
+        let keys: Vec<Key> = pool.members("v1").to_vec();
+        let mut now = at(10);
+        for (number, pause) in failures {
+            now += Duration::from_millis(pause * 100);
+            pool.begin(keys[number], 0);
+            pool.finish(keys[number], Finish::Unreachable, now);
+            let ejected = keys.iter().filter(|key| pool.get(**key).unwrap().is_ejected(now)).count();
+            prop_assert!(ejected <= 5, "{} ejected", ejected);
+        }
+    }
+
+    /// Calls in flight are never miscounted.
+    #[test]
+    fn inflight_counted(steps in prop::collection::vec((0..4_usize, any::<bool>()), 0..100)) {
+        let mut pool = Pool::new("entry-1", "dc-0".into(), Options::default());
+        pool.sync((0..4).map(spec), at(1));
+        let keys: Vec<Key> = pool.members("v1").to_vec();
+        let mut naive = [0_u32; 4];
+        for (number, begins) in steps {
+            if begins {
+                pool.begin(keys[number], 0);
+                naive[number] += 1;
+            } else if naive[number] > 0 {
+                pool.finish(keys[number], Finish::Completed, at(2));
+                naive[number] -= 1;
+            }
+            prop_assert_eq!(pool.get(keys[number]).unwrap().inflight(), naive[number]);
+        }
+    }
+}
+
+#[test]
+fn slow_start() {
+    let mut pool = Pool::new("entry-1", "dc-0".into(), Options::default());
+    pool.sync((0..2).map(spec), at(1));
+    pool.sync((0..3).map(spec), at(100));
+    let limit = |name: &str, now| pool.get(pool.find(name).unwrap()).unwrap().limit(now);
+    assert!(limit("u2", at(100)) < limit("u0", at(100)) / 4.0);
+    assert_eq!(limit("u2", at(111)), limit("u0", at(111)));
+}
+
+#[test]
+fn rejoin_fresh() {
+    let mut pool = Pool::new("entry-1", "dc-0".into(), Options::default());
+    pool.sync((0..2).map(spec), at(1));
+    let key = pool.find("u1").unwrap();
+    pool.leave("u1".into());
+    assert!(pool.is_leaving(key));
+    // A new configuration does not bring it back, its own word does.
+    pool.sync((0..2).map(spec), at(2));
+    assert!(pool.is_leaving(key));
+    pool.rejoin("u1", at(3));
+    assert!(!pool.is_leaving(key));
+}
+
+#[test]
+fn back_after_ejection() {
+    let mut pool = Pool::new("entry-1", "dc-0".into(), Options::default());
+    pool.sync((0..6).map(spec), at(1));
+    let key = pool.members("v1")[0];
+    pool.begin(key, 0);
+    pool.finish(key, Finish::Unreachable, at(10));
+    assert!(pool.get(key).unwrap().is_ejected(at(10)));
+    assert!(!pool.get(key).unwrap().is_ejected(at(12)));
+}
--- /dev/null
+++ b/crates/winch-route/tests/retry_bounds.rs
@@ -0,0 +1,71 @@
+//! Retries and resumes stay within their budgets.
+
+use proptest::prelude::*;
+use winch_route::{
+    budget::{Budget, Options},
+    pace::Pacer,
+};
+
+fn config() -> ProptestConfig {
+    ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(14), ..Default::default() }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn budget_kept(steps in prop::collection::vec(any::<bool>(), 0..2_000)) {
+        let options = Options::default();
+        let mut budget = Budget::new(options);
+        let (mut first, mut retries) = (0_f64, 0_f64);
+        for retry in steps {
+            if retry {
+                retries += f64::from(u8::from(budget.spend()));
+            } else {
+                budget.earn();
+                first += 1.0;
+            }
+            prop_assert!(retries <= options.burst + options.ratio * first + 1e-6);
+        }
+    }
+
+    #[test]
+    fn resumes_paced(steps in prop::collection::vec((0..3_u8, 0..1_000_usize), 0..300), replicas in 0..5_usize) {
+        let mut pacer = Pacer::default();
+        let (mut waiting, mut running) = (Vec::new(), 0_usize);
+        for (step, tokens) in steps {
+            match step {
+                0 => waiting.push((tokens, pacer.arrive(tokens))),
+                1 => {
+                    waiting.retain(|(_, ticket)| {
+                        let started = pacer.start(*ticket, replicas);
+                        running += usize::from(started);
+                        !started
+                    });
+                    // Nobody waits while there is room.
+                    let room = (replicas * Pacer::PER_REPLICA).max(1);
+                    prop_assert!(waiting.is_empty() || running >= room);
+                }
+                _ => {
+                    if running > 0 {
+                        pacer.finish();
+                        running -= 1;
+                    }
+                }
+            }
+            prop_assert!(running <= (replicas * Pacer::PER_REPLICA).max(1));
+            prop_assert_eq!(pacer.waiting(), waiting.len());
+        }
+    }
+}
+
+#[test]
+fn longest_first() {
+    let mut pacer = Pacer::default();
+    let short = pacer.arrive(5);
+    let long = pacer.arrive(500);
+    assert!(!pacer.start(short, 0));
+    assert!(pacer.start(long, 0));
+    pacer.finish();
+    assert!(pacer.start(short, 0));
+}
