wisteriawinch: prove losses of engines, daemons and the table on the real path

Cause: nothing showed the promises through sockets. Seen red: connection_cut did not end within 60 s and losses_counted saw no counter. Found: a resume waited for its turn by looking every 50 ms; the stand-in cut every line for ever once armed; a second daemon in one process had its own recorder. Ruled out: a lost turn of the pacer (counted in a proptest). What: turns are told by a notification and held by version; cuts come every N lines.

--- a/crates/winch-gossip/src/node.rs
+++ b/crates/winch-gossip/src/node.rs
@@ -156,6 +156,14 @@
         }
     }
 
+    /// Greets daemons of which only the address is known; their answers name them.
+    pub fn join(&mut self, addresses: &[SocketAddr]) -> Vec<Effect> {
+        self.seq += 1;
+        let body = Body::Ping(self.probe_body(self.seq, None));
+        let others = addresses.iter().filter(|address| **address != self.me.address);
+        others.map(|address| self.send(*address, body.clone())).collect()
+    }
+
     fn insert(&mut self, member: Member, now: Duration) {
         let name = member.name.clone();
         let sends = self.sends();
--- a/crates/winch-standin/src/engine.rs
+++ b/crates/winch-standin/src/engine.rs
@@ -58,8 +58,8 @@
     pub fail_above: usize,
     /// The process ends when a prompt contains this text.
     pub poison: Option<String>,
-    /// Connections are cut after this many more tokens.
-    pub cut_after: Option<u64>,
+    /// One connection is cut each time this many lines were sent.
+    pub cut_every: Option<u64>,
     /// Late tokens of cancelled streams are still sent.
     pub ignore_cancel: bool,
 }
@@ -99,11 +99,13 @@
     version: Mutex<String>,
     fence: AtomicU64,
     fault: watch::Sender<Fault>,
+    died: watch::Sender<bool>,
     slots: Semaphore,
     running: AtomicUsize,
     waiting: AtomicUsize,
     served: AtomicU64,
     prefilled: AtomicU64,
+    sent: AtomicU64,
     entries: Mutex<HashMap<String, Arc<Entry>>>,
     cache: Mutex<VecDeque<Digest>>,
 }
@@ -129,11 +131,13 @@
             version: Mutex::new(options.version.clone()),
             fence: AtomicU64::new(0),
             fault: watch::Sender::new(Fault::default()),
+            died: watch::Sender::new(false),
             slots: Semaphore::new(options.slots),
             running: AtomicUsize::new(0),
             waiting: AtomicUsize::new(0),
             served: AtomicU64::new(0),
             prefilled: AtomicU64::new(0),
+            sent: AtomicU64::new(0),
             entries: Mutex::default(),
             cache: Mutex::default(),
             options,
@@ -145,6 +149,21 @@
         self.0.fault.send_replace(fault);
     }
 
+    /// Makes the engine die; whoever runs it waits for [`Engine::died`].
+    pub fn die(&self) {
+        self.0.died.send_replace(true);
+    }
+
+    /// Waits until the engine dies.
+    pub async fn died(&self) {
+        let _ = self.0.died.subscribe().wait_for(|died| *died).await;
+    }
+
+    /// Generations running now.
+    pub fn running(&self) -> usize {
+        self.0.running.load(Ordering::Relaxed)
+    }
+
     /// Tokens generated so far.
     pub fn served(&self) -> u64 {
         self.0.served.load(Ordering::Relaxed)
@@ -176,8 +195,10 @@
                     StatusCode::NO_CONTENT
                 },
             );
-        let die =
-            warp::path!("die").and(warp::post()).map(|| -> StatusCode { std::process::exit(9) });
+        let die = warp::path!("die").and(warp::post()).and(shared.clone()).map(|engine: Self| {
+            engine.die();
+            StatusCode::NO_CONTENT
+        });
         let status =
             warp::path!("status").and(warp::get()).and(shared).map(|engine: Self| engine.status());
         generate.or(cancel).or(order).or(fault).or(die).or(status)
@@ -214,7 +235,8 @@
     async fn generate(&self, request: Request) -> Response {
         let fault = self.0.fault.borrow().clone();
         if fault.poison.as_ref().is_some_and(|text| request.prompt.contains(text)) {
-            std::process::exit(9);
+            self.die();
+            std::future::pending::<()>().await;
         }
         if fault.freeze {
             self.thaw().await;
@@ -407,17 +429,13 @@
         format!("{{\"l\":{load}}}\n")
     }
 
-    /// Counts down to a cut; true once it is reached.
+    /// Counts what is sent; true when this connection is to be cut.
     fn cut(&self) -> bool {
-        if self.0.fault.borrow().cut_after.is_none() {
+        let Some(every) = self.0.fault.borrow().cut_every else {
             return false;
-        }
-        let mut cut = false;
-        self.0.fault.send_modify(|fault| {
-            fault.cut_after = fault.cut_after.map(|left| left.saturating_sub(1));
-            cut = fault.cut_after == Some(0);
-        });
-        cut
+        };
+        let sent = self.0.sent.fetch_add(1, Ordering::Relaxed) + 1;
+        sent.is_multiple_of(every.max(1))
     }
 }
 
--- a/crates/winch-standin/src/main.rs
+++ b/crates/winch-standin/src/main.rs
@@ -132,7 +132,11 @@
         fencing: options.fencing,
         salt: rand::random(),
     });
-    warp::serve(engine.filter()).incoming(listener).run().await;
+    let server = warp::serve(engine.clone().filter()).incoming(listener).run();
+    tokio::select! {
+        () = server => {}
+        () = engine.died() => std::process::exit(9),
+    }
 }
 
 async fn run_load(options: Load) -> ExitCode {
--- a/crates/wisteriawinch/src/control/config.rs
+++ b/crates/wisteriawinch/src/control/config.rs
@@ -1,15 +1,18 @@
 //! Keeps the configuration at the head.
 
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 use winch_config::{change::Change, load::load};
 use xtra::prelude::*;
 
-use super::supervisor::Child;
+use super::{peers::newest_set, supervisor::Child};
 use crate::{emit, prelude::*};
 
 /// Time between two looks at the head.
 pub const POLL_INTERVAL: Duration = Duration::from_secs(5);
 
+/// The same before a daemon has any configuration.
+const START_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Actor that applies revisions in order, from the table or from peers.
 #[derive(Debug, xtra::Actor)]
 pub struct Keeper {
@@ -34,7 +37,15 @@
                 self.fleet.install(set);
                 self.fleet.heard_table();
             }
-            Err(error) => emit!(Event::ConfigUnreadable, reason = error),
+            Err(error) => {
+                emit!(Event::ConfigUnreadable, reason = error);
+                // A daemon that starts in an outage learns what its peers hold.
+                if known.revision() == 0
+                    && let Some(set) = newest_set(&self.fleet).await
+                {
+                    self.fleet.install(set);
+                }
+            }
         }
     }
 }
@@ -62,14 +73,11 @@
     async fn run(self) {
         let (address, mailbox) = Mailbox::bounded(64);
         self.0.set_keeper(address.clone());
-        let mut ticks = interval(POLL_INTERVAL);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let fleet = self.0.clone();
         let poll = async {
-            loop {
-                ticks.tick().await;
-                if address.send(Poll).await.is_err() {
-                    return;
-                }
+            while address.send(Poll).await.is_ok() {
+                let started = fleet.view.load().revision() > 0;
+                sleep(if started { POLL_INTERVAL } else { START_INTERVAL }).await;
             }
         };
         tokio::select! {
--- a/crates/wisteriawinch/src/control/peers.rs
+++ b/crates/wisteriawinch/src/control/peers.rs
@@ -12,6 +12,7 @@
     time::{MissedTickBehavior, interval, timeout},
 };
 use tokio_util::codec::Framed;
+use winch_config::set::{Set, Stored};
 use winch_gossip::{
     facts::Fact,
     member::{Member, State},
@@ -173,7 +174,10 @@
     type Return = ();
 
     async fn handle(&mut self, _: Tick, _: &mut Context<Self>) {
-        let effects = self.node.tick(self.fleet.now());
+        let mut effects = self.node.tick(self.fleet.now());
+        if self.node.alive().next().is_none() {
+            effects.extend(self.node.join(&self.fleet.settings.seeds));
+        }
         self.carry_out(effects).await;
     }
 }
@@ -305,6 +309,7 @@
             state: State::Alive,
         };
         let key = Key::derive(settings.fleet_key.expose().as_bytes());
+        self.fleet.set_link(address.clone());
         let link = Link {
             fleet: self.fleet.clone(),
             node: Node::new(me, node::Options::default(), rand::random()),
@@ -314,12 +319,11 @@
             asked: 0,
             address: address.downgrade(),
         };
-        self.fleet.set_link(address.clone());
         tokio::select! {
             () = xtra::run(mailbox, link) => {}
             () = tick(address.clone()) => {}
             () = receive(self.socket.clone(), address.clone()) => {}
-            () = serve(&self.listener, address, key) => {}
+            () = serve(&self.fleet, &self.listener, address, key) => {}
         }
     }
 }
@@ -349,18 +353,57 @@
     }
 }
 
+/// Key under which a daemon tells its whole set; never pushed.
+const SET_KEY: &str = "set";
+
 /// Answers peers that fetch large facts, one at a time.
-async fn serve(listener: &TcpListener, link: Address<Link>, key: Key) {
+async fn serve(fleet: &Fleet, listener: &TcpListener, link: Address<Link>, key: Key) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             continue;
         };
-        let answered = answer(stream, &link, key.clone());
+        let answered = answer(fleet, stream, &link, key.clone());
         let _ = timeout(FETCH_TIMEOUT, answered).await;
     }
 }
 
-async fn answer(stream: TcpStream, link: &Address<Link>, key: Key) -> Option<()> {
+/// The whole set as a fact.
+fn whole_set(fleet: &Fleet) -> Fact {
+    let view = fleet.view.load();
+    let body = serde_json::to_vec(&Stored::from(&view.set)).expect("a set is plain data");
+    Fact::new(SET_KEY, view.revision(), body)
+}
+
+/// Fetches the whole set from some peers in every data centre, and returns the newest.
+pub async fn newest_set(fleet: &Fleet) -> Option<Set> {
+    const PER_DC: usize = 2;
+    let link = fleet.link()?;
+    let members = link.send(Members).await.ok()?;
+    let mut asked: HashMap<Name, usize> = HashMap::new();
+    let mut newest: Option<Set> = None;
+    let key = Key::derive(fleet.settings.fleet_key.expose().as_bytes());
+    let wanted = holdings(&Fact::new(SET_KEY, 0, ""));
+    for member in members.into_iter().filter(|member| member.state <= State::Suspect) {
+        let count = asked.entry(member.dc.clone()).or_default();
+        if *count >= PER_DC {
+            continue;
+        }
+        *count += 1;
+        let body = Some(Body::Want(wanted.clone()));
+        let envelope = Envelope { from: fleet.settings.name.to_string(), incarnation: 0, body };
+        let fetched = timeout(FETCH_TIMEOUT, fetch(member.address, envelope, key.clone())).await;
+        let stored = fetched.ok().flatten().and_then(|fact| parse_set(&fact));
+        let newer = |set: &Set| newest.as_ref().is_none_or(|n| n.revision() < set.revision());
+        newest = stored.filter(newer).or(newest);
+    }
+    newest.filter(|set| set.revision() > 0)
+}
+
+fn parse_set(fact: &Fact) -> Option<Set> {
+    serde_json::from_slice::<Stored>(&fact.body).ok().map(Set::from)
+}
+
+async fn answer(fleet: &Fleet, stream: TcpStream, link: &Address<Link>, key: Key) -> Option<()> {
     let mut framed = Framed::new(stream, Codec(key));
     let asked = match framed.next().await? {
         Ok(envelope) => envelope,
@@ -372,8 +415,13 @@
     let Some(Body::Want(wanted)) = asked.body else {
         return None;
     };
-    let facts = link.send(Whole(wanted)).await.ok()?;
-    framed.send(facts).await.ok()
+    let mut answer = link.send(Whole(wanted.clone())).await.ok()?;
+    if wanted.keys == holdings(&Fact::new(SET_KEY, 0, "")).keys {
+        let mut facts = winch_gossip::facts::Facts::default();
+        facts.learn(whole_set(fleet), Duration::ZERO);
+        answer.body = Some(Body::Push(Facts { facts: facts.whole(&wanted, Duration::ZERO) }));
+    }
+    framed.send(answer).await.ok()
 }
 
 /// Names of daemons that have not confirmed a revision when the time is up.
--- a/crates/wisteriawinch/src/fleet.rs
+++ b/crates/wisteriawinch/src/fleet.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     sync::{
-        Mutex, MutexGuard,
+        Mutex, MutexGuard, OnceLock,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
 };
@@ -11,7 +11,7 @@
 use arc_swap::ArcSwap;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use tokio::{
-    sync::{Semaphore, oneshot, watch},
+    sync::{Notify, Semaphore, oneshot, watch},
     time::Instant,
 };
 use tokio_util::task::TaskTracker;
@@ -110,6 +110,8 @@
     pub stopping: watch::Sender<bool>,
     /// Held by the one suspect that may run at a time.
     pub isolation: Arc<Semaphore>,
+    /// Told when a paced resume ends its prefill.
+    pub paced: Notify,
     /// True once the daemon may be sent requests.
     pub ready: AtomicBool,
     metrics: PrometheusHandle,
@@ -155,6 +157,7 @@
             work: TaskTracker::new(),
             stopping: watch::Sender::new(false),
             isolation: Arc::new(Semaphore::new(1)),
+            paced: Notify::new(),
             ready: AtomicBool::new(false),
             metrics: recorder(),
             keeper: Mutex::default(),
@@ -444,9 +447,9 @@
     stall::Options { mode, ..stall::Options::default() }
 }
 
-/// Installs the recorder of this process; a second daemon in one process, as in tests, gets its own.
+/// The recorder of this process; daemons that share a process, as in tests, share it.
 fn recorder() -> PrometheusHandle {
-    PrometheusBuilder::new()
-        .install_recorder()
-        .unwrap_or_else(|_| PrometheusBuilder::new().build_recorder().handle())
+    static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
+    let install = || PrometheusBuilder::new().install_recorder();
+    RECORDER.get_or_init(|| install().expect("nobody else installs a recorder")).clone()
 }
--- a/crates/wisteriawinch/src/generate/drive.rs
+++ b/crates/wisteriawinch/src/generate/drive.rs
@@ -32,7 +32,6 @@
     name: Name,
     stream: S,
     watch: Watch,
-    paced: bool,
     reported: Duration,
 }
 
@@ -72,6 +71,8 @@
     arrived: Duration,
     progress: Duration,
     lost_at: Option<Duration>,
+    /// The version whose pacer this answer holds a turn of.
+    paced: Option<Name>,
     fallback: Option<Name>,
     started: Duration,
     first_token: Option<(Duration, usize)>,
@@ -111,6 +112,7 @@
             arrived: now,
             progress: now,
             lost_at: None,
+            paced: None,
             fallback: plan.fallback,
             started: now,
             first_token: None,
@@ -293,9 +295,7 @@
         };
         let prefill = live.watch.in_prefill().then(|| live.watch.age(now));
         let gap = live.watch.token(now);
-        if std::mem::take(&mut live.paced) {
-            self.unpace();
-        }
+        self.unpace();
         let first = self.answer.len() == 1;
         if first {
             counter::first_token(now.saturating_sub(self.arrived));
--- a/crates/wisteriawinch/src/generate/drive/attempt.rs
+++ b/crates/wisteriawinch/src/generate/drive/attempt.rs
@@ -53,7 +53,6 @@
             name,
             stream: self.engine.submit(target, submission),
             watch: Watch::new(now),
-            paced: false,
             reported: Duration::ZERO,
         });
     }
@@ -151,9 +150,7 @@
 
     /// Gives back the room of an attempt and stops it upstream where asked.
     pub(super) fn release(&mut self, live: Live<E::Stream>, finish: Finish, cancel: bool) {
-        if live.paced {
-            self.unpace();
-        }
+        self.unpace();
         self.fleet.running().remove(live.key, self.job.request);
         self.fleet.finish(live.key, finish);
         drop(live.stream);
@@ -164,9 +161,13 @@
         }
     }
 
+    /// Ends the turn that a paced resume holds.
     pub(super) fn unpace(&mut self) {
-        let now = self.fleet.now();
-        self.fleet.routing().router.pacer(&self.call.runs, now).0.finish();
+        if let Some(runs) = self.paced.take() {
+            let now = self.fleet.now();
+            self.fleet.routing().router.pacer(&runs, now).0.finish();
+            self.fleet.paced.notify_waiters();
+        }
     }
 
     /// Judges silent attempts and starts others in their place or beside them.
--- a/crates/wisteriawinch/src/generate/drive/recover.rs
+++ b/crates/wisteriawinch/src/generate/drive/recover.rs
@@ -148,8 +148,7 @@
         loop {
             if let Ok(key) = self.replace() {
                 self.submit(key, false, false);
-                if let Some(live) = self.live.first_mut() {
-                    live.paced = true;
+                if !self.live.is_empty() {
                     return Ok(());
                 }
             }
@@ -191,6 +190,7 @@
                 let mut routing = self.fleet.routing();
                 let (pacer, replicas) = routing.router.pacer(&self.call.runs, now);
                 if pacer.start(ticket, replicas) {
+                    self.paced = Some(self.call.runs.clone());
                     return Ok(());
                 }
             }
@@ -204,6 +204,7 @@
 
     pub(super) async fn pause(&mut self) -> Result<(), End> {
         tokio::select! {
+            () = self.fleet.paced.notified() => Ok(()),
             () = sleep(SEARCH_PAUSE) => Ok(()),
             () = self.output.closed() => Err(End::Left),
         }
--- a/crates/wisteriawinch/src/settings.rs
+++ b/crates/wisteriawinch/src/settings.rs
@@ -33,6 +33,9 @@
     /// See [`Settings::operator_token`].
     #[options(help = "token of operators [WINCH_OPERATOR_TOKEN]", meta = "SECRET")]
     pub operator_token: Option<String>,
+    /// See [`Settings::seeds`].
+    #[options(help = "peer addresses to try first, with commas [WINCH_SEEDS]", meta = "LIST")]
+    pub seeds: Option<String>,
     /// See [`Settings::max_body`].
     #[options(help = "largest request body in bytes [WINCH_MAX_BODY]", meta = "BYTES")]
     pub max_body: Option<String>,
@@ -98,6 +101,8 @@
     pub fleet_key: Secret,
     /// Token of operators.
     pub operator_token: Secret,
+    /// Peers to try first, for when the platform's list is out of reach.
+    pub seeds: Vec<SocketAddr>,
     /// Largest request body in bytes.
     pub max_body: u64,
     /// How stalls are answered.
@@ -138,6 +143,18 @@
         })
     }
 
+    fn addresses(&mut self, flag: &Option<String>, name: &str) -> Vec<SocketAddr> {
+        let text = self.text(flag, name).unwrap_or_default();
+        let mut addresses = Vec::new();
+        for part in text.split(',').map(str::trim).filter(|part| !part.is_empty()) {
+            match part.parse() {
+                Ok(address) => addresses.push(address),
+                Err(_) => self.faults.push(format!("{name}: `{part}` is not an address")),
+            }
+        }
+        addresses
+    }
+
     fn secret(&mut self, flag: &Option<String>, name: &str) -> Secret {
         let text = self.required(flag, name);
         if !text.is_empty() && text.len() < SECRET_BYTES {
@@ -199,6 +216,7 @@
             platform: reader.required(&flags.platform, "PLATFORM"),
             fleet_key: reader.secret(&flags.fleet_key, "FLEET_KEY"),
             operator_token: reader.secret(&flags.operator_token, "OPERATOR_TOKEN"),
+            seeds: reader.addresses(&flags.seeds, "SEEDS"),
             max_body: max_body.parse().unwrap_or_else(|_| {
                 reader.faults.push(format!("MAX_BODY: `{max_body}` is not a number of bytes"));
                 0
--- /dev/null
+++ b/crates/wisteriawinch/tests/common/mod.rs
@@ -0,0 +1,413 @@
+//! Daemons and stand-ins in one process, each on a runtime of its own, so that
+//! dropping one ends it as abruptly as a lost VM.
+
+#![allow(dead_code)]
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use reqwest::Client;
+use serde_json::{Value, json};
+use tokio::{
+    net::TcpListener,
+    runtime::{Builder, Runtime},
+    sync::oneshot,
+    time::{Instant, sleep, timeout},
+};
+use winch_standin::{
+    engine::{self, Engine},
+    load::{Caller, Error},
+    platform::Platform,
+    service::Service,
+    verify,
+};
+use wisteriawinch::{
+    command::Exit,
+    daemon::{self, Sockets},
+    settings::{Flags, Settings},
+};
+
+/// API key of the tests' team.
+pub(crate) const KEY: &str = "box-office-key";
+/// Token of the tests' operator.
+pub(crate) const TOKEN: &str = "operator-token-0123456789";
+/// Longest time that anything may take before a test is given up.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(60);
+
+/// A runtime that can be ended from anywhere.
+#[derive(Clone)]
+pub(crate) struct Life(Arc<Mutex<Option<Runtime>>>);
+
+impl Life {
+    fn new() -> Self {
+        let runtime = Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
+        Self(Arc::new(Mutex::new(Some(runtime))))
+    }
+
+    fn spawn(&self, future: impl Future<Output = ()> + Send + 'static) {
+        if let Some(runtime) = &*self.0.lock().unwrap() {
+            runtime.spawn(future);
+        }
+    }
+
+    /// Ends all tasks at once, connections included.
+    pub(crate) fn kill(&self) {
+        if let Some(runtime) = self.0.lock().unwrap().take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+impl Drop for Life {
+    fn drop(&mut self) {
+        if Arc::strong_count(&self.0) == 1 {
+            self.kill();
+        }
+    }
+}
+
+/// An engine as a process would be.
+pub(crate) struct EnginePart {
+    pub(crate) engine: Engine,
+    pub(crate) address: SocketAddr,
+    pub(crate) life: Life,
+}
+
+/// How a test's engines behave.
+pub(crate) fn engine_options(version: &str) -> engine::Options {
+    engine::Options {
+        version: version.to_owned(),
+        slots: 16,
+        gap: Duration::from_millis(10),
+        prefill: Duration::from_micros(50),
+        linger: Duration::from_secs(20),
+        fencing: true,
+        salt: rand::random(),
+    }
+}
+
+/// Starts an engine; it dies when it is told to.
+pub(crate) async fn engine(options: engine::Options) -> EnginePart {
+    let (engine, life) = (Engine::new(options), Life::new());
+    let (sender, address) = oneshot::channel();
+    let filter = engine.clone().filter();
+    life.spawn(async move {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        sender.send(listener.local_addr().unwrap()).unwrap();
+        warp::serve(filter).incoming(listener).run().await;
+    });
+    let (watched, ending) = (engine.clone(), life.clone());
+    tokio::spawn(async move {
+        watched.died().await;
+        ending.kill();
+    });
+    EnginePart { engine, address: address.await.unwrap(), life }
+}
+
+/// Starts a plain service.
+pub(crate) async fn service() -> (Service, SocketAddr) {
+    let service = Service::default();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(warp::serve(service.clone().filter()).incoming(listener).run());
+    (service, address)
+}
+
+/// A daemon as a process would be.
+pub(crate) struct Daemon {
+    pub(crate) url: String,
+    pub(crate) peer: SocketAddr,
+    pub(crate) life: Life,
+    stop: Option<oneshot::Sender<()>>,
+    exit: oneshot::Receiver<Exit>,
+}
+
+impl Daemon {
+    /// Begins a planned stop and waits for its end.
+    pub(crate) async fn stop(mut self) -> Exit {
+        let _ = self.stop.take().unwrap().send(());
+        timeout(PATIENCE, self.exit).await.expect("the stop ends").unwrap()
+    }
+}
+
+/// A fleet with its surroundings.
+pub(crate) struct World {
+    pub(crate) platform: Platform,
+    pub(crate) platform_url: String,
+    pub(crate) client: Client,
+    pub(crate) daemons: Vec<Daemon>,
+}
+
+impl World {
+    /// A platform and `daemons` daemons without a configuration.
+    pub(crate) async fn new(daemons: usize) -> Self {
+        let platform = Platform::default();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let platform_url = format!("http://{}", listener.local_addr().unwrap());
+        tokio::spawn(warp::serve(platform.clone().filter()).incoming(listener).run());
+        let client = Client::builder().no_proxy().build().unwrap();
+        let mut world = Self { platform, platform_url, client, daemons: Vec::new() };
+        for _ in 0..daemons {
+            world.add_daemon().await;
+        }
+        world
+    }
+
+    /// Starts one more daemon, which knows those that there are.
+    pub(crate) async fn add_daemon(&mut self) {
+        let seeds: Vec<String> = self.daemons.iter().map(|d| d.peer.to_string()).collect();
+        let number = self.daemons.len() + 1;
+        let daemon = start_daemon(number, &self.platform_url, seeds.join(",")).await;
+        self.daemons.push(daemon);
+    }
+
+    /// Base URL of a daemon.
+    pub(crate) fn url(&self, number: usize) -> &str {
+        &self.daemons[number].url
+    }
+
+    /// Calls an operator endpoint.
+    pub(crate) async fn admin(
+        &self,
+        daemon: usize,
+        path: &str,
+        body: Option<Value>,
+    ) -> (u16, Value) {
+        let url = format!("{}{path}", self.url(daemon));
+        let request = match body {
+            Some(body) => self.client.post(url).json(&body),
+            None => self.client.get(url),
+        };
+        let response = request.bearer_auth(TOKEN).send().await.unwrap();
+        let status = response.status().as_u16();
+        (status, response.json().await.unwrap_or(Value::Null))
+    }
+
+    /// Publishes objects and waits until they are in force everywhere.
+    pub(crate) async fn apply(&self, objects: &[Value]) -> u64 {
+        let body = json!({ "edit": { "objects": objects }, "wait_ms": 10_000 });
+        let (status, body) = self.admin(0, "/admin/apply", Some(body)).await;
+        assert_eq!(status, 200, "{body}");
+        let revision = body["revision"].as_u64().unwrap();
+        for daemon in 0..self.daemons.len() {
+            self.wait_revision(daemon, revision).await;
+        }
+        revision
+    }
+
+    /// Waits until a revision is in force at a daemon.
+    pub(crate) async fn wait_revision(&self, daemon: usize, revision: u64) {
+        until("the revision is in force", || async {
+            let (_, status) = self.admin(daemon, "/admin/status", None).await;
+            status["revision"].as_u64() >= Some(revision)
+        })
+        .await;
+    }
+
+    /// The state of a move as a daemon sees it.
+    pub(crate) async fn trial(&self, daemon: usize, name: &str) -> Value {
+        let (_, status) = self.admin(daemon, "/admin/status", None).await;
+        let moves = status["moves"].as_array().cloned().unwrap_or_default();
+        moves.into_iter().find(|m| m["name"] == name).unwrap_or(Value::Null)
+    }
+
+    /// Sends one call to a plain service.
+    pub(crate) async fn call(
+        &self,
+        daemon: usize,
+        method: &str,
+        path: &str,
+        key: Option<&str>,
+        body: &str,
+    ) -> (u16, Value) {
+        let url = format!("{}{path}", self.url(daemon));
+        let mut request = self.client.request(method.parse().unwrap(), url).bearer_auth(KEY);
+        if let Some(key) = key {
+            request = request.header("idempotency-key", key);
+        }
+        let response = request.body(body.to_owned()).send().await.unwrap();
+        let status = response.status().as_u16();
+        (status, response.json().await.unwrap_or(Value::Null))
+    }
+}
+
+async fn start_daemon(number: usize, platform: &str, seeds: String) -> Daemon {
+    let life = Life::new();
+    let (stop, stopped) = oneshot::channel::<()>();
+    let (exited, exit) = oneshot::channel();
+    let (sender, addresses) = oneshot::channel();
+    let platform = platform.to_owned();
+    life.spawn(async move {
+        let sockets = bind().await;
+        let listen = sockets.callers.local_addr().unwrap();
+        let peer = sockets.datagrams.local_addr().unwrap();
+        let settings = settings(number, &platform, listen, peer, seeds);
+        sender.send((listen, peer)).unwrap();
+        let stop = async move {
+            let _ = stopped.await;
+        };
+        let exit = daemon::run(settings, sockets, stop, std::future::pending()).await;
+        let _ = exited.send(exit);
+    });
+    let (listen, peer) = addresses.await.unwrap();
+    Daemon { url: format!("http://{listen}"), peer, life, stop: Some(stop), exit }
+}
+
+/// Binds ports that the system picks; the peer port must be free for both protocols.
+async fn bind() -> Sockets {
+    let callers = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    loop {
+        let streams = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = streams.local_addr().unwrap();
+        if let Ok(datagrams) = tokio::net::UdpSocket::bind(address).await {
+            return Sockets { callers, datagrams: datagrams.into(), streams: streams.into() };
+        }
+    }
+}
+
+fn settings(
+    number: usize,
+    platform: &str,
+    listen: SocketAddr,
+    peer: SocketAddr,
+    seeds: String,
+) -> Settings {
+    let flags = Flags {
+        name: Some(format!("entry-{number}")),
+        dc: Some(format!("dc-{}", number % 2)),
+        listen: Some(listen.to_string()),
+        peer: Some(peer.to_string()),
+        platform: Some(platform.to_owned()),
+        fleet_key: Some("fleet-key-0123456789".to_owned()),
+        operator_token: Some(TOKEN.to_owned()),
+        seeds: Some(seeds),
+        ..Flags::default()
+    };
+    Settings::resolve(&flags, |_| None).unwrap()
+}
+
+/// The team, one model with its route, and one service with its route.
+pub(crate) fn basics() -> Vec<Value> {
+    let digest = blake3::hash(KEY.as_bytes()).to_hex().to_string();
+    vec![
+        json!({ "kind": "version", "name": "v1", "model": "layout" }),
+        json!({ "kind": "version", "name": "v2", "model": "layout" }),
+        json!({ "kind": "route", "name": "layout", "model": "layout", "version": "v1" }),
+        json!({ "kind": "team", "name": "box-office", "key_digest": digest }),
+    ]
+}
+
+/// One engine as an object.
+pub(crate) fn upstream(name: &str, address: SocketAddr, version: &str) -> Value {
+    json!({
+        "kind": "upstream", "name": name, "address": address, "dc": "dc-1",
+        "runs": { "version": version },
+    })
+}
+
+/// A service with one upstream and its route.
+pub(crate) fn orders(address: SocketAddr, timeout_ms: u64) -> Vec<Value> {
+    vec![
+        json!({ "kind": "service", "name": "orders", "idempotent": ["GET"], "timeout_ms": timeout_ms }),
+        json!({ "kind": "route", "name": "orders", "prefix": "/orders", "service": "orders" }),
+        json!({
+            "kind": "upstream", "name": "orders-1", "address": address, "dc": "dc-1",
+            "runs": { "service": "orders" },
+        }),
+    ]
+}
+
+/// A fleet with engines of version `v1` and its configuration in force.
+pub(crate) async fn fleet(daemons: usize, engines: usize) -> (World, Vec<EnginePart>) {
+    let world = World::new(daemons).await;
+    let mut parts = Vec::new();
+    let mut objects = basics();
+    for number in 0..engines {
+        let part = engine(engine_options("v1")).await;
+        objects.push(upstream(&format!("e{number}"), part.address, "v1"));
+        parts.push(part);
+    }
+    world.apply(&objects).await;
+    (world, parts)
+}
+
+/// Polls until something holds.
+pub(crate) async fn until<F: Future<Output = bool>>(what: &str, mut holds: impl FnMut() -> F) {
+    let end = Instant::now() + PATIENCE;
+    while !holds().await {
+        assert!(Instant::now() < end, "waited in vain until {what}");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// One generation from its request to its verified end.
+pub(crate) struct Ask {
+    pub(crate) prompt: String,
+    pub(crate) tokens: usize,
+    pub(crate) body: Value,
+    pub(crate) caller: Caller,
+}
+
+impl Ask {
+    /// A generation of `tokens` tokens with a prompt of its own.
+    pub(crate) fn new(prompt: &str, tokens: usize) -> Self {
+        let body = json!({
+            "model": "layout", "prompt": prompt, "max_tokens": tokens, "stream": true,
+        });
+        Self { prompt: prompt.to_owned(), tokens, body, caller: Caller::default() }
+    }
+
+    /// Reads from a daemon to the end mark.
+    pub(crate) async fn read(&mut self, client: &Client, url: &str) -> Result<(), Error> {
+        let read = self.caller.read(client, url, KEY, &self.body, Instant::now());
+        timeout(PATIENCE, read).await.expect("an answer ends")
+    }
+
+    /// Checks every token.
+    pub(crate) fn check(&self) {
+        let tokens = self.caller.tokens.iter().map(String::as_str);
+        assert_eq!(verify::check(&self.prompt, tokens, self.tokens), Ok(()));
+    }
+}
+
+/// Starts generations at a daemon; each is read to its end and checked.
+pub(crate) fn ask_many(
+    world: &World,
+    daemon: usize,
+    count: usize,
+    tokens: usize,
+) -> tokio::task::JoinSet<Result<(), String>> {
+    let mut set = tokio::task::JoinSet::new();
+    for number in 0..count {
+        let (client, url) = (world.client.clone(), world.url(daemon).to_owned());
+        set.spawn(async move {
+            let mut ask = Ask::new(&format!("plan {number} of {count}"), tokens);
+            ask.read(&client, &url).await.map_err(|error| error.to_string())?;
+            ask.check();
+            Ok(())
+        });
+    }
+    set
+}
+
+/// Waits for all generations; every one must be complete and exact.
+pub(crate) async fn all_complete(set: tokio::task::JoinSet<Result<(), String>>) {
+    let results: Vec<Result<(), String>> = set.join_all().await;
+    let failed: Vec<&String> = results.iter().filter_map(|r| r.as_ref().err()).collect();
+    assert!(failed.is_empty(), "{failed:?}");
+}
+
+/// Sum of one counter over its labels, from a daemon's metrics.
+pub(crate) async fn counters(world: &World, daemon: usize) -> HashMap<String, f64> {
+    let url = format!("{}/metrics", world.url(daemon));
+    let text = world.client.get(url).bearer_auth(TOKEN).send().await.unwrap().text().await.unwrap();
+    let lines = text.lines().filter(|line| !line.starts_with('#'));
+    lines
+        .filter_map(|line| line.rsplit_once(' '))
+        .filter_map(|(name, value)| Some((name.to_owned(), value.parse().ok()?)))
+        .collect()
+}
--- /dev/null
+++ b/crates/wisteriawinch/tests/resume_loss.rs
@@ -0,0 +1,107 @@
+//! Answers go on when the engine under them dies, freezes, is cut or crawls.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{all_complete, ask_many, counters, fleet, until};
+use winch_standin::engine::Fault;
+
+const TOKENS: usize = 120;
+
+/// Waits until every engine has generated something.
+async fn under_way(engines: &[common::EnginePart]) {
+    until("all engines generate", || async { engines.iter().all(|e| e.engine.served() > 20) })
+        .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_dies() {
+    let (world, engines) = fleet(1, 3).await;
+    let answers = ask_many(&world, 0, 12, TOKENS);
+    under_way(&engines).await;
+    engines[0].life.kill();
+    all_complete(answers).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_die() {
+    let (world, engines) = fleet(1, 4).await;
+    let answers = ask_many(&world, 0, 12, TOKENS);
+    under_way(&engines).await;
+    engines[0].life.kill();
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    engines[1].life.kill();
+    all_complete(answers).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_freezes() {
+    let (world, engines) = fleet(1, 3).await;
+    let answers = ask_many(&world, 0, 12, TOKENS);
+    under_way(&engines).await;
+    engines[0].engine.set_fault(Fault { freeze: true, ..Fault::default() });
+    all_complete(answers).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_wakes() {
+    let (world, engines) = fleet(1, 3).await;
+    let answers = ask_many(&world, 0, 12, TOKENS);
+    under_way(&engines).await;
+    let late = Fault { freeze: true, ignore_cancel: true, ..Fault::default() };
+    engines[0].engine.set_fault(late);
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    engines[0].engine.set_fault(Fault { ignore_cancel: true, ..Fault::default() });
+    all_complete(answers).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn connection_cut() {
+    let (world, engines) = fleet(1, 3).await;
+    let answers = ask_many(&world, 0, 12, TOKENS);
+    under_way(&engines).await;
+    for engine in &engines {
+        engine.engine.set_fault(Fault { cut_every: Some(40), ..Fault::default() });
+    }
+    all_complete(answers).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_crawls() {
+    let (world, engines) = fleet(1, 3).await;
+    let answers = ask_many(&world, 0, 12, TOKENS);
+    under_way(&engines).await;
+    engines[0].engine.set_fault(Fault { slow: 300.0, ..Fault::default() });
+    all_complete(answers).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_answer() {
+    let (world, engines) = fleet(1, 3).await;
+    let client = world.client.clone();
+    let url = format!("{}/v1/completions", world.url(0));
+    let body = serde_json::json!({ "model": "layout", "prompt": "p", "max_tokens": TOKENS });
+    let asked = tokio::spawn(async move {
+        client.post(url).bearer_auth(common::KEY).json(&body).send().await.unwrap().json().await
+    });
+    until("one engine generates", || async { engines.iter().any(|e| e.engine.served() > 20) })
+        .await;
+    engines.iter().find(|e| e.engine.served() > 20).unwrap().life.kill();
+    let answer: serde_json::Value = asked.await.unwrap().unwrap();
+    let text = answer["choices"][0]["text"].as_str().unwrap();
+    let tokens = winch_standin::verify::split(text);
+    assert_eq!(winch_standin::verify::check("p", tokens, TOKENS), Ok(()));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn losses_counted() {
+    let (world, engines) = fleet(1, 3).await;
+    let answers = ask_many(&world, 0, 6, TOKENS);
+    under_way(&engines).await;
+    engines[0].life.kill();
+    all_complete(answers).await;
+    let counters = counters(&world, 0).await;
+    let retries = counters.iter().filter(|(name, _)| name.starts_with("winch_retries_total"));
+    assert!(retries.map(|(_, value)| value).sum::<f64>() >= 1.0);
+}
