winch-route: strike a request before it is resumed, and keep a burst's poison accused

The driver resumed the request before the death was established, and four deaths within 2 s were pardoned as one shared cause. Ruled out: slow gossip (one daemon alone lost all six). What: a broken connection strikes at once and is retracted if the engine proves alive; a burst pardons only what was on one of its engines, unless repeats are so many that the version is the cause; an isolated request waits 1 s for strikes from elsewhere.

--- a/crates/winch-route/src/suspect.rs
+++ b/crates/winch-route/src/suspect.rs
@@ -81,11 +81,12 @@
         Self { options, strikes: HashMap::new(), deaths: VecDeque::new() }
     }
 
-    /// Notes a death and the requests it strikes; returns those struck.
+    /// Notes a death and the requests it strikes; returns those newly struck.
     ///
     /// Many deaths at nearly the same time have a shared cause, such as a rack
-    /// or a bad version: then nobody is struck, and strikes of the same burst
-    /// are taken back.
+    /// or a bad version, and then accuse nobody; but a request that was on
+    /// several of the dead upstreams, one after the other, stays accused unless
+    /// so many were that the version itself must be the cause.
     pub fn death(
         &mut self,
         death: Death,
@@ -99,11 +100,21 @@
         while self.deaths.front().is_some_and(|(_, at)| *at < horizon) {
             self.deaths.pop_front();
         }
+        let struck =
+            running.iter().copied().filter(|request| self.strike(*request, death, now)).collect();
         if self.deaths.len() >= self.options.shared_deaths {
             self.pardon();
-            return Vec::new();
         }
-        running.iter().copied().filter(|request| self.strike(*request, death, now)).collect()
+        struck
+    }
+
+    /// Takes a death back: the upstream proved to be alive.
+    pub fn retract(&mut self, death: Death) {
+        self.deaths.retain(|(known, _)| *known != death);
+        self.strikes.retain(|_, strikes| {
+            strikes.retain(|(known, _)| *known != death);
+            !strikes.is_empty()
+        });
     }
 
     /// Notes one strike, told by a peer or found here; false if it was known.
@@ -117,12 +128,26 @@
         new
     }
 
-    /// Takes back the strikes of the deaths of a burst.
+    /// Takes back the strikes of a burst that point to its shared cause.
     fn pardon(&mut self) {
-        let burst = &self.deaths;
-        for strikes in self.strikes.values_mut() {
-            strikes.retain(|(death, _)| burst.iter().all(|(other, _)| other != death));
-        }
+        /// Repeated strikes in one burst that still point to single requests.
+        const FEW: usize = 4;
+        /// Part of the struck requests above which repeats point to the version.
+        const MANY: f64 = 1.0 / 3.0;
+        let burst: Vec<Death> = self.deaths.iter().map(|(death, _)| *death).collect();
+        let hits = |strikes: &[(Death, Duration)]| {
+            strikes.iter().filter(|(death, _)| burst.contains(death)).count()
+        };
+        let counts: Vec<usize> =
+            self.strikes.values().map(|s| hits(s)).filter(|count| *count > 0).collect();
+        let repeats = counts.iter().filter(|count| **count > 1).count();
+        let everyone = repeats > FEW && repeats as f64 > counts.len() as f64 * MANY;
+        self.strikes.retain(|_, strikes| {
+            if everyone || hits(strikes) == 1 {
+                strikes.retain(|(death, _)| !burst.contains(death));
+            }
+            !strikes.is_empty()
+        });
     }
 
     /// Notes that a request ran to its end, which clears it.
--- a/crates/winch-route/tests/suspect_strikes.rs
+++ b/crates/winch-route/tests/suspect_strikes.rs
@@ -67,16 +67,54 @@
 
 #[test]
 fn rack_accuses_nobody() {
+    // Every engine of the rack ran requests of its own.
     let mut board = Board::new(Options::default());
-    let running: Vec<Fingerprint> = (0..16).map(Fingerprint).collect();
+    let running = |rack: u64| (0..16).map(move |n| Fingerprint(rack * 100 + n));
     for rack in 0..6 {
-        board.death(Death(rack), &running, Duration::from_millis(1_000 + rack * 100));
+        let prints: Vec<Fingerprint> = running(rack).collect();
+        board.death(Death(rack), &prints, Duration::from_millis(1_000 + rack * 100));
+    }
+    for print in (0..6).flat_map(running) {
+        assert_eq!(board.standing(print, at(2)), Standing::Clear);
+    }
+}
+
+#[test]
+fn burst_keeps_poison() {
+    // It kills engine after engine within one window; each death strikes an innocent too.
+    let mut board = Board::new(Options::default());
+    for death in 0..6 {
+        let running = [Fingerprint(1), Fingerprint(100 + death)];
+        board.death(Death(death), &running, Duration::from_millis(1_000 + death * 10));
+    }
+    assert_eq!(board.standing(Fingerprint(1), at(2)), Standing::Refused);
+    for death in 0..6 {
+        assert_eq!(board.standing(Fingerprint(100 + death), at(2)), Standing::Clear);
+    }
+}
+
+#[test]
+fn bad_version_accuses_nobody() {
+    // Every engine of a version dies, and the requests are carried from one to the next.
+    let mut board = Board::new(Options::default());
+    let running: Vec<Fingerprint> = (0..16).map(Fingerprint).collect();
+    for death in 0..6 {
+        board.death(Death(death), &running, Duration::from_millis(1_000 + death * 100));
     }
     for print in running {
         assert_eq!(board.standing(print, at(2)), Standing::Clear);
     }
 }
 
+#[test]
+fn cut_retracted() {
+    let mut board = Board::new(Options::default());
+    board.death(Death(1), &[Fingerprint(1)], at(1));
+    board.retract(Death(1));
+    assert_eq!(board.standing(Fingerprint(1), at(1)), Standing::Clear);
+    assert!(board.is_empty());
+}
+
 #[test]
 fn white_space_folded() {
     let print = fingerprint("team", "m", "seat  plan\nrow 7");
--- a/crates/wisteriawinch/src/fleet.rs
+++ b/crates/wisteriawinch/src/fleet.rs
@@ -1,7 +1,7 @@
 //! What all parts of a daemon share.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     sync::{
         Mutex, MutexGuard, OnceLock,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
@@ -72,11 +72,6 @@
         }
     }
 
-    /// Fingerprints of what runs on a replica.
-    pub fn on(&self, key: Key) -> Vec<Fingerprint> {
-        self.0.get(&key).map(|running| running.values().copied().collect()).unwrap_or_default()
-    }
-
     /// Replicas with their fingerprints.
     pub fn iter(&self) -> impl Iterator<Item = (Key, impl Iterator<Item = &Fingerprint>)> {
         self.0.iter().map(|(key, running)| (*key, running.values()))
@@ -125,6 +120,7 @@
     routing: Mutex<Routing>,
     norms: Mutex<HashMap<Name, Norm>>,
     board: Mutex<Board>,
+    last_deaths: Mutex<VecDeque<Death>>,
     running: Mutex<Running>,
     origin: Instant,
 }
@@ -170,6 +166,7 @@
             routing: Mutex::new(Routing { router, waiters: HashMap::new() }),
             norms: Mutex::default(),
             board: Mutex::new(Board::new(winch_route::suspect::Options::default())),
+            last_deaths: Mutex::default(),
             running: Mutex::default(),
             origin: Instant::now(),
             settings,
@@ -312,11 +309,19 @@
         self.trials().good(version, first_token, gap);
     }
 
-    /// Tells peers of strikes found here.
-    pub fn spread_strikes(&self, struck: &[(Fingerprint, Death)]) {
-        for (fingerprint, death) in struck {
-            self.publish(facts::strike(*fingerprint, *death));
+    /// Tells peers of a strike found here; true if it is the first of its death here.
+    pub fn publish_strike(&self, fingerprint: Fingerprint, death: Death) -> bool {
+        self.publish(facts::strike(fingerprint, death));
+        let mut last = self.last_deaths.lock().expect("no holder of this lock panics");
+        let new = !last.contains(&death);
+        if new {
+            const REMEMBERED: usize = 256;
+            last.push_back(death);
+            if last.len() > REMEMBERED {
+                last.pop_front();
+            }
         }
+        new
     }
 
     /// Makes a fact known here and to the fleet.
--- a/crates/wisteriawinch/src/generate/drive/attempt.rs
+++ b/crates/wisteriawinch/src/generate/drive/attempt.rs
@@ -125,7 +125,7 @@
             Error::Busy => Finish::Busy,
             _ => Finish::Failed,
         };
-        if matches!(error, Error::Broken | Error::Unreachable) {
+        if matches!(error, Error::Broken) {
             self.look_for_death(&live);
         }
         self.tried.push(live.key);
@@ -135,16 +135,18 @@
         None
     }
 
-    /// Finds out beside the answer whether the engine died, and strikes what it ran.
+    /// Strikes the request, and finds out beside the answer whether the engine died.
     pub(super) fn look_for_death(&self, live: &Live<E::Stream>) {
-        let (fleet, engine) = (self.fleet.clone(), self.engine.clone());
-        let (key, target) = (live.key, live.target);
-        let running = fleet.running().on(key);
+        let spec = self.fleet.routing().router.pool.get(live.key).map(|r| r.spec.clone());
+        let Some(spec) = spec else {
+            return;
+        };
+        let (fleet, engine, target) = (self.fleet.clone(), self.engine.clone(), live.target);
+        let fingerprint = self.job.fingerprint;
+        let death = strike::suspect(&fleet, &spec.name, fingerprint);
         self.fleet.work.spawn(async move {
-            if engine.is_dead(target).await {
-                let struck = strike::upstream_died(&fleet, key, &running);
-                fleet.spread_strikes(&struck);
-            }
+            let dead = engine.is_dead(target).await;
+            strike::settle(&fleet, &spec, fingerprint, death, dead);
         });
     }
 
--- a/crates/wisteriawinch/src/generate/drive/recover.rs
+++ b/crates/wisteriawinch/src/generate/drive/recover.rs
@@ -18,6 +18,8 @@
 
 /// Time without progress after which an accepted answer is given up.
 const GIVE_UP: Duration = Duration::from_secs(60);
+/// Time in which a strike reaches all daemons.
+const SPREAD_TIME: Duration = Duration::from_secs(1);
 /// Pause between looks for a fit upstream.
 const SEARCH_PAUSE: Duration = Duration::from_millis(50);
 
@@ -93,13 +95,8 @@
 
     /// Refuses a suspect, or makes it wait until no other suspect runs here.
     pub(super) async fn check_standing(&mut self) -> Result<(), End> {
+        self.refuse_suspect()?;
         let standing = strike::standing(&self.fleet, self.job.fingerprint);
-        if standing == Standing::Refused {
-            let request = format!("{:016x}", self.job.request);
-            emit!(Event::SuspectFound, request = request, standing = "refused");
-            let message = "engines died of this request".to_owned();
-            return Err(End::Failed((Code::Suspect, message)));
-        }
         if standing != Standing::Isolated || self.isolated.is_some() {
             return Ok(());
         }
@@ -110,7 +107,22 @@
             permit = turn => self.isolated = permit.ok(),
             () = self.output.closed() => return Err(End::Left),
         }
-        Ok(())
+        // Strikes found by other daemons at this moment must arrive first.
+        tokio::select! {
+            () = sleep(SPREAD_TIME) => {}
+            () = self.output.closed() => return Err(End::Left),
+        }
+        self.refuse_suspect()
+    }
+
+    fn refuse_suspect(&self) -> Result<(), End> {
+        if strike::standing(&self.fleet, self.job.fingerprint) != Standing::Refused {
+            return Ok(());
+        }
+        let request = format!("{:016x}", self.job.request);
+        emit!(Event::SuspectFound, request = request, standing = "refused");
+        let message = "engines died of this request".to_owned();
+        Err(End::Failed((Code::Suspect, message)))
     }
 
     pub(super) fn resume_call(&self) -> Call {
--- a/crates/wisteriawinch/src/generate/strike.rs
+++ b/crates/wisteriawinch/src/generate/strike.rs
@@ -12,21 +12,31 @@
 /// Deaths of one upstream closer together than this count as one, in seconds.
 const DEATH_BUCKET: u64 = 10;
 
-/// Notes the death of an upstream and strikes what it was running here.
-pub fn upstream_died(
-    fleet: &Fleet,
-    key: Key,
-    running: &[Fingerprint],
-) -> Vec<(Fingerprint, Death)> {
-    let spec = fleet.routing().router.pool.get(key).map(|replica| replica.spec.clone());
-    let Some(Spec { name, runs, .. }) = spec else {
-        return Vec::new();
-    };
-    fleet.trials().died(&runs, fleet.now());
-    let death = Death(hash::score(hash::name(&name), unix_now() / DEATH_BUCKET));
-    let struck = fleet.board().death(death, running, fleet.now());
-    emit!(Event::UpstreamDied, upstream = name, running = running.len(), struck = struck.len());
-    struck.into_iter().map(|fingerprint| (fingerprint, death)).collect()
+/// Names the death of an upstream now; the same for all that notice it.
+pub fn death(upstream: &str) -> Death {
+    Death(hash::score(hash::name(upstream), unix_now() / DEATH_BUCKET))
+}
+
+/// Strikes a request whose connection broke, before it is resumed anywhere.
+///
+/// Whether the upstream is dead is not known yet; [`settle`] finds out.
+pub fn suspect(fleet: &Fleet, upstream: &str, fingerprint: Fingerprint) -> Death {
+    let death = death(upstream);
+    fleet.board().death(death, &[fingerprint], fleet.now());
+    death
+}
+
+/// Tells the fleet of a strike if the upstream is dead, and takes it back otherwise.
+pub fn settle(fleet: &Fleet, spec: &Spec, fingerprint: Fingerprint, death: Death, dead: bool) {
+    if !dead {
+        fleet.board().retract(death);
+        return;
+    }
+    let new = fleet.publish_strike(fingerprint, death);
+    if new {
+        fleet.trials().died(&spec.runs, fleet.now());
+        emit!(Event::UpstreamDied, upstream = spec.name);
+    }
 }
 
 /// How a request may run now.
--- /dev/null
+++ b/crates/wisteriawinch/tests/move_verdict.rs
@@ -0,0 +1,173 @@
+//! Moves end in one reported verdict; bad versions get little and lose it soon.
+
+mod common;
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use common::{Ask, EnginePart, World, basics, engine, engine_options, until, upstream};
+use serde_json::{Value, json};
+use winch_standin::{engine::Fault, platform};
+use wisteriawinch::prelude::unix_now;
+
+/// Two daemons, four engines of the old version and two of the new.
+async fn with_versions() -> (World, Vec<EnginePart>) {
+    let world = World::new(2).await;
+    let mut objects = basics();
+    let mut parts = Vec::new();
+    for (number, version) in ["v1", "v1", "v1", "v1", "v2", "v2"].into_iter().enumerate() {
+        let mut options = engine_options(version);
+        options.gap = Duration::from_millis(2);
+        let part = engine(options).await;
+        objects.push(upstream(&format!("e{number}"), part.address, version));
+        parts.push(part);
+    }
+    world.apply(&objects).await;
+    (world, parts)
+}
+
+fn planned(within: u64) -> Value {
+    let start = unix_now();
+    json!({
+        "kind": "move", "name": "to-v2", "route": "layout", "from": "v1", "to": "v2",
+        "start": start, "deadline": start + within,
+    })
+}
+
+/// Keeps asking at all daemons but the first `from` until it is told to stop; counts answers.
+fn traffic(world: &World, from: usize) -> (Arc<AtomicBool>, tokio::task::JoinHandle<usize>) {
+    let urls: Vec<String> = world.daemons[from..].iter().map(|d| d.url.clone()).collect();
+    let stop = Arc::new(AtomicBool::new(false));
+    let (stopped, client) = (stop.clone(), world.client.clone());
+    let handle = tokio::spawn(async move {
+        let mut complete = 0;
+        while !stopped.load(Ordering::Relaxed) {
+            let asks = (0..12).map(|number| {
+                let (client, url) = (client.clone(), urls[number % urls.len()].clone());
+                async move {
+                    let mut ask = Ask::new(&format!("plan {number} {}", rand::random::<u32>()), 5);
+                    ask.read(&client, &url).await.unwrap();
+                    ask.check();
+                }
+            });
+            complete += futures_util::future::join_all(asks).await.len();
+        }
+        complete
+    });
+    (stop, handle)
+}
+
+async fn verdict(world: &World) -> Value {
+    for daemon in 0..world.daemons.len() {
+        until("the move has its verdict", || async {
+            !world.trial(daemon, "to-v2").await["verdict"].is_null()
+        })
+        .await;
+    }
+    world.trial(0, "to-v2").await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn good_completes() {
+    let (world, parts) = with_versions().await;
+    let (stop, traffic) = traffic(&world, 0);
+    world.apply(&[planned(40)]).await;
+    let end = verdict(&world).await;
+    assert_eq!(end["verdict"], "completed", "{end}");
+    let old: u64 = parts[..4].iter().map(|part| part.engine.served()).sum();
+    common::all_complete(common::ask_many(&world, 1, 8, 10)).await;
+    stop.store(true, Ordering::Relaxed);
+    assert!(traffic.await.unwrap() > 100);
+    let after: u64 = parts[..4].iter().map(|part| part.engine.served()).sum();
+    assert_eq!(old, after, "the old version gets nothing after the verdict");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_taken_back() {
+    let (world, parts) = with_versions().await;
+    for part in &parts[4..] {
+        part.engine.set_fault(Fault { fail_percent: 100, ..Fault::default() });
+    }
+    let (stop, traffic) = traffic(&world, 0);
+    world.apply(&[planned(40)]).await;
+    let end = verdict(&world).await;
+    assert_eq!(end["verdict"], "taken_back", "{end}");
+    stop.store(true, Ordering::Relaxed);
+    // Every caller was served all the same, by the old version.
+    assert!(traffic.await.unwrap() > 0);
+    assert_eq!(parts[4].engine.served() + parts[5].engine.served(), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn fault_without_table() {
+    let (world, parts) = with_versions().await;
+    let (stop, traffic) = traffic(&world, 0);
+    world.apply(&[planned(60)]).await;
+    until("the move is under way", || async {
+        world.trial(0, "to-v2").await["stage"].as_u64() >= Some(2)
+    })
+    .await;
+    world.platform.set_fault(&platform::Fault { outage: true, ..Default::default() });
+    for part in &parts[4..] {
+        part.engine.set_fault(Fault { fail_percent: 100, ..Fault::default() });
+    }
+    for daemon in 0..2 {
+        until("the fault is known", || async {
+            world.trial(daemon, "to-v2").await["fault"] == true
+        })
+        .await;
+    }
+    // The verdict is recorded when the table is back.
+    assert!(world.trial(0, "to-v2").await["verdict"].is_null());
+    world.platform.set_fault(&platform::Fault::default());
+    assert_eq!(verdict(&world).await["verdict"], "taken_back");
+    stop.store(true, Ordering::Relaxed);
+    traffic.await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn deadline_expires() {
+    let (world, parts) = with_versions().await;
+    world.apply(&[planned(3)]).await;
+    let end = verdict(&world).await;
+    assert_eq!(end["verdict"], "expired", "{end}");
+    common::all_complete(common::ask_many(&world, 0, 8, 10)).await;
+    assert_eq!(parts[4].engine.served() + parts[5].engine.served(), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn operator_cancels() {
+    let (world, _parts) = with_versions().await;
+    let object = planned(60);
+    world.apply(std::slice::from_ref(&object)).await;
+    let mut cancelled = object;
+    cancelled["cancelled"] = json!(true);
+    world.apply(&[cancelled]).await;
+    assert_eq!(verdict(&world).await["verdict"], "cancelled");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn holder_dies() {
+    let (mut world, _parts) = with_versions().await;
+    world.add_daemon().await;
+    world.wait_revision(2, 1).await;
+    let (stop, traffic) = traffic(&world, 1);
+    world.apply(&[planned(50)]).await;
+    until("the move is under way", || async {
+        world.trial(1, "to-v2").await["stage"].as_u64() >= Some(1)
+    })
+    .await;
+    world.daemons[0].life.kill();
+    until("the move has its verdict", || async {
+        !world.trial(1, "to-v2").await["verdict"].is_null()
+    })
+    .await;
+    assert_eq!(world.trial(1, "to-v2").await["verdict"], "completed");
+    stop.store(true, Ordering::Relaxed);
+    traffic.await.unwrap();
+}
