--- /dev/null
+++ b/crates/wisteriawinch/tests/doc_tables.rs
@@ -0,0 +1,70 @@
+//! The tables in the documentation and the code say the same.
+
+use std::collections::BTreeMap;
+
+use winch_config::check;
+use wisteriawinch::{
+    code::{Code, Ran},
+    event::Event,
+};
+
+/// Rows of the tables of a page by their first cell.
+fn rows(page: &str) -> BTreeMap<u16, Vec<String>> {
+    let cells = |line: &str| -> Vec<String> {
+        line.trim_matches('|').split('|').map(|cell| cell.trim().to_owned()).collect()
+    };
+    let rows = page.lines().filter(|line| line.starts_with('|')).map(cells);
+    rows.filter_map(|row| Some((row[0].parse().ok()?, row))).collect()
+}
+
+#[test]
+fn code_table() {
+    let rows = rows(include_str!("../../../docs/codes.md"));
+    for code in Code::ALL {
+        let row = &rows[&(*code as u16)];
+        let ran = match code.ran() {
+            Ran::No => "true",
+            Ran::Yes => "false",
+            Ran::Unknown => "unknown",
+        };
+        let wanted = [
+            format!("`{}`", code.name()),
+            code.status().to_string(),
+            ran.into(),
+            code.retry().to_string(),
+        ];
+        assert_eq!(row[1..5], wanted);
+    }
+    for number in rows.keys().filter(|number| **number >= 100) {
+        let fault = check::Code::ALL.iter().any(|fault| u16::from(*fault) == *number);
+        assert!(fault || Code::from_number(*number).is_some(), "{number} is not in the code");
+    }
+    for fault in check::Code::ALL {
+        assert!(rows.contains_key(&u16::from(fault)));
+    }
+}
+
+#[test]
+fn event_table() {
+    let rows = rows(include_str!("../../../docs/events.md"));
+    assert_eq!(rows.len(), Event::ALL.len());
+    for event in Event::ALL {
+        let row = &rows[&(*event as u16)];
+        assert_eq!(row[1], event.level().to_string().to_lowercase());
+        assert_eq!(row[2], event.text());
+    }
+}
+
+#[test]
+fn names_unique() {
+    let names: BTreeMap<&str, Code> = Code::ALL.iter().map(|code| (code.name(), *code)).collect();
+    assert_eq!(names.len(), Code::ALL.len());
+}
+
+#[test]
+fn not_run_agrees() {
+    for code in Code::ALL {
+        let body = code.body("x");
+        assert_eq!(body["error"]["not_run"] == true, code.ran() == Ran::No);
+    }
+}
