--- a/crates/winch-gossip/src/node.rs
+++ b/crates/winch-gossip/src/node.rs
@@ -37,7 +37,7 @@
             period: Duration::from_secs(1),
             ack_timeout: Duration::from_millis(300),
             helpers: 3,
-            suspicion: 2.0,
+            suspicion: 4.0,
             fanout: 4,
             repeats: 2.0,
             updates: 6,
