winch-route: take only a share of the room that a load report shows

Cause: at twice the capacity 12 daemons each started calls on the same freed slot, and a daemon without a report took an engine's load as its own calls alone. What: without a report the usual load of the kind stands in; a report allows this daemon its share of the room for half a second.

--- a/crates/winch-bench/src/route.rs
+++ b/crates/winch-bench/src/route.rs
@@ -495,8 +495,8 @@
             for (engine, load) in loads.iter().enumerate() {
                 let hears = self.own[daemon][engine] > 0
                     && matches!(self.engines[engine].health, Health::Well | Health::Crawling(_));
-                if hears && let Some(replica) = router.pool.get_mut(self.keys[engine]) {
-                    replica.report(*load, now);
+                if hears {
+                    router.pool.report(self.keys[engine], *load, now);
                 }
             }
         }
--- a/crates/winch-route/src/choose.rs
+++ b/crates/winch-route/src/choose.rs
@@ -85,8 +85,9 @@
         .filter(|(key, replica)| is_fit(pool, request, *key, replica, now))
         .collect();
     ensure!(!fit.is_empty(), UnfitSnafu);
+    let usual = pool.usual(request.runs, now);
     let open: Vec<(Key, &Replica)> =
-        fit.into_iter().filter(|(_, replica)| replica.has_room(now)).collect();
+        fit.into_iter().filter(|(_, replica)| replica.has_room(usual, now)).collect();
     ensure!(!open.is_empty(), FullSnafu);
     let homes = homes(&open, request.prefix, options.homes);
     let samples = (0..options.samples as u64)
@@ -96,7 +97,8 @@
         .copied()
         .chain(samples)
         .min_by(|a, b| {
-            let cost = |replica| cost(replica, request, options, now);
+            let cost =
+                |replica: &Replica| cost(replica, replica.load(usual, now), request, options, now);
             cost(a.1).total_cmp(&cost(b.1))
         })
         .expect("there is at least one open upstream");
@@ -131,8 +133,14 @@
 }
 
 /// Expected delay in seconds that the call meets and causes.
-fn cost(replica: &Replica, request: &Request<'_>, options: &Options, now: Duration) -> f64 {
-    let use_after = (f64::from(replica.load(now)) + 1.0) / replica.limit(now).max(1.0);
+fn cost(
+    replica: &Replica,
+    load: f64,
+    request: &Request<'_>,
+    options: &Options,
+    now: Duration,
+) -> f64 {
+    let use_after = (load + 1.0) / replica.limit(now).max(1.0);
     let prefill = if replica.has_prefix(request.prefix) { 0.0 } else { options.prefill_cost };
     let dc = if &*replica.spec.dc == request.dc { 0.0 } else { options.dc_cost };
     options.load_cost * use_after * use_after + prefill * request.prefill_tokens as f64 + dc
--- a/crates/winch-route/src/pool.rs
+++ b/crates/winch-route/src/pool.rs
@@ -43,6 +43,7 @@
     names: HashMap<Arc<str>, Key>,
     members: HashMap<Arc<str>, Vec<Key>>,
     all: HashMap<Arc<str>, Vec<Key>>,
+    usual: HashMap<Arc<str>, (f64, Duration)>,
     leaving: HashSet<Arc<str>>,
     started: bool,
 }
@@ -58,6 +59,7 @@
             names: HashMap::new(),
             members: HashMap::new(),
             all: HashMap::new(),
+            usual: HashMap::new(),
             leaving: HashSet::new(),
             started: false,
         }
@@ -180,6 +182,25 @@
         self.get(key).is_none_or(|r| r.spec.leaving || self.leaving.contains(&r.spec.name))
     }
 
+    /// Notes a load report of an upstream itself.
+    pub fn report(&mut self, key: Key, load: u32, now: Duration) {
+        /// Weight of one report in the usual load of its kind.
+        const WEIGHT: f64 = 0.05;
+        let Some(replica) = self.replicas.get_mut(key) else {
+            return;
+        };
+        let part = replica.report(load, now);
+        let usual = self.usual.entry(replica.spec.runs.clone()).or_insert((part, now));
+        *usual = (usual.0 + WEIGHT * (part - usual.0), now);
+    }
+
+    /// Usual load of a version or service as a part of its slots; zero if nothing is known.
+    pub fn usual(&self, runs: &str, now: Duration) -> f64 {
+        const LIFE: Duration = Duration::from_secs(5);
+        let fresh = |(_, at): &&(f64, Duration)| now.saturating_sub(*at) <= LIFE;
+        self.usual.get(runs).filter(fresh).map_or(0.0, |(part, _)| *part)
+    }
+
     /// Counts a call that is sent to `key`.
     pub fn begin(&mut self, key: Key, prefix: u64) {
         if let Some(replica) = self.replicas.get_mut(key) {
--- a/crates/winch-route/src/replica.rs
+++ b/crates/winch-route/src/replica.rs
@@ -42,6 +42,8 @@
     reported: u32,
     reported_at: Duration,
     sent_since: u32,
+    allowance: u32,
+    allowed_at: Duration,
     since: Duration,
     limit: f64,
     failures: u32,
@@ -53,6 +55,8 @@
 impl Replica {
     /// How long a report of an engine's load is believed.
     const REPORT_LIFE: Duration = Duration::from_secs(2);
+    /// Time between two looks at the room that a report shows.
+    const ALLOWANCE_LIFE: Duration = Duration::from_millis(500);
     /// How long a new upstream gets only part of its share.
     const SLOW_START: Duration = Duration::from_secs(10);
     /// Failures in a row that eject an upstream.
@@ -76,6 +80,8 @@
             reported: 0,
             reported_at: Duration::ZERO,
             sent_since: 0,
+            allowance: 0,
+            allowed_at: Duration::ZERO,
             since: now,
             limit,
             failures: 0,
@@ -97,10 +103,19 @@
     }
 
     /// Calls of the whole fleet that the upstream is likely to hold at `now`.
-    pub fn load(&self, now: Duration) -> u32 {
-        let fresh = now.saturating_sub(self.reported_at) <= Self::REPORT_LIFE;
-        let told = if fresh { self.reported + self.sent_since } else { 0 };
-        told.max(self.inflight)
+    ///
+    /// `usual` is the usual load of its kind as a part of its slots; it stands
+    /// in for a report where there is no fresh one.
+    pub fn load(&self, usual: f64, now: Duration) -> f64 {
+        let told = match self.is_reported(now) {
+            true => f64::from(self.reported + self.sent_since),
+            false => usual * f64::from(self.spec.slots),
+        };
+        told.max(f64::from(self.inflight))
+    }
+
+    fn is_reported(&self, now: Duration) -> bool {
+        !self.reported_at.is_zero() && now.saturating_sub(self.reported_at) <= Self::REPORT_LIFE
     }
 
     /// Calls the upstream may hold at `now`, counting all daemons.
@@ -113,9 +128,14 @@
         (self.limit * part.max(0.1)).max(1.0)
     }
 
-    /// Whether the upstream may get one more call at `now`.
-    pub fn has_room(&self, now: Duration) -> bool {
-        f64::from(self.load(now)) + 1.0 <= self.limit(now).max(1.0)
+    /// Whether the upstream may get one more call of this daemon at `now`.
+    ///
+    /// Room that a report shows is seen by every daemon at once, so each takes
+    /// only its share of it until the next report.
+    pub fn has_room(&self, usual: f64, now: Duration) -> bool {
+        let fits = self.load(usual, now) + 1.0 <= self.limit(now).max(1.0);
+        let allowed = !self.is_reported(now) || self.allowance > 0;
+        fits && allowed
     }
 
     /// Whether the upstream is out of service after failures.
@@ -128,11 +148,25 @@
         self.prefixes.contains(&prefix)
     }
 
-    /// Notes a load report of the engine itself.
-    pub fn report(&mut self, load: u32, now: Duration) {
+    /// Notes a load report of the engine itself; returns the part of its slots in use.
+    pub(crate) fn report(&mut self, load: u32, now: Duration) -> f64 {
         self.reported = load;
         self.reported_at = now;
         self.sent_since = 0;
+        if now.saturating_sub(self.allowed_at) >= Self::ALLOWANCE_LIFE {
+            self.allowed_at = now;
+            self.allowance = self.share_of_room(now);
+        }
+        f64::from(load) / f64::from(self.spec.slots.max(1))
+    }
+
+    /// This daemon's share of the room, by its share of the load; parts of a call by chance.
+    fn share_of_room(&self, now: Duration) -> u32 {
+        let room = (self.limit(now) - f64::from(self.reported)).max(0.0);
+        let share = f64::from(self.inflight + 1) / f64::from(self.reported.max(self.inflight) + 1);
+        let part = room * share;
+        let chance = crate::hash::mix(self.hash ^ now.as_nanos() as u64) as f64 / u64::MAX as f64;
+        part.floor() as u32 + u32::from(chance < part.fract())
     }
 
     /// Notes that an engine dropped a prefix from its cache.
@@ -143,6 +177,7 @@
     pub(crate) fn begin(&mut self, prefix: u64) {
         self.inflight += 1;
         self.sent_since += 1;
+        self.allowance = self.allowance.saturating_sub(1);
         self.forget_prefix(prefix);
         self.prefixes.push_back(prefix);
         if self.prefixes.len() > Self::PREFIXES {
--- a/crates/winch-route/src/router.rs
+++ b/crates/winch-route/src/router.rs
@@ -174,8 +174,9 @@
         now: Duration,
     ) -> Result<Key, choose::Error> {
         let fit = self.fit(&call.runs, now).filter(|key| !tried.contains(key));
-        fit.min_by_key(|key| self.pool.get(*key).map(|replica| replica.load(now)))
-            .ok_or(choose::Error::Unfit)
+        let usual = self.pool.usual(&call.runs, now);
+        let load = |key: Key| self.pool.get(key).map_or(f64::MAX, |r| r.load(usual, now));
+        fit.min_by(|a, b| load(*a).total_cmp(&load(*b))).ok_or(choose::Error::Unfit)
     }
 
     fn fit(&self, runs: &str, now: Duration) -> impl Iterator<Item = Key> {
@@ -242,7 +243,9 @@
     }
 
     fn has_room(&self, runs: &str, now: Duration) -> bool {
-        self.fit(runs, now).any(|key| self.pool.get(key).is_some_and(|r| r.has_room(now)))
+        let usual = self.pool.usual(runs, now);
+        let open = |key| self.pool.get(key).is_some_and(|r| r.has_room(usual, now));
+        self.fit(runs, now).any(open)
     }
 
     /// Takes a waiting call out, such as one whose caller left.
--- a/crates/wisteriawinch/src/control/status.rs
+++ b/crates/wisteriawinch/src/control/status.rs
@@ -49,7 +49,7 @@
             "dc": replica.spec.dc,
             "runs": replica.spec.runs,
             "inflight": replica.inflight(),
-            "load": replica.load(now),
+            "load": replica.load(pool.usual(&replica.spec.runs, now), now),
             "limit": replica.limit(now),
             "ejected": replica.is_ejected(now),
             "leaving": pool.is_leaving(key),
--- a/crates/wisteriawinch/src/generate/drive/attempt.rs
+++ b/crates/wisteriawinch/src/generate/drive/attempt.rs
@@ -82,9 +82,7 @@
         }
         live.reported = now;
         let key = live.key;
-        if let Some(replica) = self.fleet.routing().router.pool.get_mut(key) {
-            replica.report(load, now);
-        }
+        self.fleet.routing().router.pool.report(key, load, now);
     }
 
     /// Ends all attempts but the winner.
