--- a/crates/winch-route/src/replica.rs
+++ b/crates/winch-route/src/replica.rs
@@ -67,8 +67,8 @@
     const EJECT_DOUBLINGS: u32 = 5;
     /// Prefixes remembered for each upstream.
     const PREFIXES: usize = 128;
-    /// Calls beyond the slots that may queue at an engine, per slot.
-    const QUEUE: f64 = 0.25;
+    /// Calls beyond the slots that may queue at an engine, per slot; waiting belongs in the gate.
+    const QUEUE: f64 = 0.0;
 
     /// A fresh view of an upstream first seen at `now`.
     pub fn new(spec: Spec, now: Duration) -> Self {
