--- a/crates/winch-standin/src/lib.rs
+++ b/crates/winch-standin/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod engine;
 pub mod load;
 pub mod platform;
+pub mod relay;
 pub mod service;
 pub mod verify;
--- a/crates/winch-standin/src/main.rs
+++ b/crates/winch-standin/src/main.rs
@@ -4,7 +4,7 @@
 
 use gumdrop::Options;
 use tokio::net::TcpListener;
-use winch_standin::{engine, load, platform, service};
+use winch_standin::{engine, load, platform, relay, service};
 
 #[derive(Debug, Options)]
 struct Arguments {
@@ -22,6 +22,8 @@
     Service(Listen),
     #[options(help = "table, objects, weights and membership list")]
     Platform(Listen),
+    #[options(help = "a naive pass-through, the baseline of the path's cost")]
+    Relay(Relay),
     #[options(help = "a bounded load of verified generations")]
     Load(Load),
     #[options(help = "one HTTP request; prints status and body")]
@@ -56,6 +58,18 @@
     listen: Option<SocketAddr>,
 }
 
+#[derive(Debug, Options)]
+struct Relay {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(required, help = "address to listen on")]
+    listen: Option<SocketAddr>,
+    #[options(required, help = "address of an engine; may be repeated")]
+    engine: Vec<SocketAddr>,
+    #[options(required, help = "version that the engines run")]
+    version: String,
+}
+
 #[derive(Debug, Options)]
 struct Load {
     #[options(help = "print this help")]
@@ -109,6 +123,10 @@
             let filter = platform::Platform::default().filter();
             warp::serve(filter).incoming(bind(options.listen).await).run().await;
         }
+        Some(Command::Relay(options)) => {
+            let filter = relay::Relay::new(options.engine, &options.version).filter();
+            warp::serve(filter).incoming(bind(options.listen).await).run().await;
+        }
         Some(Command::Load(options)) => return run_load(options).await,
         Some(Command::Send(options)) => return run_send(&options).await,
         None => return ExitCode::from(2),
