--- a/crates/winch-route/benches/choose.rs
+++ b/crates/winch-route/benches/choose.rs
@@ -1,2 +1,90 @@
-//! placeholder
-fn main() {}
+//! Time of one decision by the number of replicas, teams and waiting calls.
+
+use std::{hint::black_box, time::Duration};
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use winch_route::{
+    choose::{Options, Request, choose},
+    gate::{self, Arrival, Gate},
+    pool::{self, Pool},
+    replica::Spec,
+    urgency::Urgency,
+};
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn specs(size: usize) -> impl Iterator<Item = Spec> {
+    (0..size).map(|number| Spec {
+        name: format!("u{number}").into(),
+        dc: format!("dc-{}", number % 18).into(),
+        runs: "v1".into(),
+        slots: 16,
+        leaving: false,
+    })
+}
+
+fn decide(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("choose");
+    for size in [35, 400, 1_700, 6_800] {
+        let mut pool = Pool::new("entry-1", "dc-1".into(), pool::Options::default());
+        pool.sync(specs(size), NOW);
+        let mut random = 1_u64;
+        group.bench_function(BenchmarkId::from_parameter(size), |bencher| {
+            bencher.iter(|| {
+                random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+                let request = Request {
+                    runs: "v1",
+                    prefix: random,
+                    prefill_tokens: 800,
+                    exclude: &[],
+                    first: None,
+                    dc: "dc-1",
+                };
+                choose(black_box(&pool), &request, &Options::default(), random, NOW)
+            });
+        });
+    }
+    group.finish();
+}
+
+fn synchronise(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("sync");
+    group.sample_size(20);
+    for size in [35, 1_700, 6_800] {
+        let mut pool = Pool::new("entry-1", "dc-1".into(), pool::Options::default());
+        group.bench_function(BenchmarkId::from_parameter(size), |bencher| {
+            bencher.iter(|| pool.sync(specs(size), NOW));
+        });
+    }
+    group.finish();
+}
+
+fn wait(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("gate");
+    for teams in [10, 100, 500] {
+        let options = gate::Options { initial_rate: 1e9, ..gate::Options::default() };
+        let mut gate = Gate::new(options);
+        let arrival = |team: usize| Arrival {
+            team: format!("team-{team}").into(),
+            weight: 1,
+            urgency: Urgency::Short,
+            wait: Duration::from_secs(60),
+        };
+        let arrivals: Vec<Arrival> = (0..teams).map(arrival).collect();
+        arrivals.iter().for_each(|arrival| {
+            let _ = gate.arrive(arrival, NOW);
+        });
+        let mut turn = 0;
+        group.bench_function(BenchmarkId::from_parameter(teams), |bencher| {
+            bencher.iter(|| {
+                turn = (turn + 1) % teams;
+                let _ = gate.arrive(black_box(&arrivals[turn]), NOW);
+                gate.start(NOW)
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decide, synchronise, wait);
+criterion_main!(benches);
--- a/crates/wisteriawinch/src/generate/http.rs
+++ b/crates/wisteriawinch/src/generate/http.rs
@@ -1,18 +1,21 @@
 //! The engine protocol over HTTP with lines of JSON; see `docs/engine-protocol.md`.
 
 use std::{
+    future::Future,
     net::SocketAddr,
     pin::Pin,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
 use bytes::{Buf, BytesMut};
 use futures_util::Stream;
+use http_body_util::BodyExt;
 use reqwest::{Client, Response, StatusCode};
 use serde::{Deserialize, Serialize};
-use tokio::{net::TcpStream, sync::mpsc, time::timeout};
+use tokio::{net::TcpStream, sync::oneshot, time::timeout};
 use tokio_util::task::TaskTracker;
+use warp::hyper::body::Body as _;
 
 use super::engine::{Batch, Engine, Error, Event, Submission};
 
@@ -23,15 +26,66 @@
     work: TaskTracker,
 }
 
-/// Events of one attempt.
+/// Events of one attempt, read by whoever polls for them.
 #[derive(Debug)]
-pub struct Lines(mpsc::Receiver<Batch>);
+pub struct Lines {
+    state: State,
+    work: TaskTracker,
+}
+
+#[derive(Debug)]
+enum State {
+    /// The request is on its way; its task ends when this is dropped.
+    Connecting(oneshot::Receiver<Result<Response, Error>>),
+    Reading(reqwest::Body, BytesMut),
+    Ended,
+}
 
 impl Stream for Lines {
     type Item = Batch;
 
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Batch>> {
-        self.0.poll_recv(cx)
+        loop {
+            match &mut self.state {
+                State::Connecting(receiver) => {
+                    let answered = ready!(Pin::new(receiver).poll(cx));
+                    match answered.unwrap_or(Err(Error::Broken)) {
+                        Ok(response) => {
+                            self.state = State::Reading(response.into(), BytesMut::new());
+                        }
+                        Err(error) => return self.fail(error),
+                    }
+                }
+                State::Reading(body, buffer) => {
+                    let Some(Ok(frame)) = ready!(Pin::new(body).poll_frame(cx)) else {
+                        return self.fail(Error::Broken);
+                    };
+                    buffer.extend_from_slice(frame.data_ref().map_or(&[][..], |data| data));
+                    match parse(buffer) {
+                        Ok(events) if events.is_empty() => {}
+                        Ok(events) => return self.pass_on(events),
+                        Err(error) => return self.fail(error),
+                    }
+                }
+                State::Ended => return Poll::Ready(None),
+            }
+        }
+    }
+}
+
+impl Lines {
+    fn fail(&mut self, error: Error) -> Poll<Option<Batch>> {
+        self.state = State::Ended;
+        Poll::Ready(Some(Err(error)))
+    }
+
+    fn pass_on(&mut self, events: Vec<Event>) -> Poll<Option<Batch>> {
+        if matches!(events.last(), Some(Event::End(_)))
+            && let State::Reading(body, _) = std::mem::replace(&mut self.state, State::Ended)
+        {
+            self.work.spawn(drain(body));
+        }
+        Poll::Ready(Some(Ok(events)))
     }
 }
 
@@ -54,7 +108,6 @@
     end: Option<usize>,
 }
 
-const BATCHES: usize = 32;
 const LONGEST_LINE: usize = 64 * 1024;
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -70,15 +123,18 @@
     type Stream = Lines;
 
     fn submit(&self, target: SocketAddr, submission: Submission) -> Lines {
-        let (sender, receiver) = mpsc::channel(BATCHES);
+        let (mut sender, receiver) = oneshot::channel();
         let client = self.client.clone();
         self.work.spawn(async move {
             tokio::select! {
                 () = sender.closed() => {}
-                () = pump(client, target, &submission, &sender) => {}
+                answered = connect(client, target, &submission) => {
+                    // Nobody waits any more when the attempt was called off meanwhile.
+                    let _ = sender.send(answered);
+                }
             }
         });
-        Lines(receiver)
+        Lines { state: State::Connecting(receiver), work: self.work.clone() }
     }
 
     async fn cancel(&self, target: SocketAddr, request: &str) {
@@ -93,23 +149,11 @@
     }
 }
 
-async fn pump(
+async fn connect(
     client: Client,
     target: SocketAddr,
     submission: &Submission,
-    sender: &mpsc::Sender<Batch>,
-) {
-    if let Err(error) = read(client, target, submission, sender).await {
-        let _ = sender.send(Err(error)).await;
-    }
-}
-
-async fn read(
-    client: Client,
-    target: SocketAddr,
-    submission: &Submission,
-    sender: &mpsc::Sender<Batch>,
-) -> Result<(), Error> {
+) -> Result<Response, Error> {
     let body = Body {
         request: &submission.request,
         prompt: &submission.prompt,
@@ -119,27 +163,12 @@
         version: &submission.version,
         attach: submission.attach,
     };
-    let sent = client.post(format!("http://{target}/generate")).json(&body).send().await;
-    let mut response = accepted(sent)?;
-    let mut buffer = BytesMut::new();
-    while let Some(chunk) = response.chunk().await.map_err(|_| Error::Broken)? {
-        buffer.extend_from_slice(&chunk);
-        let events = parse(&mut buffer)?;
-        let ended = matches!(events.last(), Some(Event::End(_)));
-        if !events.is_empty() && sender.send(Ok(events)).await.is_err() {
-            return Ok(());
-        }
-        if ended {
-            drain(response).await;
-            return Ok(());
-        }
-    }
-    Err(Error::Broken)
+    accepted(client.post(format!("http://{target}/generate")).json(&body).send().await)
 }
 
 /// Reads to the end, so that the connection can be used again.
-async fn drain(mut response: Response) {
-    while let Ok(Some(_)) = response.chunk().await {}
+async fn drain(mut body: reqwest::Body) {
+    while let Some(Ok(_)) = body.frame().await {}
 }
 
 fn accepted(sent: Result<Response, reqwest::Error>) -> Result<Response, Error> {
