winch-route: allow calls at once, not calls per report

The share of room was counted down by each start and given back by none, so short calls used it up within one report. short_calls::never_wait shows it, seen red. What: the share bounds this daemon's calls in flight.

--- a/crates/winch-route/src/replica.rs
+++ b/crates/winch-route/src/replica.rs
@@ -42,6 +42,7 @@
     reported: u32,
     reported_at: Duration,
     sent_since: u32,
+    /// Calls of this daemon that the last look at the room allows at once.
     allowance: u32,
     allowed_at: Duration,
     since: Duration,
@@ -134,7 +135,7 @@
     /// only its share of it until the next report.
     pub fn has_room(&self, usual: f64, now: Duration) -> bool {
         let fits = self.load(usual, now) + 1.0 <= self.limit(now).max(1.0);
-        let allowed = !self.is_reported(now) || self.allowance > 0;
+        let allowed = !self.is_reported(now) || self.inflight < self.allowance;
         fits && allowed
     }
 
@@ -155,7 +156,7 @@
         self.sent_since = 0;
         if now.saturating_sub(self.allowed_at) >= Self::ALLOWANCE_LIFE {
             self.allowed_at = now;
-            self.allowance = self.share_of_room(now);
+            self.allowance = self.inflight + self.share_of_room(now);
         }
         f64::from(load) / f64::from(self.spec.slots.max(1))
     }
@@ -177,7 +178,6 @@
     pub(crate) fn begin(&mut self, prefix: u64) {
         self.inflight += 1;
         self.sent_since += 1;
-        self.allowance = self.allowance.saturating_sub(1);
         self.forget_prefix(prefix);
         self.prefixes.push_back(prefix);
         if self.prefixes.len() > Self::PREFIXES {
