wisteriawinch: let the daemons take turns in reading the platform's list

Cause: at the target's size the list is about 855 KB (7,770 entries of 110 bytes, by arithmetic); three fixed readers each 2 s would take 427 KB/s each, against 5 KB/s. Conclusion: 0.9 KB/s a daemon on average by arithmetic; not run at that size.

--- a/crates/wisteriawinch/src/control/members.rs
+++ b/crates/wisteriawinch/src/control/members.rs
@@ -14,8 +14,8 @@
 
 /// Time between two looks at the list.
 const INTERVAL: Duration = Duration::from_secs(2);
-/// Daemons that read the list on behalf of all.
-const READERS: usize = 3;
+/// Daemons that read the list on behalf of all at any moment.
+const READERS: usize = 2;
 
 /// The supervised task that reads the list.
 #[derive(Clone, Debug)]
@@ -41,9 +41,12 @@
     }
 }
 
-/// Whether this daemon is among the few that read for all.
+/// Whether this daemon is among the few that read for all now.
+///
+/// The turn changes each interval, so that the list's bytes fall on all daemons alike.
 fn is_reader(me: &Name, alive: &[Name]) -> bool {
-    first(me, alive, "members", READERS)
+    let turn = unix_now() / INTERVAL.as_secs();
+    first(me, alive, &format!("members/{turn}"), READERS)
 }
 
 /// Whether `me` is among the first `count` of the live daemons in the order for `task`.
