wisteriawinch: bound bodies however they are sent

Cause: body_limit::chunked and stated_length, seen red: a chunked body was read without bound, and a large one with a stated length broke the connection before its 413 was seen. What: the body is read as a stream up to the limit; up to four times the limit is dropped so that the refusal arrives.

--- a/crates/wisteriawinch/src/edge.rs
+++ b/crates/wisteriawinch/src/edge.rs
@@ -6,7 +6,8 @@
 
 use std::convert::Infallible;
 
-use bytes::Bytes;
+use bytes::{Buf, Bytes, BytesMut};
+use futures_util::{Stream, StreamExt};
 use warp::{
     Filter, Rejection, Reply,
     filters::path::FullPath,
@@ -69,17 +70,20 @@
         self,
     ) -> impl Filter<Extract = (impl Reply,), Error = Infallible> + Clone + Send + Sync + 'static
     {
-        let limit = self.fleet.settings.max_body;
         let edge = warp::any().map(move || self.clone());
         let query = warp::query::raw().or(warp::any().map(String::new)).unify();
         warp::method()
             .and(warp::path::full())
             .and(query)
             .and(warp::header::headers_cloned())
-            .and(warp::body::content_length_limit(limit).or(no_body()).unify())
-            .and(warp::body::bytes())
+            .and(warp::body::stream())
             .and(edge)
             .then(|method, path: FullPath, query, headers, body, edge: Self| async move {
+                let limit = edge.fleet.settings.max_body as usize;
+                let body = match collect(body, limit).await {
+                    Ok(body) => body,
+                    Err((code, message)) => return refuse(code, &message),
+                };
                 let path = path.as_str().to_owned();
                 edge.answer(Request { method, path, query, headers, body }).await
             })
@@ -132,21 +136,34 @@
     code.response_after(message, code.retry().then_some(1))
 }
 
-/// Passes requests that state no length; their bodies are read within the same limit.
-fn no_body() -> impl Filter<Extract = (), Error = Rejection> + Copy {
-    warp::header::exact("transfer-encoding", "chunked")
-        .or(warp::get())
-        .unify()
-        .or(warp::head())
-        .unify()
-        .or(warp::delete())
-        .unify()
+/// Reads a body into memory, up to a limit.
+///
+/// What goes beyond it is read and dropped for a while, so that the caller sees
+/// the refusal rather than a broken connection.
+async fn collect<S, B>(body: S, limit: usize) -> Result<Bytes, Refusal>
+where
+    S: Stream<Item = Result<B, warp::Error>>,
+    B: Buf,
+{
+    const PATIENCE: usize = 4;
+    let mut body = std::pin::pin!(body);
+    let (mut kept, mut length) = (BytesMut::new(), 0);
+    while let Some(chunk) = body.next().await {
+        let mut chunk = chunk.map_err(|e| (Code::BadRequest, e.to_string()))?;
+        length += chunk.remaining();
+        if length > limit.saturating_mul(PATIENCE) {
+            break;
+        }
+        if length <= limit {
+            kept.extend_from_slice(&chunk.copy_to_bytes(chunk.remaining()));
+        }
+    }
+    if length > limit {
+        return Err((Code::TooLarge, format!("a body has at most {limit} bytes")));
+    }
+    Ok(kept.freeze())
 }
 
-async fn reject(rejection: Rejection) -> Result<Response, Infallible> {
-    let large = rejection.find::<warp::reject::PayloadTooLarge>().is_some();
-    Ok(match large {
-        true => refuse(Code::TooLarge, "the body is larger than allowed"),
-        false => refuse(Code::BadRequest, "the request cannot be read"),
-    })
+async fn reject(_: Rejection) -> Result<Response, Infallible> {
+    Ok(refuse(Code::BadRequest, "the request cannot be read"))
 }
