tests: pause, continue and stop a daemon process by signals

What: paused_daemon starts the binary, stops it with SIGSTOP in the middle of an order and over a change of configuration, and ends it with SIGTERM under a running answer. Conclusion: an order whose daemon is paused ran once, its outcome was kept.

--- /dev/null
+++ b/crates/wisteriawinch/tests/paused_daemon.rs
@@ -0,0 +1,132 @@
+//! A daemon process that is paused wakes into a changed world.
+
+mod common;
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    process::{Child, Command, Stdio},
+};
+
+use common::{KEY, TOKEN, World, basics, engine, engine_options, orders, service, until, upstream};
+use serde_json::{Value, json};
+
+/// A daemon as a process of its own; ended when it is dropped.
+struct Process {
+    child: Child,
+    url: String,
+}
+
+impl Process {
+    fn start(world: &World) -> Self {
+        let free =
+            || -> SocketAddr { TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap() };
+        let (listen, peer) = (free(), free());
+        let child = Command::new(env!("CARGO_BIN_EXE_wisteriawinch"))
+            .args(["serve", "--name", "entry-p", "--dc", "dc-1", "--log-level", "error"])
+            .args(["--listen", &listen.to_string(), "--peer", &peer.to_string()])
+            .args(["--platform", &world.platform_url, "--operator-token", TOKEN])
+            .args(["--fleet-key", "fleet-key-0123456789"])
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        Self { child, url: format!("http://{listen}") }
+    }
+
+    fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
+    }
+
+    async fn ready(&self, world: &World) {
+        until("the process is ready", || async {
+            let ready = world.client.get(format!("{}/ready", self.url)).send().await;
+            ready.is_ok_and(|ready| ready.status().as_u16() == 200)
+        })
+        .await;
+    }
+
+    async fn revision(&self, world: &World) -> u64 {
+        let url = format!("{}/admin/status", self.url);
+        let answer = world.client.get(url).bearer_auth(TOKEN).send().await.unwrap();
+        answer.json::<Value>().await.unwrap()["revision"].as_u64().unwrap()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+async fn world() -> (World, winch_standin::service::Service) {
+    let world = World::new(1).await;
+    let (service, address) = service().await;
+    let part = engine(engine_options("v1")).await;
+    let mut objects = basics();
+    objects.push(upstream("e0", part.address, "v1"));
+    objects.extend(orders(address, 10_000));
+    world.apply(&objects).await;
+    std::mem::forget(part);
+    (world, service)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn order_goes_on() {
+    let (world, service) = world().await;
+    let process = Process::start(&world);
+    process.ready(&world).await;
+    let delay = winch_standin::service::Fault { delay_after_ms: 300, ..Default::default() };
+    service.set_fault(delay);
+    let request = world
+        .client
+        .post(format!("{}/orders/x", process.url))
+        .bearer_auth(KEY)
+        .header("idempotency-key", "paused")
+        .body("row 7");
+    let call = tokio::spawn(request.send());
+    until("the effect", || async { service.effects().len() == 1 }).await;
+    process.signal("-STOP");
+    // Somebody sends the order again while its daemon is paused.
+    let (_, body) = world.call(0, "POST", "/orders/x", Some("paused"), "row 7").await;
+    assert_eq!(body["error"]["code"], 120);
+    process.signal("-CONT");
+    assert_eq!(call.await.unwrap().unwrap().status().as_u16(), 201);
+    let (status, _) = world.call(0, "POST", "/orders/x", Some("paused"), "row 7").await;
+    assert_eq!((status, service.effects().values().sum::<u64>()), (201, 1));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn revision_caught_up() {
+    let (world, _service) = world().await;
+    let process = Process::start(&world);
+    process.ready(&world).await;
+    process.signal("-STOP");
+    let digest = blake3::hash(b"new").to_hex().to_string();
+    let team = json!({ "kind": "team", "name": "new", "key_digest": digest });
+    let body = json!({ "edit": { "objects": [team] }, "wait_ms": 500 });
+    let (status, body) = world.admin(0, "/admin/apply", Some(body)).await;
+    // Whoever is paused is named, if its peers know of it yet.
+    let named = body["not_confirmed"] == json!(["entry-p"]) || body["not_confirmed"] == json!([]);
+    assert!(status == 200 && named, "{body}");
+    process.signal("-CONT");
+    until("the revision is in force", || async { process.revision(&world).await == 2 }).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_by_signal() {
+    let (world, _service) = world().await;
+    let mut process = Process::start(&world);
+    process.ready(&world).await;
+    let mut ask = common::Ask::new("plan", 200);
+    let (client, url) = (world.client.clone(), process.url.clone());
+    let answer = tokio::spawn(async move {
+        ask.read(&client, &url).await.unwrap();
+        ask.check();
+    });
+    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    process.signal("-TERM");
+    answer.await.unwrap();
+    let status = tokio::task::spawn_blocking(move || process.child.wait().unwrap().code());
+    assert_eq!(status.await.unwrap(), Some(0));
+}
