--- a/crates/winch-generation/src/digest.rs
+++ b/crates/winch-generation/src/digest.rs
@@ -19,19 +19,10 @@
     /// token boundaries count as well as text.
     #[must_use]
     pub fn push(self, token: &str) -> Self {
-        const PRIME: u64 = 0x0000_0100_0000_01b3;
-        let folded = token.bytes().fold(self.0, |h, b| (h ^ u64::from(b)).wrapping_mul(PRIME));
-        Self(mix(folded))
+        Self(winch_hash::mix(winch_hash::fnv(self.0, token.bytes())))
     }
 }
 
-fn mix(mut z: u64) -> u64 {
-    z = z.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    z ^ (z >> 31)
-}
-
 impl fmt::Display for Digest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
--- a/crates/winch-gossip/src/facts.rs
+++ b/crates/winch-gossip/src/facts.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use winch_hash::{mix, name as hash};
 use winch_wire::message::{self, Holdings};
 
 /// One fact.
@@ -205,15 +206,3 @@
         })
     }
 }
-
-fn hash(text: &str) -> u64 {
-    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0000_0100_0000_01b3;
-    text.bytes().fold(OFFSET, |h, b| (h ^ u64::from(b)).wrapping_mul(PRIME))
-}
-
-fn mix(mut z: u64) -> u64 {
-    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    z ^ (z >> 31)
-}
--- /dev/null
+++ b/crates/winch-hash/src/lib.rs
@@ -0,0 +1,25 @@
+//! Hashes that are the same in every process and release.
+//!
+//! None of them resists an attacker; what must, is keyed with BLAKE3 elsewhere.
+
+/// Start value of [`fnv`].
+pub const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// FNV-1a over `bytes`, going on from `start`.
+pub fn fnv(start: u64, bytes: impl IntoIterator<Item = u8>) -> u64 {
+    bytes.into_iter().fold(start, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME))
+}
+
+/// The step and finaliser of SplitMix64 (Steele, Lea, Flood 2014).
+pub fn mix(mut z: u64) -> u64 {
+    z = z.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
+
+/// Hash of a name.
+pub fn name(text: &str) -> u64 {
+    mix(fnv(FNV_OFFSET, text.bytes()))
+}
--- a/crates/wisteriawinch/src/control.rs
+++ b/crates/wisteriawinch/src/control.rs
@@ -2,6 +2,7 @@
 
 pub mod config;
 pub mod facts;
+pub mod fetch;
 pub mod members;
 pub mod moves;
 pub mod peers;
--- a/crates/wisteriawinch/src/control/config.rs
+++ b/crates/wisteriawinch/src/control/config.rs
@@ -4,7 +4,7 @@
 use winch_config::{change::Change, load::load};
 use xtra::prelude::*;
 
-use super::{peers::newest_set, supervisor::Child};
+use super::{fetch::newest_set, supervisor::Child};
 use crate::{emit, prelude::*};
 
 /// Time between two looks at the head.
--- a/crates/wisteriawinch/src/fleet.rs
+++ b/crates/wisteriawinch/src/fleet.rs
@@ -1,5 +1,7 @@
 //! What all parts of a daemon share.
 
+pub mod routing;
+
 use std::{
     collections::{HashMap, VecDeque},
     sync::{
@@ -11,7 +13,7 @@
 use arc_swap::ArcSwap;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use tokio::{
-    sync::{Notify, Semaphore, oneshot, watch},
+    sync::{Notify, Semaphore, watch},
     time::Instant,
 };
 use tokio_util::task::TaskTracker;
@@ -24,13 +26,14 @@
 use winch_platform::http::{self, Platform};
 use winch_route::{
     pool::Key,
-    router::{self, Router, Waiting, Wake},
+    router::{self, Router},
     suspect::{Board, Death, Fingerprint},
     urgency,
 };
 
 use xtra::Address;
 
+use self::routing::{Routing, Running};
 use crate::{
     control::{
         config::{Keeper, Offer, Poll},
@@ -44,40 +47,6 @@
     view::View,
 };
 
-/// What a waiting call is told.
-pub type Start = Option<Key>;
-
-/// Routing state with what the daemon needs to carry its decisions out.
-#[derive(Debug)]
-pub struct Routing {
-    /// The decisions.
-    pub router: Router,
-    waiters: HashMap<Waiting, oneshot::Sender<Start>>,
-}
-
-/// Answers under way, by the replica that serves them.
-#[derive(Debug, Default)]
-pub struct Running(HashMap<Key, HashMap<u64, Fingerprint>>);
-
-impl Running {
-    /// Notes that a request runs on a replica.
-    pub fn insert(&mut self, key: Key, request: u64, fingerprint: Fingerprint) {
-        self.0.entry(key).or_default().insert(request, fingerprint);
-    }
-
-    /// Notes that a request no longer runs on a replica.
-    pub fn remove(&mut self, key: Key, request: u64) {
-        if let Some(running) = self.0.get_mut(&key) {
-            running.remove(&request);
-        }
-    }
-
-    /// Replicas with their fingerprints.
-    pub fn iter(&self) -> impl Iterator<Item = (Key, impl Iterator<Item = &Fingerprint>)> {
-        self.0.iter().map(|(key, running)| (*key, running.values()))
-    }
-}
-
 /// State shared by the edge, the generations and the control side.
 #[derive(Debug)]
 pub struct Fleet {
@@ -163,7 +132,7 @@
             heard_peer: AtomicU64::new(0),
             peers: AtomicUsize::new(0),
             stopped: watch::Sender::new(false),
-            routing: Mutex::new(Routing { router, waiters: HashMap::new() }),
+            routing: Mutex::new(Routing::new(router)),
             norms: Mutex::default(),
             board: Mutex::new(Board::new(winch_route::suspect::Options::default())),
             last_deaths: Mutex::default(),
@@ -403,34 +372,6 @@
     }
 }
 
-impl Routing {
-    /// Registers a waiting call.
-    pub fn wait(&mut self, waiting: Waiting) -> oneshot::Receiver<Start> {
-        let (sender, receiver) = oneshot::channel();
-        self.waiters.insert(waiting, sender);
-        receiver
-    }
-
-    /// Takes a waiting call out, because its caller left.
-    pub fn forget(&mut self, runs: &str, waiting: Waiting) {
-        self.waiters.remove(&waiting);
-        self.router.leave(runs, waiting);
-    }
-
-    fn carry_out(&mut self, wakes: Vec<Wake>) {
-        for wake in wakes {
-            let (waiting, start) = match wake {
-                Wake::Start(waiting, key) => (waiting, Some(key)),
-                Wake::Expired(waiting) => (waiting, None),
-            };
-            if let Some(sender) = self.waiters.remove(&waiting) {
-                // A caller that leaves takes itself out first, so a receiver is there.
-                let _ = sender.send(start);
-            }
-        }
-    }
-}
-
 fn client(idle: usize) -> reqwest::Client {
     reqwest::Client::builder()
         .no_proxy()
--- a/crates/wisteriawinch/tests/leaving_upstream.rs
+++ b/crates/wisteriawinch/tests/leaving_upstream.rs
@@ -10,18 +10,23 @@
 /// New work must have ended by then.
 const GRACE: Duration = Duration::from_secs(3);
 
+/// Asks at every daemon after the grace; the first engine must not have worked.
+async fn nothing_new(world: &common::World, engines: &[common::EnginePart]) {
+    tokio::time::sleep(GRACE).await;
+    let before = engines[0].engine.served();
+    for daemon in 0..3 {
+        all_complete(ask_many(world, daemon, 8, 20)).await;
+    }
+    assert_eq!(engines[0].engine.served(), before);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn drained() {
     let (world, engines) = fleet(3, 2).await;
     all_complete(ask_many(&world, 1, 8, 20)).await;
     let body = json!({ "upstream": "e0", "leaving": true });
     assert_eq!(world.admin(0, "/admin/drain", Some(body)).await.0, 200);
-    tokio::time::sleep(GRACE).await;
-    let before = engines[0].engine.served();
-    for daemon in 0..3 {
-        all_complete(ask_many(&world, daemon, 8, 20)).await;
-    }
-    assert_eq!(engines[0].engine.served(), before);
+    nothing_new(&world, &engines).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -37,12 +42,7 @@
     let body = json!({ "upstream": "e0", "leaving": true });
     // The object cannot be changed, and that is said; the fact spreads all the same.
     assert_eq!(world.admin(0, "/admin/drain", Some(body)).await.0, 503);
-    tokio::time::sleep(GRACE).await;
-    let before = engines[0].engine.served();
-    for daemon in 0..3 {
-        all_complete(ask_many(&world, daemon, 8, 20)).await;
-    }
-    assert_eq!(engines[0].engine.served(), before);
+    nothing_new(&world, &engines).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
