wisteriawinch: fill missed revisions from peers when the table is out

Cause: paused_daemon::gap_in_outage, seen red: a daemon that slept over two changes and woke in an outage stayed behind for the 60 s of the test; only the last change is a fact, and peers were asked by daemons without any configuration only. Ruled out: asking peers at every failed look (36 sets of 1.4 MB each 5 s at the target's size). What: the keeper remembers the newest revision told and asks peers while it is behind that.

--- a/crates/wisteriawinch/src/control/config.rs
+++ b/crates/wisteriawinch/src/control/config.rs
@@ -17,11 +17,16 @@
 #[derive(Debug, xtra::Actor)]
 pub struct Keeper {
     fleet: Arc<Fleet>,
+    /// Newest revision that any peer is known to hold.
+    told: u64,
 }
 
 /// Looks at the head and loads what is missing.
 #[derive(Clone, Copy, Debug)]
-pub struct Poll;
+pub struct Poll {
+    /// A revision that peers are known to hold; zero if there is none.
+    pub told: u64,
+}
 
 /// A committed change, as told by a peer.
 #[derive(Clone, Debug)]
@@ -30,8 +35,9 @@
 impl Handler<Poll> for Keeper {
     type Return = ();
 
-    async fn handle(&mut self, _: Poll, _: &mut Context<Self>) {
+    async fn handle(&mut self, poll: Poll, _: &mut Context<Self>) {
         let known = self.fleet.view.load().set.clone();
+        self.told = self.told.max(poll.told);
         match load(&self.fleet.platform, &known).await {
             Ok(set) => {
                 self.fleet.install(set);
@@ -39,10 +45,9 @@
             }
             Err(error) => {
                 emit!(Event::ConfigUnreadable, reason = error);
-                // A daemon that starts in an outage learns what its peers hold.
-                if known.revision() == 0
-                    && let Some(set) = newest_set(&self.fleet).await
-                {
+                // A daemon that starts in an outage, or has missed revisions, asks its peers.
+                let missing = known.revision() == 0 || known.revision() < self.told;
+                if missing && let Some(set) = newest_set(&self.fleet).await {
                     self.fleet.install(set);
                 }
             }
@@ -75,13 +80,13 @@
         self.0.set_keeper(address.clone());
         let fleet = self.0.clone();
         let poll = async {
-            while address.send(Poll).await.is_ok() {
+            while address.send(Poll { told: 0 }).await.is_ok() {
                 let started = fleet.view.load().revision() > 0;
                 sleep(if started { POLL_INTERVAL } else { START_INTERVAL }).await;
             }
         };
         tokio::select! {
-            () = xtra::run(mailbox, Keeper { fleet: self.0.clone() }) => {}
+            () = xtra::run(mailbox, Keeper { fleet: self.0.clone(), told: 0 }) => {}
             () = poll => {}
         }
     }
--- a/crates/wisteriawinch/src/control/facts.rs
+++ b/crates/wisteriawinch/src/control/facts.rs
@@ -50,8 +50,8 @@
     let change = serde_json::from_slice::<Change>(&fact.body).ok();
     match change.filter(|change| change.revision == known + 1) {
         Some(change) => fleet.offer(Offer(change)),
-        // Revisions are missing in between; the table has them.
-        None => fleet.poll_config(),
+        // Revisions are missing in between; the table has them, and so have peers.
+        None => fleet.poll_config(fact.version),
     }
 }
 
--- a/crates/wisteriawinch/src/control/peers.rs
+++ b/crates/wisteriawinch/src/control/peers.rs
@@ -146,8 +146,8 @@
                         let _ = address.send(Fetched(fact, from)).await;
                     }
                 }
-                // The table has it too.
-                None => fleet.poll_config(),
+                // The table has it too, and so have other peers.
+                None => fleet.poll_config(fact.version),
             }
         });
     }
--- a/crates/wisteriawinch/src/fleet.rs
+++ b/crates/wisteriawinch/src/fleet.rs
@@ -307,10 +307,11 @@
         }
     }
 
-    /// Asks the keeper of the configuration to look at the table.
-    pub fn poll_config(&self) {
+    /// Asks the keeper of the configuration to look at the table, and at peers that hold
+    /// revision `told` if the table gives no answer.
+    pub fn poll_config(&self, told: u64) {
         if let Some(keeper) = self.keeper() {
-            self.work.spawn(async move { keeper.send(Poll).await });
+            self.work.spawn(async move { keeper.send(Poll { told }).await });
         }
     }
 
@@ -362,7 +363,7 @@
             trial.grant = None;
             trial.machine = None;
         });
-        self.poll_config();
+        self.poll_config(0);
     }
 
     /// Address of an upstream in the configuration in force.
--- a/crates/wisteriawinch/tests/paused_daemon.rs
+++ b/crates/wisteriawinch/tests/paused_daemon.rs
@@ -113,6 +113,25 @@
     until("the revision is in force", || async { process.revision(&world).await == 2 }).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn gap_in_outage() {
+    // Two changes are missed, and the table is out when the daemon wakes.
+    let (world, _service) = world().await;
+    let process = Process::start(&world);
+    process.ready(&world).await;
+    process.signal("-STOP");
+    for name in ["a", "b"] {
+        let digest = blake3::hash(name.as_bytes()).to_hex().to_string();
+        let team = json!({ "kind": "team", "name": name, "key_digest": digest });
+        let body = json!({ "edit": { "objects": [team] } });
+        assert_eq!(world.admin(0, "/admin/apply", Some(body)).await.0, 200);
+    }
+    let outage = winch_standin::platform::Fault { outage: true, ..Default::default() };
+    world.platform.set_fault(&outage);
+    process.signal("-CONT");
+    until("the revision is in force", || async { process.revision(&world).await == 3 }).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn stop_by_signal() {
     let (world, _service) = world().await;
