winch-route: avoid an upstream on which a call has just gone silent

Cause: when a quarter of the engines vanished without a word, resumes landed on the next silent engine: p95 2,040 ms and at most 4,651 ms, against the target's 2 s. Ruled out: the pacer (its turns were free), the detection (0.6 s as with one engine). What: a hedge or replacement marks the upstream for a second; any load report clears it.

--- a/crates/winch-bench/src/resume.rs
+++ b/crates/winch-bench/src/resume.rs
@@ -47,6 +47,8 @@
 const STEP: f64 = 0.01;
 const FAULT_AT: f64 = 20.0;
 const BEAT: f64 = 0.2;
+/// As in the router.
+const SUSPICION: f64 = 1.0;
 
 struct Live {
     attempt: Attempt,
@@ -85,6 +87,8 @@
     hedges_wasted: usize,
     alarms: usize,
     faulty: Vec<bool>,
+    /// Until when each engine is avoided, as the router does.
+    suspected: Vec<f64>,
 }
 
 /// Runs all modes, loads and faults.
@@ -158,6 +162,7 @@
             hedges_wasted: 0,
             alarms: 0,
             faulty: vec![false; config.engines],
+            suspected: vec![0.0; config.engines],
         };
         for number in 0..per_engine * config.engines {
             let stream = Stream {
@@ -329,6 +334,7 @@
             self.norm.observe_prefill(prefill);
         }
         live.beat = now;
+        self.suspected[engine] = 0.0;
         if std::mem::take(&mut live.paced) {
             self.pacer.finish();
         }
@@ -352,6 +358,7 @@
         for live in self.streams.iter_mut().flat_map(|stream| &mut stream.live) {
             if live.engine == engine && now - live.beat >= BEAT {
                 live.beat = now;
+                self.suspected[engine] = 0.0;
                 live.watch.sign(time);
             }
         }
@@ -365,6 +372,10 @@
             .map(|live| (live.id, live.engine, live.watch.judge(time, &norm, &options)))
             .collect();
         for (id, engine, verdict) in verdicts {
+            match verdict {
+                Verdict::Wait(_) => continue,
+                Verdict::Hedge | Verdict::Replace => self.suspected[engine] = self.now + SUSPICION,
+            }
             match verdict {
                 Verdict::Wait(_) => continue,
                 Verdict::Hedge if self.streams[stream].live.len() == 1 => {
@@ -385,7 +396,9 @@
     fn choose(&mut self, stream: usize) -> usize {
         let tried = &self.streams[stream].tried;
         let dead = |engine: usize| self.engines[engine].health == Health::Dead;
-        let fit = (0..self.engines.len()).filter(|n| !tried.contains(n) && !dead(*n));
+        let suspected = |engine: usize| self.now < self.suspected[engine];
+        let fit =
+            (0..self.engines.len()).filter(|n| !tried.contains(n) && !dead(*n) && !suspected(*n));
         let picks: Vec<usize> = fit.collect();
         let picks = if picks.is_empty() { (0..self.engines.len()).collect() } else { picks };
         let pick = |random: &mut SmallRng| picks[random.random_range(0..picks.len())];
--- a/crates/winch-route/src/choose.rs
+++ b/crates/winch-route/src/choose.rs
@@ -115,7 +115,8 @@
 }
 
 fn is_fit(pool: &Pool, request: &Request<'_>, key: Key, replica: &Replica, now: Duration) -> bool {
-    !pool.is_leaving(key) && !replica.is_ejected(now) && !request.exclude.contains(&key)
+    let healthy = !replica.is_ejected(now) && !replica.is_suspected(now);
+    healthy && !pool.is_leaving(key) && !request.exclude.contains(&key)
 }
 
 /// The first few in the rendezvous order of `prefix`.
--- a/crates/winch-route/src/pool.rs
+++ b/crates/winch-route/src/pool.rs
@@ -194,6 +194,13 @@
         *usual = (usual.0 + WEIGHT * (part - usual.0), now);
     }
 
+    /// Notes that a call on an upstream went silent; it is avoided until it shows life.
+    pub fn suspect(&mut self, key: Key, now: Duration) {
+        if let Some(replica) = self.replicas.get_mut(key) {
+            replica.suspect(now);
+        }
+    }
+
     /// Usual load of a version or service as a part of its slots; zero if nothing is known.
     pub fn usual(&self, runs: &str, now: Duration) -> f64 {
         const LIFE: Duration = Duration::from_secs(5);
--- a/crates/winch-route/src/replica.rs
+++ b/crates/winch-route/src/replica.rs
@@ -50,6 +50,7 @@
     failures: u32,
     ejections: u32,
     ejected_until: Duration,
+    suspected_until: Duration,
     prefixes: VecDeque<u64>,
 }
 
@@ -58,6 +59,8 @@
     const REPORT_LIFE: Duration = Duration::from_secs(2);
     /// Time between two looks at the room that a report shows.
     const ALLOWANCE_LIFE: Duration = Duration::from_millis(500);
+    /// How long an upstream is avoided after one of its calls went silent.
+    const SUSPICION: Duration = Duration::from_secs(1);
     /// How long a new upstream gets only part of its share.
     const SLOW_START: Duration = Duration::from_secs(10);
     /// Failures in a row that eject an upstream.
@@ -88,6 +91,7 @@
             failures: 0,
             ejections: 0,
             ejected_until: Duration::ZERO,
+            suspected_until: Duration::ZERO,
             prefixes: VecDeque::new(),
         }
     }
@@ -144,6 +148,15 @@
         now < self.ejected_until
     }
 
+    /// Whether a call on the upstream has just gone silent and no other showed life since.
+    pub fn is_suspected(&self, now: Duration) -> bool {
+        now < self.suspected_until
+    }
+
+    pub(crate) fn suspect(&mut self, now: Duration) {
+        self.suspected_until = now + Self::SUSPICION;
+    }
+
     /// Whether this daemon sent the prefix here lately.
     pub fn has_prefix(&self, prefix: u64) -> bool {
         self.prefixes.contains(&prefix)
@@ -151,6 +164,7 @@
 
     /// Notes a load report of the engine itself; returns the part of its slots in use.
     pub(crate) fn report(&mut self, load: u32, now: Duration) -> f64 {
+        self.suspected_until = Duration::ZERO;
         self.reported = load;
         self.reported_at = now;
         self.sent_since = 0;
--- a/crates/winch-route/src/router.rs
+++ b/crates/winch-route/src/router.rs
@@ -12,7 +12,7 @@
     hash,
     pace::Pacer,
     pool::{self, Key, Pool},
-    replica::Finish,
+    replica::{Finish, Replica},
 };
 
 /// Settings of all parts.
@@ -181,8 +181,8 @@
 
     fn fit(&self, runs: &str, now: Duration) -> impl Iterator<Item = Key> {
         self.pool.members(runs).iter().copied().filter(move |key| {
-            let ejected = self.pool.get(*key).is_none_or(|replica| replica.is_ejected(now));
-            !ejected && !self.pool.is_leaving(*key)
+            let healthy = |r: &Replica| !r.is_ejected(now) && !r.is_suspected(now);
+            self.pool.get(*key).is_some_and(healthy) && !self.pool.is_leaving(*key)
         })
     }
 
--- a/crates/winch-route/tests/pool_limits.rs
+++ b/crates/winch-route/tests/pool_limits.rs
@@ -4,6 +4,7 @@
 
 use proptest::prelude::*;
 use winch_route::{
+    choose::{Error, Request, choose},
     pool::{Key, Options, Pool},
     replica::{Finish, Spec},
 };
@@ -107,6 +108,34 @@
     assert!(!pool.is_leaving(key));
 }
 
+#[test]
+fn silent_avoided() {
+    let mut pool = Pool::new("entry-1", "dc-0".into(), Options::default());
+    pool.sync((0..2).map(spec), at(1));
+    let [first, second] = pool.members("v1")[..] else {
+        panic!("there are two members");
+    };
+    let chosen = |pool: &Pool, now| {
+        let request = Request {
+            runs: "v1",
+            prefix: 1,
+            prefill_tokens: 0,
+            exclude: &[],
+            first: None,
+            dc: "dc-0",
+        };
+        choose(pool, &request, &Default::default(), 3, now)
+    };
+    pool.suspect(first, at(10));
+    assert_eq!(chosen(&pool, at(10)), Ok(second));
+    pool.suspect(second, at(10));
+    assert_eq!(chosen(&pool, at(10)), Err(Error::Unfit));
+    // A sign of life, or time, ends the suspicion.
+    pool.report(first, 1, at(10));
+    assert_eq!(chosen(&pool, at(10)), Ok(first));
+    assert!(chosen(&pool, at(11)).is_ok());
+}
+
 #[test]
 fn back_after_ejection() {
     let mut pool = Pool::new("entry-1", "dc-0".into(), Options::default());
--- a/crates/wisteriawinch/src/generate/drive/attempt.rs
+++ b/crates/wisteriawinch/src/generate/drive/attempt.rs
@@ -195,6 +195,7 @@
             return;
         };
         self.answer.abandon(attempt);
+        self.fleet.routing().router.pool.suspect(live.key, self.fleet.now());
         counter::retried("stalled");
         emit!(
             Event::AttemptLost,
@@ -218,6 +219,7 @@
             return;
         };
         let (key, suspected) = (live.key, live.name.clone());
+        self.fleet.routing().router.pool.suspect(key, self.fleet.now());
         let mut tried = self.tried.clone();
         tried.push(key);
         let call = self.resume_call();
