wisteriawinch: never fall back under a resumed answer, and back off from busy engines

Cause: found by reading, then shown red in driver_steps: (1) an answer taken up from another daemon during a move fell back to the old version with an empty prefix when its first attempt broke, which could have told the caller another generation after its tokens; (2) an engine that refuses at once was asked again without pause and without end; (3) a caller that left while its answer looked for an engine kept a turn of the pacer. Ruled out: nothing; each was certain from the code. What: only answers of which nothing reached a caller anywhere may change version; attempts that fail in a row wait 50 ms doubling to 1.6 s and end after 60 s without progress; turns are given back at the end of an answer; suspects are checked for resumed requests too.

--- a/crates/wisteriawinch/src/generate/drive.rs
+++ b/crates/wisteriawinch/src/generate/drive.rs
@@ -71,6 +71,8 @@
     arrived: Duration,
     progress: Duration,
     lost_at: Option<Duration>,
+    /// Attempts lost since the last token.
+    losses: u32,
     /// The version whose pacer this answer holds a turn of.
     paced: Option<Name>,
     fallback: Option<Name>,
@@ -112,6 +114,7 @@
             arrived: now,
             progress: now,
             lost_at: None,
+            losses: 0,
             paced: None,
             fallback: plan.fallback,
             started: now,
@@ -310,6 +313,7 @@
             );
         }
         self.progress = now;
+        self.losses = 0;
         let runs = self.call.runs.clone();
         self.fleet.observe(&runs, |norm| {
             prefill.into_iter().for_each(|time| norm.observe_prefill(time));
@@ -349,6 +353,7 @@
             End::Left => (Finish::Cancelled, "left"),
         };
         counter::answer(outcome);
+        self.unpace();
         let patient = self.job.max_tokens >= self.fleet.urgency.long_tokens;
         let cancel = match end {
             End::Complete => false,
--- a/crates/wisteriawinch/src/generate/drive/recover.rs
+++ b/crates/wisteriawinch/src/generate/drive/recover.rs
@@ -25,10 +25,10 @@
 
 impl<E: Engine> Driver<E> {
     pub(super) async fn begin(&mut self) -> Result<(), End> {
+        self.check_standing().await?;
         if let Some(held) = self.job.held.clone() {
             return self.take_up(held.ticket, held.tokens);
         }
-        self.check_standing().await?;
         if let Some(key) = self.try_trial() {
             self.submit(key, false, false);
             return Ok(());
@@ -153,9 +153,10 @@
             return Err(End::Failed(not_resumable()));
         }
         self.check_standing().await?;
-        if !self.output.has_begun() {
+        if self.is_fresh() {
             self.fall_back();
         }
+        self.back_off().await?;
         self.wait_turn().await?;
         loop {
             if let Ok(key) = self.replace() {
@@ -164,20 +165,44 @@
                     return Ok(());
                 }
             }
-            if self.fleet.now().saturating_sub(self.progress) > GIVE_UP {
-                self.unpace();
-                let message = "no engine could go on with the answer".to_owned();
-                return Err(End::Failed((Code::GenerationFailed, message)));
-            }
+            self.check_progress()?;
             self.tried.clear();
             self.restart_elsewhere();
             self.pause().await?;
         }
     }
 
+    /// Whether nothing of the answer has reached its caller, here or elsewhere.
+    fn is_fresh(&self) -> bool {
+        !self.output.has_begun() && self.job.held.is_none()
+    }
+
+    /// Waits longer the more attempts failed in a row; the first is replaced at once.
+    async fn back_off(&mut self) -> Result<(), End> {
+        const MOST_DOUBLINGS: u32 = 5;
+        self.check_progress()?;
+        self.losses += 1;
+        let Some(doublings) = self.losses.checked_sub(2) else {
+            return Ok(());
+        };
+        let wait = SEARCH_PAUSE * 2_u32.pow(doublings.min(MOST_DOUBLINGS));
+        tokio::select! {
+            () = sleep(wait) => Ok(()),
+            () = self.output.closed() => Err(End::Left),
+        }
+    }
+
+    fn check_progress(&self) -> Result<(), End> {
+        if self.fleet.now().saturating_sub(self.progress) <= GIVE_UP {
+            return Ok(());
+        }
+        let message = "no engine could go on with the answer".to_owned();
+        Err(End::Failed((Code::GenerationFailed, message)))
+    }
+
     /// Moves an answer of which nothing reached the caller to the route's version of now.
     pub(super) fn restart_elsewhere(&mut self) {
-        if self.output.has_begun() || self.job.held.is_some() {
+        if !self.is_fresh() {
             return;
         }
         let Some(plan) = self.fleet.plan(&self.job.model, self.job.request) else {
