wisteriawinch: log isolation, show a move's share, drop events that nothing logs

Cause: reading as a newcomer: four events of the catalogue were never logged, and status printed null for a move's share. What: 1402 and 1403 are logged when isolation begins and ends; 1404 (a counter tells it) and 1505 (no orders are sent yet) are gone; status tells the share.

--- a/crates/wisteriawinch/src/control/config.rs
+++ b/crates/wisteriawinch/src/control/config.rs
@@ -108,6 +108,7 @@
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut last = self.0.now();
+        let mut isolated = false;
         loop {
             ticks.tick().await;
             let now = self.0.now();
@@ -117,6 +118,11 @@
             }
             last = now;
             self.0.tick();
+            let is_isolated = self.0.is_isolated();
+            if isolated != is_isolated {
+                isolated = is_isolated;
+                emit!(if isolated { Event::Isolated } else { Event::Rejoined });
+            }
         }
     }
 }
--- a/crates/wisteriawinch/src/control/status.rs
+++ b/crates/wisteriawinch/src/control/status.rs
@@ -1,6 +1,7 @@
 //! What an operator sees of the fleet through one daemon.
 
 use serde_json::{Value, json};
+use winch_move::schedule;
 use winch_route::{pool::Key, replica::Replica};
 
 use super::peers::{Members, wait_confirmed};
@@ -11,7 +12,7 @@
     let now = fleet.now();
     let view = fleet.view.load_full();
     let upstreams = upstreams(fleet, now);
-    let moves: Vec<Value> = fleet.trials().iter().map(|trial| describe(trial, now)).collect();
+    let moves = moves(fleet, now);
     let members = match fleet.link() {
         Some(link) => link.send(Members).await.unwrap_or_default(),
         None => Vec::new(),
@@ -60,7 +61,17 @@
     upstreams
 }
 
-fn describe(trial: &Trial, now: Duration) -> Value {
+fn moves(fleet: &Fleet, now: Duration) -> Vec<Value> {
+    let trials = fleet.trials();
+    let routing = fleet.routing();
+    let describe = |trial: &Trial| {
+        let old = routing.router.pool.all(&trial.planned.from).len();
+        describe(trial, schedule::share(trial.stage(now), old), now)
+    };
+    trials.iter().map(describe).collect()
+}
+
+fn describe(trial: &Trial, share: f64, now: Duration) -> Value {
     let (new, old) = trial.pooled();
     json!({
         "name": trial.planned.name,
@@ -68,6 +79,7 @@
         "from": trial.planned.from,
         "to": trial.planned.to,
         "stage": trial.stage(now),
+        "share": share,
         "verdict": trial.verdict,
         "reason": trial.reason,
         "fault": trial.fault,
--- a/crates/wisteriawinch/src/event.rs
+++ b/crates/wisteriawinch/src/event.rs
@@ -73,8 +73,6 @@
     Isolated = 1402, Error, "neither peers nor table can be reached";
     /// The daemon is no longer isolated.
     Rejoined = 1403, Info, "peers or table can be reached again";
-    /// A frame of a peer was refused.
-    FrameRefused = 1404, Warn, "frame refused";
     /// A move went to its next stage.
     MoveRaised = 1501, Info, "move raised";
     /// A version on trial shows a fault.
@@ -83,8 +81,6 @@
     MoveVerdict = 1503, Info, "move has its verdict";
     /// A move is likely to miss its deadline.
     MoveLate = 1504, Warn, "move is likely to be late";
-    /// An order to an engine was refused or ignored.
-    LoadRefused = 1505, Warn, "order to load a version failed";
 }
 
 /// Logs an event with `key = value` pairs.
