--- a/crates/wisteriawinch/src/control/status.rs
+++ b/crates/wisteriawinch/src/control/status.rs
@@ -50,7 +50,7 @@
             "dc": replica.spec.dc,
             "runs": replica.spec.runs,
             "inflight": replica.inflight(),
-            "load": replica.load(pool.usual(&replica.spec.runs, now), now),
+            "load": replica.load(pool.usual(&replica.spec.runs, now), now).round(),
             "limit": replica.limit(now),
             "ejected": replica.is_ejected(now),
             "leaving": pool.is_leaving(key),
