--- a/crates/winch-move/tests/one_verdict.rs
+++ b/crates/winch-move/tests/one_verdict.rs
@@ -75,12 +75,18 @@
 /// Without `follow` the last writer wins, and a verdict changes.
 #[test]
 fn naive_record_changes() {
-    let first = Record { verdict: Some(Verdict::TakenBack), fence: 2, ..Record::default() };
-    let late =
-        Record { verdict: Some(Verdict::Completed), fence: 1, stage: 5, ..Record::default() };
-    let naive = late.clone();
-    assert_ne!(naive.verdict, first.verdict);
-    assert_eq!(first.follow(&late), None);
+    let written = [
+        Record { verdict: Some(Verdict::TakenBack), fence: 2, ..Record::default() },
+        Record { verdict: Some(Verdict::Completed), fence: 1, stage: 5, ..Record::default() },
+        Record { verdict: Some(Verdict::Expired), fence: 3, stage: 5, ..Record::default() },
+    ];
+    let first = written[0].verdict;
+    let naive = written.iter().fold(Record::default(), |_, next| next.clone());
+    let kept = written
+        .iter()
+        .fold(Record::default(), |record, next| record.follow(next).unwrap_or(record));
+    assert_ne!(naive.verdict, first);
+    assert_eq!(kept.verdict, first);
 }
 
 #[test]
--- a/crates/wisteriawinch/src/fleet.rs
+++ b/crates/wisteriawinch/src/fleet.rs
@@ -1,17 +1,18 @@
 //! What all parts of a daemon share.
 
 pub mod routing;
+mod setup;
 
 use std::{
     collections::{HashMap, VecDeque},
     sync::{
-        Mutex, MutexGuard, OnceLock,
+        Mutex, MutexGuard,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
 };
 
 use arc_swap::ArcSwap;
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::{
     sync::{Notify, Semaphore, watch},
     time::Instant,
@@ -33,7 +34,10 @@
 
 use xtra::Address;
 
-use self::routing::{Routing, Running};
+use self::{
+    routing::{Routing, Running},
+    setup::{client, recorder, stall_options},
+};
 use crate::{
     control::{
         config::{Keeper, Offer, Poll},
@@ -42,7 +46,6 @@
     },
     counter, emit,
     prelude::*,
-    settings::Stall,
     trial::{Plan, Trials},
     view::View,
 };
@@ -95,7 +98,6 @@
 }
 
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 impl Fleet {
     /// State of a daemon that has just started.
@@ -372,31 +374,3 @@
         self.view.load().set.upstream(&name).map(|upstream| upstream.address)
     }
 }
-
-fn client(idle: usize) -> reqwest::Client {
-    reqwest::Client::builder()
-        .no_proxy()
-        .connect_timeout(CONNECT_TIMEOUT)
-        .tcp_nodelay(true)
-        .pool_max_idle_per_host(idle)
-        .retry(reqwest::retry::never())
-        .build()
-        .expect("a client without TLS always builds")
-}
-
-fn stall_options(stall: Stall) -> stall::Options {
-    const FIXED_SILENCE: Duration = Duration::from_secs(1);
-    let mode = match stall {
-        Stall::Fixed => stall::Mode::Fixed { silence: FIXED_SILENCE },
-        Stall::Adaptive => stall::Mode::Adaptive,
-        Stall::Hedged => stall::Mode::Hedged,
-    };
-    stall::Options { mode, ..stall::Options::default() }
-}
-
-/// The recorder of this process; daemons that share a process, as in tests, share it.
-fn recorder() -> PrometheusHandle {
-    static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
-    let install = || PrometheusBuilder::new().install_recorder();
-    RECORDER.get_or_init(|| install().expect("nobody else installs a recorder")).clone()
-}
--- a/crates/wisteriawinch/tests/child_restart.rs
+++ b/crates/wisteriawinch/tests/child_restart.rs
@@ -1,15 +1,14 @@
 //! Control tasks that fail are started again, within a budget.
 
+mod common;
+
 use std::sync::{
     Arc,
     atomic::{AtomicUsize, Ordering},
 };
 
-use wisteriawinch::{
-    control::supervisor::{Child, supervise},
-    fleet::Fleet,
-    settings::{Flags, Settings},
-};
+use common::idle_fleet;
+use wisteriawinch::control::supervisor::{Child, supervise};
 
 #[derive(Clone)]
 struct Failing {
@@ -29,21 +28,6 @@
     }
 }
 
-fn idle_fleet() -> Arc<Fleet> {
-    let text = |text: &str| Some(text.to_owned());
-    let flags = Flags {
-        name: text("entry-1"),
-        dc: text("dc"),
-        listen: text("127.0.0.1:1"),
-        peer: text("127.0.0.1:2"),
-        platform: text("http://127.0.0.1:3"),
-        fleet_key: text("fleet-key-0123456789"),
-        operator_token: text("operator-token-0123456789"),
-        ..Flags::default()
-    };
-    Fleet::new(Settings::resolve(&flags, |_| None).unwrap())
-}
-
 #[tokio::test(start_paused = true)]
 async fn restarted() {
     let fleet = idle_fleet();
--- a/crates/wisteriawinch/tests/common/mod.rs
+++ b/crates/wisteriawinch/tests/common/mod.rs
@@ -411,3 +411,10 @@
         .filter_map(|(name, value)| Some((name.to_owned(), value.parse().ok()?)))
         .collect()
 }
+
+/// A daemon's state without sockets, for tests of its parts.
+pub(crate) fn idle_fleet() -> Arc<wisteriawinch::fleet::Fleet> {
+    let nowhere = |port| SocketAddr::from(([127, 0, 0, 1], port));
+    let settings = settings(1, "http://127.0.0.1:3", nowhere(1), nowhere(2), String::new());
+    wisteriawinch::fleet::Fleet::new(settings)
+}
--- a/crates/wisteriawinch/tests/driver_steps.rs
+++ b/crates/wisteriawinch/tests/driver_steps.rs
@@ -1,5 +1,7 @@
 //! One answer's driver against a scripted engine.
 
+mod common;
+
 use std::{
     collections::VecDeque,
     net::SocketAddr,
@@ -22,7 +24,6 @@
         job::Job,
         output::{Chunk, Output},
     },
-    settings::{Flags, Settings},
     trial::Plan,
 };
 
@@ -70,18 +71,7 @@
 }
 
 fn fleet() -> Arc<Fleet> {
-    let text = |text: &str| Some(text.to_owned());
-    let flags = Flags {
-        name: text("entry-1"),
-        dc: text("dc"),
-        listen: text("127.0.0.1:1"),
-        peer: text("127.0.0.1:2"),
-        platform: text("http://127.0.0.1:3"),
-        fleet_key: text(std::str::from_utf8(KEY).unwrap()),
-        operator_token: text("operator-token-0123456789"),
-        ..Flags::default()
-    };
-    let fleet = Fleet::new(Settings::resolve(&flags, |_| None).unwrap());
+    let fleet = common::idle_fleet();
     let mut objects = vec![
         json!({ "kind": "version", "name": "v1", "model": "m" }),
         json!({ "kind": "version", "name": "v2", "model": "m" }),
