winch-http: add HTTP/1.1 connections whose framing and reuse the caller controls

Cause: the client library hides what a relay must know: whether a byte was sent, whether a reply was framed, and whether bytes follow a complete reply. The server library drops a length beside chunks silently, which lets a second request hide in a body. Ruled out: hyper with hyper-util, for these two reasons. Conclusion: heads are parsed by httparse, types come from http; framing, reuse and early replies are decided here.

--- /dev/null
+++ b/crates/winch-http/src/body.rs
@@ -0,0 +1,170 @@
+//! Framing of bodies.
+
+use bytes::{Buf, Bytes, BytesMut};
+use http::{HeaderMap, Method, StatusCode, header};
+
+use crate::{Fault, head};
+
+/// Longest line that states the size of a chunk, or trailer line, in bytes.
+const MAX_LINE: usize = 1_024;
+
+/// How the end of a body is found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// After this many bytes.
+    Length(u64),
+    /// After the last chunk.
+    Chunked,
+    /// Where the connection ends.
+    UntilClose,
+}
+
+impl Framing {
+    /// Framing of the body of a request.
+    ///
+    /// # Errors
+    /// [`Fault::Ambiguous`] when two lengths are stated.
+    pub fn of_request(request: &head::Request) -> Result<Self, Fault> {
+        match stated(&request.headers)? {
+            Some(Self::Chunked) if request.minor == 0 => Err(Fault::Ambiguous),
+            framing => Ok(framing.unwrap_or(Self::Length(0))),
+        }
+    }
+
+    /// Framing of the body of a reply to a request with `method`.
+    ///
+    /// # Errors
+    /// [`Fault::Ambiguous`] when two lengths are stated.
+    pub fn of_reply(method: &Method, reply: &head::Reply) -> Result<Self, Fault> {
+        let bare = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&reply.status);
+        if method == Method::HEAD || bare || reply.status.is_informational() {
+            return Ok(Self::Length(0));
+        }
+        Ok(stated(&reply.headers)?.unwrap_or(Self::UntilClose))
+    }
+}
+
+fn stated(headers: &HeaderMap) -> Result<Option<Framing>, Fault> {
+    let mut lengths = headers.get_all(header::CONTENT_LENGTH).iter();
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    let (length, coding) = (lengths.next(), codings.next());
+    if lengths.next().is_some() || codings.next().is_some() {
+        return Err(Fault::Ambiguous);
+    }
+    match (length, coding) {
+        (Some(_), Some(_)) => Err(Fault::Ambiguous),
+        (None, None) => Ok(None),
+        (None, Some(coding)) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => {
+            Ok(Some(Framing::Chunked))
+        }
+        (None, Some(_)) => Err(Fault::Malformed),
+        (Some(length), None) => {
+            let digits = length.as_bytes();
+            let plain = !digits.is_empty() && digits.iter().all(u8::is_ascii_digit);
+            let number = length.to_str().ok().filter(|_| plain).and_then(|text| text.parse().ok());
+            number.map(|number| Some(Framing::Length(number))).ok_or(Fault::Malformed)
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Length(u64),
+    ChunkSize,
+    ChunkData(u64),
+    ChunkEnd,
+    Trailer,
+    UntilClose,
+    Done,
+}
+
+/// What [`Decoder::step`] found.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// A part of the body.
+    Data(Bytes),
+    /// More input is needed.
+    More,
+    /// The body is complete.
+    Done,
+}
+
+/// Takes a body out of the bytes of a connection.
+#[derive(Clone, Debug)]
+pub struct Decoder(State);
+
+impl Decoder {
+    /// A decoder for one body.
+    pub fn new(framing: Framing) -> Self {
+        Self(match framing {
+            Framing::Length(0) => State::Done,
+            Framing::Length(length) => State::Length(length),
+            Framing::Chunked => State::ChunkSize,
+            Framing::UntilClose => State::UntilClose,
+        })
+    }
+
+    /// Whether a clean end of the connection completes the body.
+    pub fn ends_with_connection(&self) -> bool {
+        matches!(self.0, State::UntilClose | State::Done)
+    }
+
+    /// Whether the body is complete.
+    pub fn is_done(&self) -> bool {
+        self.0 == State::Done
+    }
+
+    /// Takes the next part of the body from `input`.
+    ///
+    /// # Errors
+    /// [`Fault::Malformed`] if the chunks are not well formed.
+    pub fn step(&mut self, input: &mut BytesMut) -> Result<Step, Fault> {
+        loop {
+            match self.0 {
+                State::Done => return Ok(Step::Done),
+                _ if input.is_empty() => return Ok(Step::More),
+                State::UntilClose => return Ok(Step::Data(input.split().freeze())),
+                State::Length(left) => {
+                    let (data, left) = split(input, left);
+                    self.0 = if left == 0 { State::Done } else { State::Length(left) };
+                    return Ok(Step::Data(data));
+                }
+                State::ChunkData(left) => {
+                    let (data, left) = split(input, left);
+                    self.0 = if left == 0 { State::ChunkEnd } else { State::ChunkData(left) };
+                    return Ok(Step::Data(data));
+                }
+                State::ChunkSize => match httparse::parse_chunk_size(input) {
+                    Ok(httparse::Status::Complete((length, size))) => {
+                        input.advance(length);
+                        self.0 = if size == 0 { State::Trailer } else { State::ChunkData(size) };
+                    }
+                    Ok(httparse::Status::Partial) if input.len() < MAX_LINE => {
+                        return Ok(Step::More);
+                    }
+                    _ => return Err(Fault::Malformed),
+                },
+                State::ChunkEnd if input.len() < 2 => return Ok(Step::More),
+                State::ChunkEnd if input.starts_with(b"\r\n") => {
+                    input.advance(2);
+                    self.0 = State::ChunkSize;
+                }
+                State::ChunkEnd => return Err(Fault::Malformed),
+                State::Trailer => match input.windows(2).position(|pair| pair == b"\r\n") {
+                    Some(0) => {
+                        input.advance(2);
+                        self.0 = State::Done;
+                    }
+                    Some(length) if length < MAX_LINE => input.advance(length + 2),
+                    None if input.len() < MAX_LINE => return Ok(Step::More),
+                    _ => return Err(Fault::Malformed),
+                },
+            }
+        }
+    }
+}
+
+fn split(input: &mut BytesMut, left: u64) -> (Bytes, u64) {
+    let length = usize::try_from(left).unwrap_or(usize::MAX).min(input.len());
+    (input.split_to(length).freeze(), left - length as u64)
+}
