winch-event: split the events off, bound their lines and write them from a thread

Cause: a second crate logs events now, and a log on standard output must neither grow without bound under load nor block the request path. Conclusion: each event has a limit of lines a second, what is left out is counted and stated; a bounded queue feeds a writer thread and drops when it is full.

--- a/crates/wisteriawinch/src/event.rs
+++ b/crates/winch-event/src/lib.rs
@@ -1,4 +1,12 @@
-//! Numbered log events.
+//! Numbered log events, bounded in volume, written without blocking.
+//!
+//! [`emit!`] logs an event with its values, [`limit`] bounds the lines of each
+//! event, and [`output`] writes them from a thread of its own.
+
+pub use log;
+
+pub mod limit;
+pub mod output;
 
 use log::Level;
 
@@ -43,6 +51,16 @@
     ChildGivenUp = 1006, Error, "control task failed too often, the daemon stops";
     /// The clock jumped: the process was paused.
     ClockJump = 1007, Warn, "the process was paused";
+    /// The settings were read again.
+    SettingsRead = 1008, Info, "settings read again";
+    /// More lines of an event were due than its limit allows.
+    LinesOmitted = 1009, Warn, "log lines left out";
+    /// The platform's store cannot be reached.
+    StoreLost = 1010, Warn, "store cannot be reached";
+    /// The platform's store answers again.
+    StoreBack = 1011, Info, "store answers again";
+    /// A connection to a caller was refused or broken off by this daemon.
+    CallerRefused = 1012, Warn, "request of a caller cannot be read";
     /// An attempt on an engine broke.
     AttemptLost = 1101, Warn, "attempt lost";
     /// A second attempt runs beside a suspected one.
@@ -55,6 +73,22 @@
     UpstreamDied = 1105, Warn, "upstream died";
     /// A request was isolated or refused because engines die of it.
     SuspectFound = 1106, Warn, "request suspected of killing engines";
+    /// A request was answered or given up.
+    RequestEnded = 1110, Info, "request ended";
+    /// A request failed, was refused or broken off.
+    RequestFailed = 1111, Warn, "request failed";
+    /// A replica was chosen for a stream.
+    ReplicaChosen = 1112, Info, "replica chosen";
+    /// A stream went on at another replica.
+    StreamResumed = 1113, Info, "stream resumed";
+    /// A replica is not used for a while after a failure.
+    ReplicaAvoided = 1114, Warn, "replica avoided";
+    /// A replica was listed, changed its state or its address.
+    ReplicaListed = 1115, Info, "replica listed";
+    /// A replica is leaving or gone.
+    ReplicaLeaving = 1116, Info, "replica leaving";
+    /// An entry of the list of replicas cannot be read.
+    EntryUnreadable = 1117, Warn, "entry of a replica unreadable";
     /// The outcome of an order is not known.
     OrderUnknown = 1201, Error, "outcome of an order is not known";
     /// The outcome of an order could not be recorded yet.
@@ -87,7 +121,14 @@
 #[macro_export]
 macro_rules! emit {
     ($event:expr $(, $key:ident = $value:expr)* $(,)?) => {{
-        let event: $crate::event::Event = $event;
-        log::log!(event.level(), event = event as u16 $(, $key:% = $value)*; "{}", event.text());
+        let event: $crate::Event = $event;
+        if $crate::limit::admit(event) {
+            $crate::log::log!(
+                event.level(),
+                event = event as u16 $(, $key:% = $value)*;
+                "{}",
+                event.text()
+            );
+        }
     }};
 }
--- /dev/null
+++ b/crates/winch-event/src/output.rs
@@ -0,0 +1,93 @@
+//! Log output that never blocks the thread that logs.
+
+use std::{
+    io::{self, Write},
+    sync::{
+        atomic::{AtomicU64, Ordering},
+        mpsc::{Receiver, SyncSender, sync_channel},
+    },
+    thread,
+};
+
+use logforth::{
+    Append, Diagnostic, Error, Layout,
+    layout::JsonLayout,
+    record::{LevelFilter, Record},
+};
+
+/// Lines that wait for the writer; more are dropped and counted.
+const QUEUE_LINES: usize = 1_024;
+
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Lines dropped because the reader of the log is too slow.
+pub fn dropped() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
+enum Item {
+    Line(Vec<u8>),
+    Flush(SyncSender<()>),
+}
+
+/// An appender that hands lines to a writer thread over a bounded queue.
+#[derive(Debug)]
+pub struct Queue {
+    layout: JsonLayout,
+    sender: SyncSender<Item>,
+}
+
+impl Queue {
+    /// Starts the writer thread over `output`.
+    pub fn new<W: Write + Send + 'static>(output: W) -> Self {
+        let (sender, receiver) = sync_channel(QUEUE_LINES);
+        thread::spawn(move || write(output, &receiver));
+        Self { layout: JsonLayout::default(), sender }
+    }
+
+    /// Queues one line, or counts it as dropped.
+    pub fn push(&self, line: Vec<u8>) {
+        if self.sender.try_send(Item::Line(line)).is_err() {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+fn write<W: Write>(mut output: W, receiver: &Receiver<Item>) {
+    while let Ok(item) = receiver.recv() {
+        // A log that cannot be written has nowhere to say so; the loss is counted.
+        match item {
+            Item::Line(line) if output.write_all(&line).is_err() => {
+                DROPPED.fetch_add(1, Ordering::Relaxed);
+            }
+            Item::Line(_) => {}
+            Item::Flush(done) => drop((output.flush(), done.send(()))),
+        }
+    }
+}
+
+impl Append for Queue {
+    fn append(&self, record: &Record, diags: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
+        let mut line = self.layout.format(record, diags)?;
+        line.push(b'\n');
+        self.push(line);
+        Ok(())
+    }
+
+    fn flush(&self) -> Result<(), Error> {
+        let (done, finished) = sync_channel(1);
+        if self.sender.send(Item::Flush(done)).is_ok() {
+            let _ = finished.recv();
+        }
+        Ok(())
+    }
+}
+
+/// Writes the log of this process to standard output as JSON lines.
+pub fn start() {
+    let queue = Queue::new(io::stdout());
+    let level = LevelFilter::MoreSevereEqual(logforth::record::Level::Info);
+    // Only a second daemon in one process, as in tests, finds a logger in place.
+    let _ =
+        logforth::starter_log::builder().dispatch(|d| d.filter(level).append(queue)).try_apply();
+}
--- a/crates/wisteriawinch/src/lib.rs
+++ b/crates/wisteriawinch/src/lib.rs
@@ -10,10 +10,11 @@
 pub mod counter;
 pub mod daemon;
 pub mod edge;
-pub mod event;
 pub mod fleet;
 pub mod generate;
 pub mod prelude;
 pub mod settings;
 pub mod trial;
 pub mod view;
+
+pub use winch_event::{self as event, emit};
