--- a/crates/wisteriawinch/src/command.rs
+++ b/crates/wisteriawinch/src/command.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+pub mod entry;
 pub mod moves;
 pub mod operate;
 pub mod serve;
@@ -46,6 +47,8 @@
 enum Command {
     #[options(help = "run an entry daemon")]
     Serve(Flags),
+    #[options(help = "run an entry daemon on the users' platform")]
+    Entry(entry::Entry),
     #[options(help = "check a configuration file, against a daemon or offline")]
     Check(operate::Check),
     #[options(help = "publish a configuration file")]
@@ -65,13 +68,16 @@
 /// Runs the command line of this process.
 pub fn run() -> ExitCode {
     let arguments = Arguments::parse_args_default_or_exit();
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime needs only threads");
+    // A small VM has one core: one thread spares the memory and wake-ups of more.
+    let runtime = match arguments.command {
+        Some(Command::Entry(_)) => tokio::runtime::Builder::new_current_thread(),
+        _ => tokio::runtime::Builder::new_multi_thread(),
+    };
+    let runtime = { runtime }.enable_all().build().expect("a runtime needs only threads");
     let exit = runtime.block_on(async {
         match arguments.command {
             Some(Command::Serve(flags)) => serve::run(&flags).await,
+            Some(Command::Entry(options)) => entry::run(&options).await,
             Some(Command::Check(options)) => operate::check(&options).await,
             Some(Command::Apply(options)) => operate::apply(&options).await,
             Some(Command::Get(options)) => operate::get(&options).await,
--- a/crates/wisteriawinch/tests/doc_tables.rs
+++ b/crates/wisteriawinch/tests/doc_tables.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use winch_config::check;
+use winch_relay::code as relay;
 use wisteriawinch::{
     code::{Code, Ran},
     event::Event,
@@ -35,7 +36,15 @@
         ];
         assert_eq!(row[1..5], wanted);
     }
-    for number in rows.keys().filter(|number| **number >= 100) {
+    for code in relay::Code::ALL {
+        let row = &rows[&(*code as u16)];
+        let not_run = if code.may_have_run() { "unknown" } else { "true" };
+        let wanted =
+            [format!("`{}`", code.name()), code.status().as_u16().to_string(), not_run.into()];
+        assert_eq!(row[1..4], wanted);
+    }
+    let relay = |number: u16| relay::Code::ALL.iter().any(|code| *code as u16 == number);
+    for number in rows.keys().filter(|number| **number >= 100 && !relay(**number)) {
         let fault = check::Code::ALL.iter().any(|fault| u16::from(*fault) == *number);
         assert!(fault || Code::from_number(*number).is_some(), "{number} is not in the code");
     }
