winch-relay: forget the copy of a run that was refused

Cause: the copy was noted when the request was sent; after a refusal the next attempt went to the copy's replica, which had none and refused as well, at the cost of an attempt, a retry and the stream. Ruled out: full replicas; the refusing ones reported free memory.

--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -137,6 +137,8 @@
                     self.trace.step(&replica, "refused");
                     counter::retried("refused");
                     code = Code::Refused;
+                    // A run that never began has no copy.
+                    self.copy = None;
                     if target.copy_from.is_none() {
                         self.trace.tried.push(replica.id.clone());
                     }
