winch-relay: heed the incarnation that a report comes from

Cause: after a crash another incarnation answers at the old address; it looks idle, so placement prefers it, and refuses with 421 until the list is read. Ruled out: full replicas (waiting=0 in every report chosen before a refusal).

--- a/crates/winch-relay/src/probe.rs
+++ b/crates/winch-relay/src/probe.rs
@@ -26,10 +26,12 @@
     pub report: Report,
 }
 
-/// Asks one replica for its report; `None` if it does not answer in time.
+/// Asks one replica for its report; `None` if it does not answer in time, or if
+/// another incarnation answers.
 pub async fn ask<D: Dialect>(node: &Node<D>, replica: &Replica) -> Option<Report> {
     let asked = timeout(PROBE_TIMEOUT, exchange(node, replica)).await;
     let report = asked.ok().and_then(Result::ok).flatten();
+    let report = report.filter(|report| !report.is_foreign(replica));
     counter::probed(if report.is_some() { "ok" } else { "failed" });
     report
 }
--- a/crates/winch-relay/src/replica.rs
+++ b/crates/winch-relay/src/replica.rs
@@ -40,9 +40,19 @@
     pub total_tokens: u64,
     /// Whether the replica is about to leave.
     pub leaving: bool,
+    /// Start of the incarnation that reports, in Unix milliseconds, if stated.
+    pub born_ms: Option<u64>,
 }
 
 impl Report {
+    /// Whether the report comes from another incarnation than the one in the list.
+    ///
+    /// After a restart another replica may hold the address; it refuses what is
+    /// meant for its predecessor.
+    pub fn is_foreign(&self, listed: &Replica) -> bool {
+        self.born_ms.is_some() && listed.born_ms.is_some() && self.born_ms != listed.born_ms
+    }
+
     /// Tokens of memory that a new run can have.
     pub fn free_tokens(&self) -> u64 {
         self.total_tokens.saturating_sub(self.used_tokens)
