winch-relay: weigh streams that make events nearly like prompts

Cause: while a replica reads a prompt, its other streams make an event in 180 ms instead of 30; a placement beside them costs each nearly the length of the prompt, but counted for a tenth of one. Ruled out: more candidates; the least loaded of four is mostly idle.

--- a/crates/winch-relay/src/place.rs
+++ b/crates/winch-relay/src/place.rs
@@ -13,7 +13,7 @@
 /// Replicas of other data centres that are asked for their load.
 const FAR_CANDIDATES: usize = 2;
 /// Cost of a run that makes events, against one whose prompt is read.
-const RUNNING_COST: f64 = 0.1;
+const RUNNING_COST: f64 = 0.8;
 /// Cost of a replica in another data centre.
 const FAR_COST: f64 = 0.15;
 /// Cost of a replica without enough free memory.
@@ -53,7 +53,8 @@
     let reading = report.prefilling.max(starting) + report.waiting;
     let full = if report.free_tokens() < tokens { FULL_COST } else { 0.0 };
     let far = if near { 0.0 } else { FAR_COST };
-    f64::from(reading) + f64::from(report.running) * RUNNING_COST + far + full
+    let making = report.running.saturating_sub(report.prefilling);
+    f64::from(reading) + f64::from(making) * RUNNING_COST + far + full
 }
 
 /// Chooses where the copy of a stream goes: outside the data centres in `avoid`,
