--- a/crates/winch-event/src/lib.rs
+++ b/crates/winch-event/src/lib.rs
@@ -61,6 +61,8 @@
     StoreBack = 1011, Info, "store answers again";
     /// A connection to a caller was refused or broken off by this daemon.
     CallerRefused = 1012, Warn, "request of a caller cannot be read";
+    /// A peer has told what it knows.
+    PeerAnswered = 1013, Info, "peer has told what it knows";
     /// An attempt on an engine broke.
     AttemptLost = 1101, Warn, "attempt lost";
     /// A second attempt runs beside a suspected one.
--- a/crates/winch-relay/src/catalog.rs
+++ b/crates/winch-relay/src/catalog.rs
@@ -210,6 +210,11 @@
         entries.filter(move |(_, e)| *e.replica.service == *service && !e.replica.draining)
     }
 
+    /// All replicas.
+    pub fn replicas(&self) -> impl Iterator<Item = &Arc<Replica>> {
+        self.entries.values().map(|entry| &entry.replica)
+    }
+
     /// Number of replicas.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/crates/winch-relay/src/daemon.rs
+++ b/crates/winch-relay/src/daemon.rs
@@ -10,7 +10,7 @@
     time::{sleep, timeout_at},
 };
 
-use crate::{edge, exposition, node::Node, prelude::*, settings::Settings, watch};
+use crate::{edge, exposition, node::Node, peer, prelude::*, settings::Settings, watch};
 
 /// How long new connections are accepted after the signal to stop, so that the
 /// platform's balancer notices first.
@@ -35,6 +35,7 @@
 pub struct Sockets {
     callers: TcpListener,
     ready: TcpListener,
+    peers: TcpListener,
     metrics: Option<TcpListener>,
 }
 
@@ -51,6 +52,7 @@
         Ok(Self {
             callers: bind(settings.callers).await?,
             ready: bind(settings.ready).await?,
+            peers: bind(settings.peers).await?,
             metrics,
         })
     }
@@ -81,6 +83,7 @@
     children.spawn(watch::follow_plan(node.clone(), stores.0));
     children.spawn(watch::follow_replicas(node.clone(), stores.1));
     children.spawn(serve_ready(node.clone(), sockets.ready));
+    children.spawn(peer::serve(node.clone(), sockets.peers));
     children.spawn(sweep(node.clone()));
     if let Some(listener) = sockets.metrics {
         children.spawn(serve_metrics(listener));
--- a/crates/winch-relay/src/dialect.rs
+++ b/crates/winch-relay/src/dialect.rs
@@ -6,7 +6,7 @@
 use http::Method;
 use winch_http::head;
 
-use crate::{prelude::*, replica::Report};
+use crate::{plan::Plan, prelude::*, replica::Report};
 
 /// Where the copy of a run lies.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -64,6 +64,12 @@
     /// Decodes a replica's report.
     fn report(&self, body: &[u8]) -> Option<Report>;
 
+    /// Decodes a published configuration.
+    ///
+    /// # Errors
+    /// What is wrong with it.
+    fn plan(&self, document: &[u8]) -> Result<Plan, String>;
+
     /// Whether `request` asks if the daemon is ready.
     fn asks_ready(&self, request: &head::Request) -> bool;
 }
--- a/crates/winch-relay/src/edge.rs
+++ b/crates/winch-relay/src/edge.rs
@@ -144,6 +144,7 @@
         out.close_after();
     }
     let call = node.dialect.call(request, body, received);
+    node.informed().await;
     let job = match admit(node, &call) {
         Ok(admitted) => admitted.job(call),
         Err(code) => {
--- a/crates/winch-relay/src/lib.rs
+++ b/crates/winch-relay/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod events;
 pub mod exposition;
 pub mod node;
+pub mod peer;
 pub mod place;
 pub mod plain;
 pub mod plan;
--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -5,8 +5,9 @@
     sync::{Mutex, MutexGuard, PoisonError},
 };
 
+use bytes::Bytes;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use tokio::sync::watch;
+use tokio::{sync::watch, time::timeout_at};
 use tokio_util::task::TaskTracker;
 use winch_route::budget::{self, Budget};
 
@@ -16,11 +17,25 @@
     pool::Pool,
     prelude::*,
     settings::Settings,
+    store::Change,
 };
 
 /// Retries that a service may save up in one daemon.
 const RETRY_BURST: f64 = 10.0;
 
+/// Time after the start for which requests wait until the daemon knows its
+/// configuration and replicas.
+const LEARN_TIME: Duration = Duration::from_millis(1_500);
+
+/// A configuration and the document that it was read from.
+#[derive(Clone, Debug)]
+pub struct Published {
+    /// The configuration.
+    pub plan: Arc<Plan>,
+    /// The document as it was published.
+    pub document: Bytes,
+}
+
 /// State of one daemon.
 #[derive(Debug)]
 pub struct Node<D> {
@@ -33,7 +48,9 @@
     /// Short tasks of the request path; the daemon joins them when it stops.
     pub tasks: TaskTracker,
     catalog: Mutex<Catalog>,
-    plan: Mutex<Option<Arc<Plan>>>,
+    plan: Mutex<Option<Published>>,
+    learnt: watch::Sender<()>,
+    started: Instant,
     budgets: Mutex<HashMap<Name, Budget>>,
     stopping: watch::Sender<bool>,
 }
@@ -53,6 +70,8 @@
             tasks: TaskTracker::new(),
             catalog: Mutex::default(),
             plan: Mutex::default(),
+            learnt: watch::Sender::new(()),
+            started: Instant::now(),
             budgets: Mutex::default(),
             stopping: watch::Sender::new(false),
         })
@@ -65,24 +84,71 @@
 
     /// The configuration in force.
     pub fn plan(&self) -> Option<Arc<Plan>> {
+        lock(&self.plan).as_ref().map(|published| published.plan.clone())
+    }
+
+    /// The configuration in force with its document.
+    pub fn published(&self) -> Option<Published> {
         lock(&self.plan).clone()
     }
 
     /// Puts a configuration in force, unless a newer one already is.
-    pub fn adopt(&self, plan: Plan) -> bool {
+    pub fn adopt(&self, plan: Plan, document: Bytes) -> bool {
         let mut current = lock(&self.plan);
-        let newer = current.as_ref().is_none_or(|known| known.version < plan.version);
+        let newer = current.as_ref().is_none_or(|known| known.plan.version < plan.version);
         if newer {
             let routes = plan.len();
             emit!(Event::RevisionInForce, version = plan.version, routes = routes);
-            *current = Some(plan.into());
+            *current = Some(Published { plan: plan.into(), document });
+            drop(current);
+            self.learnt.send_replace(());
         }
         newer
     }
 
+    /// Applies changes of the list of replicas; all that is not in a whole listing is gone.
+    pub fn list(&self, changes: Vec<Change>, whole: bool) {
+        for change in &changes {
+            if let Change::Unreadable { id, fault } = change {
+                emit!(Event::EntryUnreadable, replica = id, fault = fault);
+            }
+        }
+        let now = Instant::now();
+        let mut catalog = self.catalog();
+        let mut news: Vec<News> = if whole {
+            catalog.replace(changes, now)
+        } else {
+            changes.into_iter().filter_map(|change| catalog.apply(change, now)).collect()
+        };
+        news.extend(catalog.expire(now));
+        drop(catalog);
+        if !news.is_empty() {
+            self.learnt.send_replace(());
+        }
+        self.report(news);
+    }
+
+    /// Whether the configuration and replicas are known.
+    pub fn is_informed(&self) -> bool {
+        lock(&self.plan).is_some() && !self.catalog().is_empty()
+    }
+
+    /// Waits shortly after the start until the daemon knows what it needs to serve.
+    pub async fn informed(&self) {
+        let mut learnt = self.learnt.subscribe();
+        let known = async {
+            while !self.is_informed() {
+                // The sender lives as long as this node.
+                let _ = learnt.changed().await;
+            }
+        };
+        // Later a request is refused at once instead.
+        let _ = timeout_at(self.started + LEARN_TIME, known).await;
+    }
+
     /// Whether the daemon can serve callers.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && lock(&self.plan).is_some() && !self.catalog().is_empty()
+        !self.is_stopping() && self.is_informed()
     }
 
     /// Whether the daemon was told to stop.
--- a/crates/winch-relay/src/settings.rs
+++ b/crates/winch-relay/src/settings.rs
@@ -15,6 +15,10 @@
     pub callers: SocketAddr,
     /// Where the platform asks whether the daemon is ready.
     pub ready: SocketAddr,
+    /// Where other daemons ask what this one knows.
+    pub peers: SocketAddr,
+    /// Daemons that are asked for their knowledge when the store is away at the start.
+    pub seeds: Vec<SocketAddr>,
     /// Where counters and histograms are served, if anywhere.
     pub metrics: Option<SocketAddr>,
     /// Time from the signal to stop until the process is killed.
--- a/crates/winch-relay/src/store.rs
+++ b/crates/winch-relay/src/store.rs
@@ -2,9 +2,10 @@
 
 use std::future::Future;
 
+use bytes::Bytes;
 use snafu::Snafu;
 
-use crate::{plan::Plan, prelude::*};
+use crate::prelude::*;
 
 /// Why the store gave no answer.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
@@ -46,10 +47,10 @@
 }
 
 /// Configurations as of one version of the store.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Publication {
-    /// The newest configuration, if there is a new one; or what is wrong with it.
-    pub plan: Option<Result<Plan, String>>,
+    /// The newest configuration as it was published, if there is a new one.
+    pub document: Option<Bytes>,
     /// Version up to which the publication is complete.
     pub version: u64,
 }
--- a/crates/winch-relay/src/watch.rs
+++ b/crates/winch-relay/src/watch.rs
@@ -6,8 +6,9 @@
 use crate::{
     counter,
     node::Node,
+    peer,
     prelude::*,
-    store::{Change, Error, Listing, Publication},
+    store::{Error, Publication},
 };
 
 /// Longest wait of one call for a new configuration.
@@ -91,7 +92,7 @@
         contact.note(&read, started);
         match read {
             Ok(publication) => {
-                let empty = version.is_none() && publication.plan.is_none();
+                let empty = version.is_none() && publication.document.is_none();
                 version = Some(publication.version);
                 publish(&node, publication);
                 if empty {
@@ -99,18 +100,23 @@
                 }
             }
             Err(Error::Compacted) => version = None,
-            Err(Error::Unavailable { .. }) => sleep(jittered(RETRY_PAUSE)).await,
+            Err(Error::Unavailable { .. }) => {
+                if !node.is_informed() {
+                    peer::learn(&node).await;
+                }
+                sleep(jittered(RETRY_PAUSE)).await;
+            }
         }
     }
 }
 
 fn publish<D: Dialect>(node: &Node<D>, publication: Publication) {
-    match publication.plan {
-        Some(Ok(plan)) => drop(node.adopt(plan)),
-        Some(Err(fault)) => {
+    let Some(document) = publication.document else { return };
+    match node.dialect.plan(&document) {
+        Ok(plan) => drop(node.adopt(plan, document)),
+        Err(fault) => {
             emit!(Event::ConfigUnreadable, fault = fault, version = publication.version);
         }
-        None => {}
     }
 }
 
@@ -125,13 +131,12 @@
             Some(version) => store.replica_changes(version).await,
         };
         contact.note(&read, started);
-        let now = Instant::now();
         match read {
             Ok(listing) => {
-                node.catalog().store_back(now);
+                node.catalog().store_back(Instant::now());
                 let whole = version.is_none();
                 version = Some(listing.version);
-                apply(&node, listing, whole, now);
+                node.list(listing.changes, whole);
                 sleep(jittered(node.settings.list_interval)).await;
             }
             Err(Error::Compacted) => version = None,
@@ -142,20 +147,3 @@
         }
     }
 }
-
-fn apply<D: Dialect>(node: &Node<D>, listing: Listing, whole: bool, now: Instant) {
-    for change in &listing.changes {
-        if let Change::Unreadable { id, fault } = change {
-            emit!(Event::EntryUnreadable, replica = id, fault = fault);
-        }
-    }
-    let mut catalog = node.catalog();
-    let mut news = if whole {
-        catalog.replace(listing.changes, now)
-    } else {
-        listing.changes.into_iter().filter_map(|change| catalog.apply(change, now)).collect()
-    };
-    news.extend(catalog.expire(now));
-    drop(catalog);
-    node.report(news);
-}
