--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -3,7 +3,7 @@
 use http::StatusCode;
 use tokio::{
     io::AsyncWrite,
-    time::{sleep_until, timeout_at},
+    time::{sleep, sleep_until, timeout_at},
 };
 use winch_http::{
     client::{Connection, Error},
@@ -33,6 +33,15 @@
 const SILENT_CHECK: Duration = Duration::from_millis(250);
 /// Longest failure answer in bytes.
 const MAX_FAILURE: usize = 1024 * 1024;
+/// Pauses between rounds of questions while no replica answers.
+const PLACEMENT_PAUSES: [Duration; 6] = [
+    Duration::from_millis(5),
+    Duration::from_millis(20),
+    Duration::from_millis(60),
+    Duration::from_millis(150),
+    Duration::from_millis(300),
+    Duration::from_millis(500),
+];
 /// Size assumed of a generation that states none, in tokens.
 const DEFAULT_TOKENS: u64 = 1_000;
 
@@ -230,7 +239,19 @@
         Some(Target { key, replica, copy_from: Some(copy), copy_to })
     }
 
+    /// Asks replicas until one answers; several may be down at once.
     async fn fresh_target(&mut self) -> Option<Target> {
+        for pause in PLACEMENT_PAUSES {
+            let target = self.place().await;
+            if target.is_some() {
+                return target;
+            }
+            sleep(pause).await;
+        }
+        None
+    }
+
+    async fn place(&self) -> Option<Target> {
         let (node, service) = (self.node, &self.job.service);
         let dc = &node.settings.dc;
         let candidates = {
