winch-relay: let seeds read the store and all others follow a seed

Ruled out: longer waits of the feed alone, which hide a silent connection for their whole length; a reader's turn that passes on, which needs agreement. What: seeds read the store twice a second, a follower is told changes and the age of what it is told, goes to the store itself when the seed is silent for 0.8 s or its knowledge is older than 1.2 s, and comes back after 4 s. Long configurations are read from the store, whose links are wider.

--- a/crates/winch-event/src/lib.rs
+++ b/crates/winch-event/src/lib.rs
@@ -63,6 +63,10 @@
     CallerRefused = 1012, Warn, "request of a caller cannot be read";
     /// A peer has told what it knows.
     PeerAnswered = 1013, Info, "peer has told what it knows";
+    /// Another daemon reads the store for this one.
+    SeedFollowed = 1014, Info, "seed followed";
+    /// The seed is lost or not up to date; this daemon reads the store itself.
+    SeedLost = 1015, Warn, "seed lost";
     /// An attempt on an engine broke.
     AttemptLost = 1101, Warn, "attempt lost";
     /// A second attempt runs beside a suspected one.
--- a/crates/winch-relay/src/daemon.rs
+++ b/crates/winch-relay/src/daemon.rs
@@ -80,8 +80,7 @@
     let settings = &node.settings;
     emit!(Event::Started, name = settings.name, listen = settings.callers, dc = settings.dc);
     let mut children = JoinSet::new();
-    children.spawn(watch::follow_plan(node.clone(), stores.0));
-    children.spawn(watch::follow_replicas(node.clone(), stores.1));
+    children.spawn(watch::run(node.clone(), stores));
     children.spawn(serve_ready(node.clone(), sockets.ready));
     children.spawn(peer::serve(node.clone(), sockets.peers));
     children.spawn(sweep(node.clone()));
--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -7,7 +7,10 @@
 
 use bytes::Bytes;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use tokio::{sync::watch, time::timeout_at};
+use tokio::{
+    sync::watch::{Receiver, Sender},
+    time::timeout_at,
+};
 use tokio_util::task::TaskTracker;
 use winch_route::budget::{self, Budget};
 
@@ -18,6 +21,7 @@
     prelude::*,
     settings::Settings,
     store::Change,
+    watch::Topic,
 };
 
 /// Retries that a service may save up in one daemon.
@@ -49,10 +53,11 @@
     pub tasks: TaskTracker,
     catalog: Mutex<Catalog>,
     plan: Mutex<Option<Published>>,
-    learnt: watch::Sender<()>,
+    learnt: Sender<()>,
+    confirmed: Mutex<[Option<Instant>; Topic::ALL.len()]>,
     started: Instant,
     budgets: Mutex<HashMap<Name, Budget>>,
-    stopping: watch::Sender<bool>,
+    stopping: Sender<bool>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -70,10 +75,11 @@
             tasks: TaskTracker::new(),
             catalog: Mutex::default(),
             plan: Mutex::default(),
-            learnt: watch::Sender::new(()),
+            learnt: Sender::new(()),
+            confirmed: Mutex::default(),
             started: Instant::now(),
             budgets: Mutex::default(),
-            stopping: watch::Sender::new(false),
+            stopping: Sender::new(false),
         })
     }
 
@@ -128,6 +134,26 @@
         self.report(news);
     }
 
+    /// Notes when the store last confirmed what is known of a topic, if that is later.
+    pub fn confirm(&self, topic: Topic, at: Option<Instant>) {
+        let confirmed = &mut lock(&self.confirmed)[topic as usize];
+        *confirmed = (*confirmed).max(at);
+    }
+
+    /// Time since the store last confirmed all that is known, in milliseconds.
+    pub fn knowledge_age_ms(&self) -> Option<u64> {
+        let confirmed = *lock(&self.confirmed);
+        // An unconfirmed topic is older than any confirmed one.
+        let oldest = confirmed.into_iter().min().flatten();
+        let age = oldest.filter(|_| self.is_informed())?.elapsed();
+        u64::try_from(age.as_millis()).ok()
+    }
+
+    /// Tells of changes of what is known.
+    pub fn learnt(&self) -> Receiver<()> {
+        self.learnt.subscribe()
+    }
+
     /// Whether the configuration and replicas are known.
     pub fn is_informed(&self) -> bool {
         lock(&self.plan).is_some() && !self.catalog().is_empty()
--- a/crates/winch-relay/src/peer.rs
+++ b/crates/winch-relay/src/peer.rs
@@ -1,44 +1,73 @@
-//! Knowledge from other daemons, for a daemon that starts while the store is away.
+//! Knowledge from other daemons.
 //!
-//! The wire is one length-delimited frame each way: an empty request, and a
-//! [`Snapshot`]. What it holds came from the store; nothing is agreed on here.
+//! Most daemons follow a seed, which reads the store for them, so that calls to
+//! the store do not grow with the fleet. A daemon that starts while the store is
+//! away asks the seeds once. The wire is a [`Question`] and then one or more
+//! [`Update`]s in length-delimited frames. What they hold came from the store;
+//! nothing is agreed on here.
 
-use std::{io, net::SocketAddr};
+use std::{collections::HashMap, convert::Infallible, io, net::SocketAddr};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt, stream::FuturesUnordered};
 use prost::Message;
 use tokio::{
     net::{TcpListener, TcpStream},
     task::JoinSet,
-    time::timeout,
+    time::{sleep, timeout},
 };
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::{node::Node, prelude::*, store::Change};
+use crate::{node::Node, prelude::*, store::Change, watch::Topic};
 
 /// Longest time for one peer's answer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
 /// Longest frame in bytes.
 const MAX_FRAME: usize = 8 * 1024 * 1024;
 /// Connections that are served at once; more are closed.
-const MAX_CONNECTIONS: usize = 64;
+const MAX_CONNECTIONS: usize = 512;
 
-/// What one daemon knows.
+/// Time between two updates while nothing changes.
+pub const HEARTBEAT: Duration = Duration::from_millis(300);
+/// Silence after which a seed is no longer followed.
+const SEED_TIMEOUT: Duration = Duration::from_millis(800);
+/// Age of a seed's knowledge at which it is no longer followed.
+const MAX_AGE: Duration = Duration::from_millis(1_200);
+/// Pause after a change, in which further changes join the same update.
+const COALESCE: Duration = Duration::from_millis(30);
+/// Longest configuration that an update carries; followers read a longer one
+/// from the store, which has the wider links.
+const MAX_PUSHED_PLAN: usize = 8 * 1024;
+
+/// What a daemon asks another.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Question {
+    /// Whether updates shall follow until the connection ends.
+    #[prost(bool, tag = "1")]
+    pub follow: bool,
+}
+
+/// What one daemon knows, or what has changed of it.
 #[derive(Clone, PartialEq, Message)]
-pub struct Snapshot {
+pub struct Update {
     /// Version of the configuration.
     #[prost(uint64, tag = "1")]
     pub plan_version: u64,
-    /// The configuration as it was published; empty if none is known.
+    /// The configuration as it was published, if it is new and short.
     #[prost(bytes = "bytes", tag = "2")]
     pub plan: Bytes,
-    /// The replicas.
+    /// Replicas that are new or have changed.
     #[prost(message, repeated, tag = "3")]
     pub replicas: Vec<Listed>,
+    /// Identities of replicas that are gone.
+    #[prost(string, repeated, tag = "4")]
+    pub removed: Vec<String>,
+    /// Time since the store last confirmed the knowledge, in milliseconds.
+    #[prost(uint64, optional, tag = "5")]
+    pub age_ms: Option<u64>,
 }
 
-/// One replica of a [`Snapshot`].
+/// One replica of an [`Update`].
 #[derive(Clone, PartialEq, Message)]
 pub struct Listed {
     /// See [`Replica::id`].
@@ -101,17 +130,42 @@
     }
 }
 
-fn codec(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+type Wire = Framed<TcpStream, LengthDelimitedCodec>;
+
+fn codec(stream: TcpStream) -> Wire {
     LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME).new_framed(stream)
 }
 
-/// What this daemon knows.
-pub fn snapshot<D: Dialect>(node: &Node<D>) -> Snapshot {
-    let published = node.published();
-    Snapshot {
-        plan_version: published.as_ref().map_or(0, |published| published.plan.version),
-        plan: published.map(|published| published.document).unwrap_or_default(),
-        replicas: node.catalog().replicas().map(|replica| Listed::from(&**replica)).collect(),
+/// What a connection's other end has been told.
+#[derive(Debug, Default)]
+struct Told {
+    plan_version: u64,
+    replicas: HashMap<Name, Arc<Replica>>,
+}
+
+impl Told {
+    /// What has changed since the last update, with plans of up to `max_plan` bytes.
+    fn update<D: Dialect>(&mut self, node: &Node<D>, max_plan: usize) -> Update {
+        let mut update = Update { age_ms: node.knowledge_age_ms(), ..Update::default() };
+        if let Some(published) = node.published() {
+            update.plan_version = published.plan.version;
+            if published.plan.version > self.plan_version && published.document.len() <= max_plan {
+                update.plan = published.document;
+            }
+            self.plan_version = update.plan_version;
+        }
+        let current: HashMap<Name, Arc<Replica>> = node
+            .catalog()
+            .replicas()
+            .map(|replica| (replica.id.clone(), replica.clone()))
+            .collect();
+        let changed =
+            current.iter().filter(|(id, replica)| self.replicas.get(*id) != Some(replica));
+        update.replicas = changed.map(|(_, replica)| Listed::from(&**replica)).collect();
+        let gone = self.replicas.keys().filter(|id| !current.contains_key(*id));
+        update.removed = gone.map(ToString::to_string).collect();
+        self.replicas = current;
+        update
     }
 }
 
@@ -126,56 +180,119 @@
         let node = node.clone();
         connections.spawn(async move {
             // A peer that breaks off has nothing to be told.
-            let _ = timeout(ASK_TIMEOUT, answer(&node, stream)).await;
+            let _ = answer(&node, stream).await;
         });
     }
 }
 
 async fn answer<D: Dialect>(node: &Node<D>, stream: TcpStream) -> io::Result<()> {
     let mut framed = codec(stream);
-    if framed.next().await.transpose()?.is_some() {
-        framed.send(Bytes::from(snapshot(node).encode_to_vec())).await?;
+    let asked = timeout(ASK_TIMEOUT, framed.next()).await?.transpose()?;
+    let Some(question) = asked else { return Ok(()) };
+    let question = Question::decode(question).map_err(io::Error::other)?;
+    let mut told = Told::default();
+    if !question.follow {
+        return send(&mut framed, told.update(node, usize::MAX)).await;
+    }
+    let mut learnt = node.learnt();
+    loop {
+        let update = told.update(node, MAX_PUSHED_PLAN);
+        timeout(SEED_TIMEOUT, send(&mut framed, update)).await??;
+        tokio::select! {
+            // The sender lives as long as the node.
+            _ = learnt.changed() => sleep(COALESCE).await,
+            () = sleep(HEARTBEAT) => {}
+            // A follower sends nothing more: its connection has ended.
+            _ = framed.next() => return Ok(()),
+        }
     }
-    Ok(())
 }
 
-async fn ask(address: SocketAddr) -> io::Result<Snapshot> {
-    let late = |_| io::Error::from(io::ErrorKind::TimedOut);
-    let exchange = async {
-        let mut framed = codec(TcpStream::connect(address).await?);
-        framed.send(Bytes::new()).await?;
-        let frame = framed.next().await.transpose()?.unwrap_or_else(BytesMut::new);
-        Snapshot::decode(frame).map_err(io::Error::other)
-    };
-    timeout(ASK_TIMEOUT, exchange).await.map_err(late)?
+async fn send(framed: &mut Wire, update: Update) -> io::Result<()> {
+    framed.send(Bytes::from(update.encode_to_vec())).await
+}
+
+async fn receive(framed: &mut Wire) -> io::Result<Update> {
+    let frame = timeout(SEED_TIMEOUT, framed.next()).await?.transpose()?;
+    let frame = frame.ok_or(io::ErrorKind::UnexpectedEof)?;
+    Update::decode(frame).map_err(io::Error::other)
+}
+
+async fn ask(address: SocketAddr, question: Question) -> io::Result<Wire> {
+    let stream = timeout(ASK_TIMEOUT, TcpStream::connect(address)).await??;
+    stream.set_nodelay(true)?;
+    let mut framed = codec(stream);
+    framed.send(Bytes::from(question.encode_to_vec())).await?;
+    Ok(framed)
 }
 
-/// Asks the seeds and takes over what they know.
+/// Asks the seeds once and takes over what they know.
 ///
 /// The newest configuration wins; a list of replicas is only taken while none is
 /// known, and stays open to correction until the store answers.
 pub async fn learn<D: Dialect>(node: &Node<D>) {
     let settings = &node.settings;
     let seeds = settings.seeds.iter().filter(|seed| **seed != settings.peers);
-    let mut asking: FuturesUnordered<_> = seeds.map(|seed| ask(*seed)).collect();
+    let mut asking: FuturesUnordered<_> = seeds.map(|seed| learn_from(*seed)).collect();
     while let Some(asked) = asking.next().await {
-        let Ok(snapshot) = asked else { continue };
-        let (version, replicas) = (snapshot.plan_version, snapshot.replicas.len());
+        // A seed that does not answer is one of several.
+        let Ok(update) = asked else { continue };
+        let (version, replicas) = (update.plan_version, update.replicas.len());
         emit!(Event::PeerAnswered, version = version, replicas = replicas);
-        adopt(node, snapshot);
+        adopt_plan(node, update.plan);
+        if node.catalog().is_empty() {
+            node.list(update.replicas.into_iter().map(Listed::change).collect(), false);
+        }
     }
 }
 
-fn adopt<D: Dialect>(node: &Node<D>, snapshot: Snapshot) {
-    if !snapshot.plan.is_empty() {
-        match node.dialect.plan(&snapshot.plan) {
-            Ok(plan) => drop(node.adopt(plan, snapshot.plan)),
-            Err(fault) => {
-                emit!(Event::ConfigUnreadable, fault = fault, version = snapshot.plan_version);
-            }
-        }
+async fn learn_from(seed: SocketAddr) -> io::Result<Update> {
+    receive(&mut ask(seed, Question { follow: false }).await?).await
+}
+
+fn adopt_plan<D: Dialect>(node: &Node<D>, document: Bytes) {
+    if document.is_empty() {
+        return;
+    }
+    match node.dialect.plan(&document) {
+        Ok(plan) => drop(node.adopt(plan, document)),
+        Err(fault) => emit!(Event::ConfigUnreadable, fault = fault, version = "of a peer"),
     }
-    if node.catalog().is_empty() {
-        node.list(snapshot.replicas.into_iter().map(Listed::change).collect(), false);
+}
+
+/// Follows a seed for as long as its knowledge is fresh.
+///
+/// `store` is asked for configurations that are too long for an update.
+///
+/// # Errors
+/// Why the seed is no longer followed.
+pub async fn follow<D: Dialect, S: Store>(
+    node: &Node<D>,
+    seed: SocketAddr,
+    store: &mut S,
+) -> io::Result<Infallible> {
+    let mut framed = ask(seed, Question { follow: true }).await?;
+    let mut first = true;
+    loop {
+        let update = receive(&mut framed).await?;
+        let age = update.age_ms.map(Duration::from_millis);
+        let age = age.filter(|age| *age <= MAX_AGE).ok_or(io::ErrorKind::TimedOut)?;
+        if first {
+            emit!(Event::SeedFollowed, seed = seed, version = update.plan_version);
+        }
+        for topic in Topic::ALL {
+            node.confirm(topic, Instant::now().checked_sub(age));
+        }
+        adopt_plan(node, update.plan);
+        let known = node.published().map_or(0, |published| published.plan.version);
+        if known < update.plan_version {
+            let read = store.plan().await.map_err(io::Error::other)?;
+            adopt_plan(node, read.document.unwrap_or_default());
+        }
+        let listed = update.replicas.into_iter().map(Listed::change);
+        let removed = update.removed.into_iter().map(|id| Change::Removed(id.into()));
+        node.catalog().store_back(Instant::now());
+        node.list(listed.chain(removed).collect(), first);
+        first = false;
     }
 }
--- a/crates/winch-relay/src/watch.rs
+++ b/crates/winch-relay/src/watch.rs
@@ -1,7 +1,7 @@
 //! Follows the platform's store: the configuration and the list of replicas.
 
-use rand::Rng;
-use tokio::time::sleep;
+use rand::{Rng, seq::IndexedRandom};
+use tokio::time::{sleep, timeout};
 
 use crate::{
     counter,
@@ -12,20 +12,34 @@
 };
 
 /// Longest wait of one call for a new configuration.
-const PLAN_WAIT: Duration = Duration::from_millis(1_500);
-/// Pause after a call that failed.
-const RETRY_PAUSE: Duration = Duration::from_millis(250);
+const PLAN_WAIT: Duration = Duration::from_millis(500);
+/// Longest pause of a seed between two reads of the list of replicas; its
+/// followers take its knowledge for stale soon after.
+const SEED_INTERVAL: Duration = Duration::from_millis(500);
+/// Pause after the first call that failed; it doubles up to [`MAX_RETRY_PAUSE`].
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Longest pause between calls that fail.
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(800);
+/// Time that seeds are given to start and to read the store.
+const SEED_START: Duration = Duration::from_millis(1_200);
+/// Time for which a daemon reads the store itself after it has lost its seed.
+const DIRECT_TIME: Duration = Duration::from_secs(4);
 /// Part of a pause by which daemons differ, so that they do not call in step.
 const JITTER: f64 = 0.2;
 
 /// Knowledge that is kept in step with the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Topic {
+pub enum Topic {
+    /// The configuration.
     Plan,
+    /// The list of replicas.
     Replicas,
 }
 
 impl Topic {
+    /// All topics.
+    pub const ALL: [Self; 2] = [Self::Plan, Self::Replicas];
+
     fn name(self) -> &'static str {
         match self {
             Self::Plan => "configuration",
@@ -38,12 +52,12 @@
 struct Contact {
     topic: Topic,
     last: Instant,
-    lost: bool,
+    failures: u32,
 }
 
 impl Contact {
     fn new(topic: Topic) -> Self {
-        Self { topic, last: Instant::now(), lost: false }
+        Self { topic, last: Instant::now(), failures: 0 }
     }
 
     fn note<T>(&mut self, result: &Result<T, Error>, started: Instant) {
@@ -56,31 +70,66 @@
         counter::store_called(topic, outcome, taken);
         match result {
             Err(Error::Unavailable { reason }) => {
-                if !self.lost {
+                if self.failures == 0 {
                     let age = self.last.elapsed().as_millis();
                     emit!(Event::StoreLost, topic = topic, reason = reason, age_ms = age);
                 }
-                self.lost = true;
+                self.failures += 1;
             }
             _ => {
-                if self.lost {
+                if self.failures > 0 {
                     let away = self.last.elapsed().as_millis();
                     emit!(Event::StoreBack, topic = topic, away_ms = away);
                 }
-                self.lost = false;
+                self.failures = 0;
                 self.last = Instant::now();
             }
         }
         counter::knowledge_age(topic, self.last.elapsed());
     }
+
+    /// Pause before the next call after one that failed.
+    fn pause(&self) -> Duration {
+        let doublings = self.failures.saturating_sub(1).min(4);
+        jittered((RETRY_PAUSE * 2_u32.pow(doublings)).min(MAX_RETRY_PAUSE))
+    }
 }
 
 fn jittered(pause: Duration) -> Duration {
     pause.mul_f64(rand::rng().random_range(1.0 - JITTER..1.0 + JITTER))
 }
 
-/// Follows the configuration for as long as the daemon runs.
-pub async fn follow_plan<D: Dialect, S: Store>(node: Arc<Node<D>>, mut store: S) {
+/// Keeps the daemon's knowledge in step for as long as it runs.
+///
+/// Seeds read the store; all others follow one of them, and read the store
+/// themselves for a while when it is lost or no longer up to date.
+pub async fn run<D: Dialect, S: Store>(node: Arc<Node<D>>, mut stores: (S, S)) {
+    let seeds = node.settings.seeds.clone();
+    let started = Instant::now();
+    let reads = seeds.is_empty() || seeds.contains(&node.settings.peers);
+    loop {
+        let seed = seeds.choose(&mut node.rng()).copied().filter(|_| !reads);
+        if let Some(seed) = seed {
+            let Err(reason) = peer::follow(&node, seed, &mut stores.0).await;
+            if !node.is_informed() && started.elapsed() < SEED_START {
+                sleep(jittered(RETRY_PAUSE)).await;
+                continue;
+            }
+            emit!(Event::SeedLost, seed = seed, reason = reason);
+        }
+        let direct = async {
+            tokio::join!(follow_plan(&node, &mut stores.0), follow_replicas(&node, &mut stores.1))
+        };
+        if reads {
+            direct.await;
+        } else {
+            // The time is over as planned: a seed is tried again.
+            let _ = timeout(jittered(DIRECT_TIME), direct).await;
+        }
+    }
+}
+
+async fn follow_plan<D: Dialect, S: Store>(node: &Node<D>, store: &mut S) {
     let mut contact = Contact::new(Topic::Plan);
     let mut version = None;
     loop {
@@ -89,12 +138,14 @@
             None => store.plan().await,
             Some(version) => store.next_plan(version, PLAN_WAIT).await,
         };
+        let asked = started.max(Instant::now() - PLAN_WAIT);
         contact.note(&read, started);
         match read {
             Ok(publication) => {
                 let empty = version.is_none() && publication.document.is_none();
                 version = Some(publication.version);
-                publish(&node, publication);
+                publish(node, publication);
+                node.confirm(Topic::Plan, Some(asked));
                 if empty {
                     sleep(jittered(RETRY_PAUSE)).await;
                 }
@@ -102,9 +153,9 @@
             Err(Error::Compacted) => version = None,
             Err(Error::Unavailable { .. }) => {
                 if !node.is_informed() {
-                    peer::learn(&node).await;
+                    peer::learn(node).await;
                 }
-                sleep(jittered(RETRY_PAUSE)).await;
+                sleep(contact.pause()).await;
             }
         }
     }
@@ -120,9 +171,11 @@
     }
 }
 
-/// Follows the list of replicas for as long as the daemon runs.
-pub async fn follow_replicas<D: Dialect, S: Store>(node: Arc<Node<D>>, mut store: S) {
+async fn follow_replicas<D: Dialect, S: Store>(node: &Node<D>, store: &mut S) {
     let mut contact = Contact::new(Topic::Replicas);
+    let settings = &node.settings;
+    let seed = settings.seeds.contains(&settings.peers);
+    let interval = settings.list_interval.min(if seed { SEED_INTERVAL } else { Duration::MAX });
     let mut version = None;
     loop {
         let started = Instant::now();
@@ -137,12 +190,13 @@
                 let whole = version.is_none();
                 version = Some(listing.version);
                 node.list(listing.changes, whole);
-                sleep(jittered(node.settings.list_interval)).await;
+                node.confirm(Topic::Replicas, Some(started));
+                sleep(jittered(interval)).await;
             }
             Err(Error::Compacted) => version = None,
             Err(Error::Unavailable { .. }) => {
                 node.catalog().store_lost();
-                sleep(jittered(RETRY_PAUSE)).await;
+                sleep(contact.pause()).await;
             }
         }
     }
