tests: cover the relay and the adapter against stand-ins

What: a store with rows, feed and outages, and replicas that follow a script, stand between callers and a daemon in one process. Streams resumed from a copy, refused runs, dead draws, silent replicas; orders sent once; lookups retried; hidden and forged requests; callers that leave; configurations; outages, seeds, restarted engines, the planned stop; decoders on arbitrary bytes; log limits and a blocked log. Found by them: a follower dropped its seed when the list was empty; a single engine was asked under its old identity after a restart; four draws of four replicas miss the last live one of thirty, so that each round now doubles.

--- /dev/null
+++ b/crates/winch-event/tests/line_limit.rs
@@ -0,0 +1,36 @@
+//! Lines per event and second are bounded, and what is left out is stated.
+
+use winch_event::{Event, limit::Limit};
+
+const SUCCESS: Event = Event::RequestEnded;
+const FAULT: Event = Event::RequestFailed;
+
+fn admitted(limit: &Limit, event: Event, second: u64, lines: u32) -> u32 {
+    (0..lines).map(|_| u32::from(limit.admit(event, second).admitted)).sum()
+}
+
+#[test]
+fn flood_bounded() {
+    let limit = Limit::new();
+    let successes = admitted(&limit, SUCCESS, 1, 10_000);
+    let faults = admitted(&limit, FAULT, 1, 10_000);
+    assert!(successes < faults, "failures come before successes");
+    assert!(faults < 1_000);
+}
+
+#[test]
+fn omitted_stated_once() {
+    let limit = Limit::new();
+    let most = admitted(&limit, SUCCESS, 1, 500);
+    let next = limit.admit(SUCCESS, 2);
+    assert!(next.admitted);
+    assert_eq!(next.omitted, 500 - most);
+    assert_eq!(limit.admit(SUCCESS, 2).omitted, 0);
+}
+
+#[test]
+fn events_apart() {
+    let limit = Limit::new();
+    admitted(&limit, SUCCESS, 1, 10_000);
+    assert!(limit.admit(FAULT, 1).admitted);
+}
--- /dev/null
+++ b/crates/winch-http/tests/client_exchange.rs
@@ -0,0 +1,88 @@
+//! A client connection matches replies to requests and knows when it can be used again.
+
+use std::{net::SocketAddr, time::Duration};
+
+use assert_matches::assert_matches;
+use http::Method;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
+use winch_http::client::{Connection, Error};
+
+const LIMIT: Duration = Duration::from_secs(10);
+
+/// A server that reads something, writes the text, and reads on or closes.
+async fn server(text: &'static str, close: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut bytes = [0; 1_000];
+        stream.read(&mut bytes).await.unwrap();
+        stream.write_all(text.as_bytes()).await.unwrap();
+        while !close && stream.read(&mut bytes).await.is_ok_and(|length| length > 0) {}
+    });
+    address
+}
+
+async fn exchange(text: &'static str, close: bool) -> (Connection, Result<String, Error>) {
+    let mut connection = Connection::open(server(text, close).await, LIMIT).await.unwrap();
+    let request = b"GET / HTTP/1.1\r\n\r\n";
+    let accepts = |reply: &winch_http::head::Reply| !reply.headers.contains_key("x-old");
+    let body = match connection.exchange(&Method::GET, request, accepts).await {
+        Ok(_) => connection.body(1_000).await,
+        Err(error) => Err(error),
+    };
+    let text = body.map(|body| String::from_utf8(body.to_vec()).unwrap());
+    (connection, text)
+}
+
+#[tokio::test]
+async fn whole_reply_reusable() {
+    let (connection, body) = exchange("HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nab", false).await;
+    assert_eq!(body.unwrap(), "ab");
+    assert!(connection.is_reusable());
+}
+
+#[tokio::test]
+async fn announced_close_not_reusable() {
+    let text = "HTTP/1.1 200 X\r\nConnection: close\r\nContent-Length: 2\r\n\r\nab";
+    let (connection, body) = exchange(text, false).await;
+    assert_eq!(body.unwrap(), "ab");
+    assert!(!connection.is_reusable());
+}
+
+#[tokio::test]
+async fn extra_bytes_not_reusable() {
+    let text = "HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nabHTTP/1.1 200 X\r\n";
+    let (connection, body) = exchange(text, false).await;
+    assert_eq!(body.unwrap(), "ab");
+    assert!(!connection.is_reusable());
+}
+
+#[tokio::test]
+async fn old_reply_skipped() {
+    let text = "HTTP/1.1 200 X\r\nX-Old: 1\r\nContent-Length: 3\r\n\r\nold\
+                HTTP/1.1 200 X\r\nContent-Length: 3\r\n\r\nnew";
+    let (connection, body) = exchange(text, false).await;
+    assert_eq!(body.unwrap(), "new");
+    assert!(connection.is_reusable());
+}
+
+#[tokio::test]
+async fn short_body_broken() {
+    let (_, body) = exchange("HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\nab", true).await;
+    assert_matches!(body, Err(Error::Broken { .. }));
+    let (_, body) =
+        exchange("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", true).await;
+    assert_matches!(body, Err(Error::Broken { .. }));
+}
+
+#[tokio::test]
+async fn refused_connection_sends_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    assert_matches!(Connection::open(address, LIMIT).await, Err(Error::Connect { .. }));
+}
--- a/crates/winch-relay/src/daemon.rs
+++ b/crates/winch-relay/src/daemon.rs
@@ -57,12 +57,15 @@
         })
     }
 
-    /// Where callers connect.
+    /// Puts the addresses that the system chose into the settings.
     ///
     /// # Errors
     /// What the system says.
-    pub fn callers(&self) -> io::Result<SocketAddr> {
-        self.callers.local_addr()
+    pub fn settle(&self, settings: &mut Settings) -> io::Result<()> {
+        settings.callers = self.callers.local_addr()?;
+        settings.ready = self.ready.local_addr()?;
+        settings.peers = self.peers.local_addr()?;
+        Ok(())
     }
 }
 
--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -145,7 +145,7 @@
         let confirmed = *lock(&self.confirmed);
         // An unconfirmed topic is older than any confirmed one.
         let oldest = confirmed.into_iter().min().flatten();
-        let age = oldest.filter(|_| self.is_informed())?.elapsed();
+        let age = oldest?.elapsed();
         u64::try_from(age.as_millis()).ok()
     }
 
--- a/crates/winch-relay/src/place.rs
+++ b/crates/winch-relay/src/place.rs
@@ -26,11 +26,15 @@
 const FAILING_FACTOR: f64 = 4.0;
 
 /// Draws replicas that are asked for their load before a stream is placed.
+///
+/// Each `round` without an answer doubles the draw, so that the last live
+/// replica of many is found soon.
 pub fn candidates<R: Rng>(
     catalog: &Catalog,
     service: &str,
     dc: &str,
     tried: &[Name],
+    round: u32,
     now: Instant,
     rng: &mut R,
 ) -> Vec<(Key, Arc<Replica>)> {
@@ -38,12 +42,14 @@
     let near = |(_, entry): &(Key, &Entry)| *entry.replica.dc == *dc;
     let pairs = |(key, entry): (Key, &Entry)| (key, entry.replica.clone());
     let usable = || catalog.usable(service, now).filter(fit);
-    let mut chosen = usable().filter(near).map(pairs).choose_multiple(rng, NEAR_CANDIDATES);
-    let wanted = NEAR_CANDIDATES + FAR_CANDIDATES - chosen.len();
+    let mut chosen =
+        usable().filter(near).map(pairs).choose_multiple(rng, NEAR_CANDIDATES << round);
+    let total = (NEAR_CANDIDATES + FAR_CANDIDATES) << round;
+    let wanted = total - chosen.len();
     chosen.extend(usable().filter(|e| !near(e)).map(pairs).choose_multiple(rng, wanted));
     if chosen.is_empty() {
         let serving = catalog.serving(service).filter(fit).map(pairs);
-        chosen = serving.choose_multiple(rng, NEAR_CANDIDATES + FAR_CANDIDATES);
+        chosen = serving.choose_multiple(rng, total);
     }
     chosen
 }
--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -241,8 +241,8 @@
 
     /// Asks replicas until one answers; several may be down at once.
     async fn fresh_target(&mut self) -> Option<Target> {
-        for pause in PLACEMENT_PAUSES {
-            let target = self.place().await;
+        for (round, pause) in (0..).zip(PLACEMENT_PAUSES) {
+            let target = self.place(round).await;
             if target.is_some() {
                 return target;
             }
@@ -251,13 +251,13 @@
         None
     }
 
-    async fn place(&self) -> Option<Target> {
+    async fn place(&self, round: u32) -> Option<Target> {
         let (node, service) = (self.node, &self.job.service);
         let dc = &node.settings.dc;
         let candidates = {
             let tried = &self.trace.tried;
             let (now, rng) = (Instant::now(), &mut node.rng());
-            place::candidates(&node.catalog(), service, dc, tried, now, rng)
+            place::candidates(&node.catalog(), service, dc, tried, round, now, rng)
         };
         let single = (candidates.len() == 1).then(|| candidates[0].clone());
         let answers = probe::ask_all(node, candidates).await;
@@ -271,8 +271,10 @@
             .filter(|answer| !answer.report.leaving)
             .min_by(|a, b| cost(a).total_cmp(&cost(b)));
         let Some(best) = best else {
-            // A replica that does not answer in time may still serve.
+            // A replica that does not answer in time may still serve, unless
+            // another incarnation has taken its place.
             let (key, replica) = single?;
+            node.catalog().get(key)?;
             return Some(Target { key, replica, copy_from: None, copy_to: None });
         };
         let copy_to = if self.copies() {
--- /dev/null
+++ b/crates/winch-relay/tests/catalog_outage.rs
@@ -0,0 +1,120 @@
+//! What the list says of replicas, through outages, restarts and reused addresses.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::time::Instant;
+use winch_relay::{
+    catalog::{Catalog, LAPSE_CONFIRMATION, News},
+    replica::Replica,
+    store::Change,
+};
+
+fn replica(id: &str, port: u16, born: u64) -> Replica {
+    Replica {
+        id: id.into(),
+        service: "model".into(),
+        address: ([127, 0, 0, 1], port).into(),
+        dc: "a".into(),
+        version: "v1".into(),
+        slots: 4,
+        draining: false,
+        born_ms: Some(born),
+    }
+}
+
+fn ids(catalog: &Catalog) -> Vec<String> {
+    let mut ids: Vec<String> = catalog.replicas().map(|replica| replica.id.to_string()).collect();
+    ids.sort();
+    ids
+}
+
+fn put(catalog: &mut Catalog, replica: Replica) -> Option<News> {
+    catalog.apply(Change::Put(replica), Instant::now())
+}
+
+#[test]
+fn removal_is_leaving() {
+    let mut catalog = Catalog::default();
+    put(&mut catalog, replica("i-1", 1, 5));
+    let news = catalog.apply(Change::Removed("i-1".into()), Instant::now());
+    assert!(matches!(news, Some(News::Leaving(gone)) if &*gone.id == "i-1"));
+    assert!(catalog.is_empty());
+}
+
+#[test]
+fn lapse_in_outage_confirmed_later() {
+    let (mut catalog, start) = (Catalog::default(), Instant::now());
+    put(&mut catalog, replica("i-1", 1, 5));
+    put(&mut catalog, replica("i-2", 2, 5));
+    catalog.store_lost();
+    catalog.store_back(start);
+    for id in ["i-1", "i-2"] {
+        assert_eq!(catalog.apply(Change::Removed(id.into()), start), None);
+    }
+    // One is back soon; the other one is still missing after that.
+    put(&mut catalog, replica("i-1", 1, 5));
+    assert_eq!(catalog.expire(start + LAPSE_CONFIRMATION / 2), []);
+    let gone = catalog.expire(start + LAPSE_CONFIRMATION);
+    assert_eq!(gone, [News::Leaving(Arc::new(replica("i-2", 2, 5)))]);
+    assert_eq!(ids(&catalog), ["i-1"]);
+}
+
+#[test]
+fn leaving_is_final() {
+    let mut catalog = Catalog::default();
+    put(&mut catalog, replica("i-1", 1, 5));
+    let draining = Replica { draining: true, ..replica("i-1", 1, 5) };
+    assert!(matches!(put(&mut catalog, draining), Some(News::Leaving(_))));
+    // A stale entry of the same incarnation does not bring it back, a restart does.
+    put(&mut catalog, replica("i-1", 1, 5));
+    assert_eq!(catalog.usable("model", Instant::now()).count(), 0);
+    put(&mut catalog, replica("i-1", 1, 9));
+    assert_eq!(catalog.usable("model", Instant::now()).count(), 1);
+}
+
+#[test]
+fn address_used_again() {
+    let mut catalog = Catalog::default();
+    put(&mut catalog, replica("i-1", 1, 5));
+    put(&mut catalog, replica("i-2", 1, 9));
+    assert_eq!(ids(&catalog), ["i-2"]);
+    // The dead one's entry may be written once more before it lapses.
+    put(&mut catalog, replica("i-1", 1, 5));
+    assert_eq!(ids(&catalog), ["i-2"]);
+}
+
+#[test]
+fn unlisted_engine_expires() {
+    let (mut catalog, now) = (Catalog::default(), Instant::now());
+    put(&mut catalog, replica("i-1", 1, 5));
+    assert!(catalog.adopt(replica("i-2", 1, 9), now).is_some());
+    // A whole listing from before its restart does not remove it.
+    catalog.replace(vec![Change::Put(replica("i-1", 1, 5))], now);
+    assert_eq!(ids(&catalog), ["i-2"]);
+    catalog.expire(now + Duration::from_secs(60));
+    assert!(catalog.is_empty());
+}
+
+#[test]
+fn unreadable_entry_changes_nothing() {
+    let mut catalog = Catalog::default();
+    put(&mut catalog, replica("i-1", 1, 5));
+    let change = Change::Unreadable { id: "i-1".into(), fault: "no state".into() };
+    assert_eq!(catalog.apply(change.clone(), Instant::now()), None);
+    assert_eq!(catalog.replace(vec![change], Instant::now()), []);
+    assert_eq!(ids(&catalog), ["i-1"]);
+}
+
+#[test]
+fn failures_avoided_for_a_while() {
+    let (mut catalog, now) = (Catalog::default(), Instant::now());
+    put(&mut catalog, replica("i-1", 1, 5));
+    let key = catalog.key("i-1").unwrap();
+    let first = catalog.failed(key, now).unwrap();
+    assert_eq!(catalog.usable("model", now).count(), 0);
+    assert_eq!(catalog.usable("model", now + first).count(), 1);
+    let second = catalog.failed(key, now + first).unwrap();
+    assert!(second > first);
+    catalog.answered(key, None, false);
+    assert_eq!(catalog.usable("model", now + first).count(), 1);
+}
--- /dev/null
+++ b/crates/winch-relay/tests/place_choice.rs
@@ -0,0 +1,110 @@
+//! Choice of replicas under the loads that it answers.
+
+use std::{sync::Arc, time::Duration};
+
+use rand::{SeedableRng, rngs::SmallRng};
+use tokio::time::Instant;
+use winch_relay::{
+    catalog::Catalog,
+    place,
+    replica::{Replica, Report},
+    store::Change,
+};
+
+fn replica(number: u16, dc: &str) -> Replica {
+    Replica {
+        id: format!("i-{number}").into(),
+        service: "s".into(),
+        address: ([127, 0, 0, 1], number).into(),
+        dc: dc.into(),
+        version: "v1".into(),
+        slots: 6,
+        draining: false,
+        born_ms: None,
+    }
+}
+
+fn catalog(dcs: &[&str]) -> Catalog {
+    let mut catalog = Catalog::default();
+    for (number, dc) in (1..).zip(dcs) {
+        catalog.apply(Change::Put(replica(number, dc)), Instant::now());
+    }
+    catalog
+}
+
+fn report(running: u32, prefilling: u32, used_tokens: u64) -> Report {
+    Report { running, prefilling, used_tokens, total_tokens: 88_000, ..Report::default() }
+}
+
+#[test]
+fn idle_before_busy() {
+    let cost = |report: &Report| place::stream_cost(report, 0, true, 9_000);
+    let idle = cost(&report(0, 0, 0));
+    let making = cost(&report(1, 0, 9_000));
+    let reading = cost(&report(1, 1, 9_000));
+    let queued = cost(&Report { waiting: 2, ..report(1, 1, 9_000) });
+    let full = cost(&report(1, 0, 87_000));
+    assert!(idle < making && making < reading && reading < queued && queued < full);
+}
+
+#[test]
+fn own_streams_not_yet_reported() {
+    let report = report(0, 0, 0);
+    let fresh = place::stream_cost(&report, 0, true, 9_000);
+    assert!(place::stream_cost(&report, 1, true, 9_000) > fresh);
+}
+
+#[test]
+fn copy_outside_data_centre() {
+    let replicas: Vec<Arc<Replica>> =
+        [("a", 1), ("b", 2), ("b", 3)].map(|(dc, number)| Arc::new(replica(number, dc))).into();
+    let reports = [report(0, 0, 0), report(3, 0, 30_000), report(1, 0, 9_000)];
+    let chosen = place::copy_place(replicas.iter().zip(&reports), &["a"], 9_000).unwrap();
+    assert_eq!(&*chosen.id, "i-3");
+    let full = [report(0, 0, 0), report(3, 0, 87_000), report(1, 0, 87_000)];
+    assert_eq!(place::copy_place(replicas.iter().zip(&full), &["a"], 9_000), None);
+}
+
+#[test]
+fn candidates_from_both_sides() {
+    let dcs: Vec<&str> = (0..12).map(|n| if n < 4 { "a" } else { "b" }).collect();
+    let catalog = catalog(&dcs);
+    for seed in 0..50 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let drawn = place::candidates(&catalog, "s", "a", &[], 0, Instant::now(), &mut rng);
+        let near = drawn.iter().filter(|(_, replica)| &*replica.dc == "a").count();
+        assert_eq!((near, drawn.len()), (2, 4));
+        let tried = [drawn[0].1.id.clone()];
+        let others = place::candidates(&catalog, "s", "a", &tried, 9, Instant::now(), &mut rng);
+        assert_eq!(others.len(), 11, "a late round asks all that were not tried");
+    }
+}
+
+#[test]
+fn avoided_used_when_alone() {
+    let (mut catalog, now) = (catalog(&["a"]), Instant::now());
+    let key = catalog.key("i-1").unwrap();
+    catalog.failed(key, now);
+    let mut rng = SmallRng::seed_from_u64(1);
+    assert_eq!(place::candidates(&catalog, "s", "a", &[], 0, now, &mut rng).len(), 1);
+    assert!(place::plain(&catalog, "s", "a", &[], now, &mut rng).is_some());
+}
+
+#[test]
+fn plain_near_until_slow_or_failing() {
+    let (mut catalog, now) = (catalog(&["a", "b"]), Instant::now());
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut chosen = |catalog: &Catalog| {
+        place::plain(catalog, "s", "a", &[], now, &mut rng).unwrap().1.id.to_string()
+    };
+    assert_eq!(chosen(&catalog), "i-1");
+    let key = catalog.key("i-1").unwrap();
+    for _ in 0..20 {
+        catalog.answered(key, Some(Duration::from_millis(100)), false);
+    }
+    assert_eq!(chosen(&catalog), "i-2");
+    for _ in 0..40 {
+        catalog.answered(key, Some(Duration::from_millis(15)), true);
+    }
+    assert_eq!(chosen(&catalog), "i-2", "a replica that fails what it gets is not the faster one");
+}
--- /dev/null
+++ b/crates/winch-relay/tests/plan_route.rs
@@ -0,0 +1,79 @@
+//! Routes are found by host and longest prefix; promises are kept apart from failures.
+
+use std::{sync::Arc, time::Duration};
+
+use rand::{SeedableRng, rngs::SmallRng};
+use winch_relay::{
+    code::Code,
+    plain,
+    plan::{Limits, Plan, Route, Semantics, Share, Team},
+};
+
+fn route(host: &str, prefix: &str, shares: &[(&str, f64)]) -> Route {
+    let shares = shares
+        .iter()
+        .map(|(service, weight)| Share { service: (*service).into(), weight: *weight });
+    Route {
+        name: prefix.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        semantics: Semantics::Idempotent,
+        timeout: Duration::from_secs(1),
+        target: Duration::from_millis(100),
+        priority: 1,
+        shares: shares.collect(),
+        attempts: 2,
+        public: false,
+    }
+}
+
+fn plan(teams: Option<Vec<(Arc<str>, Arc<Team>)>>) -> Plan {
+    let routes = vec![
+        route("a.example", "/x/", &[("s", 1.0)]),
+        route("a.example", "/x/y/", &[("t", 1.0)]),
+        route("b.example", "/", &[("s", 90.0), ("t", 10.0)]),
+    ];
+    Plan::new(3, routes, Vec::new(), teams, Limits::default())
+}
+
+#[test]
+fn longest_prefix() {
+    let plan = plan(None);
+    let name = |host, path| plan.route(host, path).map(|route| route.name.to_string());
+    assert_eq!(name("a.example", "/x/1").as_deref(), Some("/x/"));
+    assert_eq!(name("A.example:81", "/x/y/1").as_deref(), Some("/x/y/"));
+    assert_eq!(name("a.example", "/x"), None);
+    assert_eq!(name("c.example", "/x/1"), None);
+}
+
+#[test]
+fn split_by_weight() {
+    let plan = plan(None);
+    let route = plan.route("b.example", "/1").unwrap();
+    let mut rng = SmallRng::seed_from_u64(4);
+    let small = (0..10_000).filter(|_| &**route.pick(&mut rng) == "t").count();
+    assert!((800..1_200).contains(&small), "{small} of 10,000 for a weight of 10 in 100");
+}
+
+#[test]
+fn keys_needed_with_teams() {
+    let open = plan(None);
+    let route = open.route("a.example", "/x/1").unwrap().clone();
+    assert!(!open.needs_key(&route));
+    let team = Arc::new(Team { name: "t".into(), priority: None });
+    let keyed = plan(Some(vec![("key".into(), team)]));
+    assert!(keyed.needs_key(&route));
+    assert!(!keyed.needs_key(&Route { public: true, ..(*route).clone() }));
+    assert!(keyed.team("key").is_some() && keyed.team("other").is_none());
+}
+
+#[test]
+fn promises_only_when_not_run() {
+    for code in Code::ALL {
+        let promises = plain::is_promise(code.status());
+        assert!(!(promises && code.may_have_run()), "{} promises what is unknown", code.name());
+        if plain::retry_after(*code).is_some() {
+            assert!(promises, "{} tells when to come back after a possible run", code.name());
+        }
+    }
+}
