--- a/crates/winch-http/tests/client_exchange.rs
+++ b/crates/winch-http/tests/client_exchange.rs
@@ -19,7 +19,8 @@
     tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.unwrap();
         let mut bytes = [0; 1_000];
-        stream.read(&mut bytes).await.unwrap();
+        let request = stream.read(&mut bytes).await.unwrap();
+        assert!(request > 0, "the client sends a request");
         stream.write_all(text.as_bytes()).await.unwrap();
         while !close && stream.read(&mut bytes).await.is_ok_and(|length| length > 0) {}
     });
