--- a/crates/winch-event/src/lib.rs
+++ b/crates/winch-event/src/lib.rs
@@ -67,6 +67,8 @@
     SeedFollowed = 1014, Info, "seed followed";
     /// The seed is lost or not up to date; this daemon reads the store itself.
     SeedLost = 1015, Warn, "seed lost";
+    /// The grace of a planned stop is over; what still runs is cut.
+    GraceOver = 1016, Warn, "grace of the stop is over, running work is cut";
     /// An attempt on an engine broke.
     AttemptLost = 1101, Warn, "attempt lost";
     /// A second attempt runs beside a suspected one.
@@ -95,6 +97,8 @@
     ReplicaLeaving = 1116, Info, "replica leaving";
     /// An entry of the list of replicas cannot be read.
     EntryUnreadable = 1117, Warn, "entry of a replica unreadable";
+    /// A request was refused by the configuration or the state of the daemon.
+    RequestUnadmitted = 1118, Warn, "request not admitted";
     /// The outcome of an order is not known.
     OrderUnknown = 1201, Error, "outcome of an order is not known";
     /// The outcome of an order could not be recorded yet.
--- a/crates/winch-relay/src/daemon.rs
+++ b/crates/winch-relay/src/daemon.rs
@@ -104,7 +104,7 @@
     drop(sockets.callers);
     let joined = async { while callers.join_next().await.is_some() {} };
     if timeout_at(end, joined).await.is_err() {
-        emit!(Event::StopForced, open = callers.len());
+        emit!(Event::GraceOver, open = callers.len());
     }
     callers.shutdown().await;
     children.shutdown().await;
--- a/crates/winch-relay/src/edge.rs
+++ b/crates/winch-relay/src/edge.rs
@@ -148,7 +148,7 @@
     let job = match admit(node, &call) {
         Ok(admitted) => admitted.job(call),
         Err(code) => {
-            note(&call, "-", "-", code.name(), &Trace::default(), true);
+            note_unadmitted(node, &call, code);
             counter::refused(code);
             // A caller that is gone needs no refusal.
             let _ = out.refuse(code, plain::retry_after(code)).await;
@@ -229,7 +229,7 @@
         Ending::Streamed => ("200", false),
         Ending::CallerGone => ("caller_gone", false),
     };
-    note(&job.call, &job.route.name, &job.service, result, trace, failed);
+    note(job, result, trace, failed);
     let kind = match job.route.semantics {
         Semantics::Idempotent => "lookup",
         Semantics::AtMostOnce => "order",
@@ -248,17 +248,31 @@
     };
 }
 
+/// Logs a request that the configuration or the state of the daemon refuses.
+fn note_unadmitted<D: Dialect>(node: &Node<D>, call: &Call, code: Code) {
+    emit!(
+        Event::RequestUnadmitted,
+        request = call.label(),
+        result = code.name(),
+        host = call.host,
+        path = call.path(),
+        key = if call.key.is_some() { "given" } else { "none" },
+        version = node.plan().map_or(0, |plan| plan.version),
+        age_ms = node.knowledge_age_ms().map_or("-".to_owned(), |age| age.to_string())
+    );
+}
+
 /// Logs how a request ended.
-fn note(call: &Call, route: &str, service: &str, result: &str, trace: &Trace, failed: bool) {
+fn note(job: &Job, result: &str, trace: &Trace, failed: bool) {
     let event = if failed { Event::RequestFailed } else { Event::RequestEnded };
     emit!(
         event,
-        request = call.label(),
-        route = route,
-        service = service,
+        request = job.call.label(),
+        route = job.route.name,
+        service = job.service,
         result = result,
         sends = trace.sends,
         steps = trace.steps.join(" "),
-        taken_ms = call.received.elapsed().as_millis()
+        taken_ms = job.call.received.elapsed().as_millis()
     );
 }
--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -81,6 +81,8 @@
     last_at: Instant,
     copy: Option<Copy>,
     lost_dc: Option<Name>,
+    /// Whether the caller has got an event.
+    began: bool,
     may_have_run: bool,
     connect_failures: u32,
     pace: Pace,
@@ -107,6 +109,7 @@
         last_at: now,
         copy: None,
         lost_dc: None,
+        began: false,
         may_have_run: false,
         connect_failures: 0,
         pace: Pace::new(pause, now),
@@ -444,10 +447,12 @@
                     dc = target.replica.dc,
                     from_copy = copied,
                     after_event = self.last_event.unwrap_or_default(),
+                    began = self.began,
                     pause_ms = pause.as_millis()
                 );
             }
         }
+        self.began = true;
         self.pace.event(now);
         self.last_at = now;
     }
