--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -466,7 +466,8 @@
         if probe::ask(self.node, &target.replica).await.is_none() {
             return;
         }
-        if self.copy.is_some() {
+        // On the last attempt a live replica is waited for: it may still go on.
+        if self.copy.is_some() && self.trace.sends < self.job.route.attempts {
             return sleep_until(self.pace.move_at()).await;
         }
         probe::dead(self.node, &target.replica, SILENT_CHECK).await;
