--- a/crates/wisteriawinch/tests/soak/fleet.rs
+++ b/crates/wisteriawinch/tests/soak/fleet.rs
@@ -45,12 +45,20 @@
     folder: PathBuf,
 }
 
-/// An address that stays free: each test process has a loopback network of its own.
+/// An address that stays free: each test process has a loopback network of its own,
+/// and no port is given out twice.
 fn free() -> SocketAddr {
+    static GIVEN: Mutex<Option<HashSet<u16>>> = Mutex::new(None);
     let id = std::process::id();
     let network = [127, 1 + (id / 250 % 250) as u8, 1 + (id % 250) as u8, 1];
-    let listener = TcpListener::bind(SocketAddr::from((network, 0))).expect("a port");
-    listener.local_addr().expect("bound")
+    loop {
+        let listener = TcpListener::bind(SocketAddr::from((network, 0))).expect("a port");
+        let address = listener.local_addr().expect("bound");
+        let mut given = GIVEN.lock().expect("no panic under the lock");
+        if given.get_or_insert_default().insert(address.port()) {
+            return address;
+        }
+    }
 }
 
 impl Process {
