--- a/crates/wisteriawinch/tests/fault_soak.rs
+++ b/crates/wisteriawinch/tests/fault_soak.rs
@@ -22,8 +22,8 @@
 const CALLERS: u64 = 6;
 /// Faults of one seed.
 const FAULTS: usize = 12;
-/// Seed that is always played.
-const FIXED_SEED: u64 = 1;
+/// Seeds that are always played.
+const FIXED_SEEDS: [u64; 2] = [1, 15];
 /// Longest time of one seed; only a hang reaches it.
 const SEED_TIMEOUT: Duration = Duration::from_secs(120);
 
@@ -39,7 +39,7 @@
     let kept = include_str!("soak/regression.txt").lines();
     let kept =
         kept.filter_map(|line| line.split_whitespace().next()).filter(|w| !w.starts_with('#'));
-    kept.map(parse).chain([FIXED_SEED]).collect()
+    kept.map(parse).chain(FIXED_SEEDS).collect()
 }
 
 /// Plays one seed; the promises that were broken.
--- a/crates/wisteriawinch/tests/soak/fleet.rs
+++ b/crates/wisteriawinch/tests/soak/fleet.rs
@@ -14,6 +14,8 @@
 use super::common::{Ask, Caller, PATIENCE, Proxy, Replica, Store, Way, until};
 
 const DAEMONS: usize = 3;
+/// Time of an order, in which faults meet it.
+const WORK: Duration = Duration::from_millis(60);
 const DCS: [&str; 3] = ["a", "b", "c"];
 
 /// One daemon process and its addresses, which outlive a restart.
@@ -88,6 +90,7 @@
         for (number, dc) in (0..9).zip(DCS.into_iter().cycle()) {
             let (service, kind) = if number < 6 { ("model", "e") } else { ("desk", "d") };
             let replica = Replica::start(&format!("{kind}-{number}"), service, dc).await;
+            replica.work_for(WORK);
             let proxy = Proxy::start(replica.address).await;
             servers.push(Server { replica, proxy });
         }
