winch-relay: tell followers changes by a log, never a long list

Ruled out: the heartbeat (0.3 s), whose frames are small. What: followers read the list from the store once; a seed keeps the last 2,048 changes with their versions and tells those since; a follower that is too far behind reads again. Lists of up to 400 replicas are still told whole.

--- a/crates/winch-relay/src/catalog.rs
+++ b/crates/winch-relay/src/catalog.rs
@@ -1,6 +1,9 @@
 //! What this daemon knows of each replica, and when to use it.
 
-use std::{collections::HashMap, net::SocketAddr};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+};
 
 use slotmap::{SlotMap, new_key_type};
 
@@ -68,8 +71,24 @@
 pub enum News {
     /// A replica was listed for the first time, or under a new address.
     Listed(Arc<Replica>),
+    /// Something else of its entry has changed.
+    Changed(Arc<Replica>),
     /// A replica gets no new work.
     Leaving(Arc<Replica>),
+    /// A replica is no longer listed, and gets no new work.
+    Gone(Arc<Replica>),
+}
+
+impl News {
+    /// The replica that the news is about.
+    pub fn replica(&self) -> &Arc<Replica> {
+        match self {
+            Self::Listed(replica)
+            | Self::Changed(replica)
+            | Self::Leaving(replica)
+            | Self::Gone(replica) => replica,
+        }
+    }
 }
 
 /// What is known of all replicas.
@@ -106,7 +125,7 @@
 
     /// Applies a whole listing: what it does not hold is gone.
     pub fn replace(&mut self, changes: Vec<Change>, now: Instant) -> Vec<News> {
-        let listed: Vec<Name> = changes.iter().map(|change| change.id().clone()).collect();
+        let listed: HashSet<Name> = changes.iter().map(|change| change.id().clone()).collect();
         let known = self.entries.values().filter(|entry| entry.unlisted_since.is_none());
         let known = known.map(|entry| entry.replica.id.clone());
         let missing: Vec<Name> = known.filter(|id| !listed.contains(id)).collect();
@@ -172,7 +191,7 @@
                 let draining = replica.draining || entry.replica.draining;
                 entry.replica = Replica { draining, ..replica }.into();
                 let replica = entry.replica.clone();
-                return left.then_some(News::Leaving(replica));
+                return Some(if left { News::Leaving(replica) } else { News::Changed(replica) });
             }
             self.remove(&replica.id);
         }
@@ -199,7 +218,7 @@
         if self.by_address.get(&entry.replica.address) == Some(&key) {
             self.by_address.remove(&entry.replica.address);
         }
-        Some(News::Leaving(entry.replica))
+        Some(News::Gone(entry.replica))
     }
 
     /// The entry of a replica that is still listed.
--- /dev/null
+++ b/crates/winch-relay/src/changelog.rs
@@ -0,0 +1,82 @@
+//! Recent changes of the list of replicas, by the version of the store.
+
+use std::collections::{HashMap, VecDeque};
+
+use crate::{catalog::News, prelude::*};
+
+/// Changes that are kept.
+const MAX_CHANGES: usize = 2_048;
+
+#[derive(Debug)]
+struct Change {
+    /// Rises by one with each change of this daemon's knowledge.
+    number: u64,
+    /// Version of the store up to which the list was known.
+    version: u64,
+    news: News,
+}
+
+/// Recent changes; what is older has to be read from the store.
+#[derive(Debug, Default)]
+pub struct Changelog {
+    changes: VecDeque<Change>,
+    number: u64,
+    version: u64,
+    /// Changes up to this version may no longer be kept.
+    oldest: u64,
+}
+
+impl Changelog {
+    /// Adds what a read of the list up to `version` has changed.
+    pub fn record(&mut self, news: &[News], version: u64) {
+        if self.version == 0 {
+            self.oldest = version;
+        }
+        self.version = self.version.max(version);
+        for item in news {
+            self.number += 1;
+            let (number, version) = (self.number, self.version);
+            self.changes.push_back(Change { number, version, news: item.clone() });
+        }
+        while self.changes.len() > MAX_CHANGES {
+            if let Some(change) = self.changes.pop_front() {
+                self.oldest = change.version + 1;
+            }
+        }
+    }
+
+    /// Version up to which the list is known; zero if it was never read.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Number of the last change.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// The last change of each replica since the list was read at `version`;
+    /// `None` if some are no longer kept.
+    ///
+    /// Changes at `version` itself are among them: a daemon also learns of
+    /// replicas between two versions.
+    pub fn since_version(&self, version: u64) -> Option<HashMap<Name, &News>> {
+        let kept = self.version > 0 && version >= self.oldest;
+        kept.then(|| self.last(|change| change.version >= version))
+    }
+
+    /// The last change of each replica after the change `number`; `None` if some
+    /// are no longer kept.
+    pub fn since_number(&self, number: u64) -> Option<HashMap<Name, &News>> {
+        let first = self.changes.front().map_or(self.number + 1, |change| change.number);
+        (number + 1 >= first).then(|| self.last(|change| change.number > number))
+    }
+
+    fn last(&self, newer: impl Fn(&Change) -> bool) -> HashMap<Name, &News> {
+        let mut last = HashMap::new();
+        for change in self.changes.iter().rev().take_while(|change| newer(change)) {
+            last.entry(change.news.replica().id.clone()).or_insert(&change.news);
+        }
+        last
+    }
+}
--- a/crates/winch-relay/src/daemon.rs
+++ b/crates/winch-relay/src/daemon.rs
@@ -172,7 +172,6 @@
     loop {
         sleep(SWEEP_INTERVAL).await;
         node.pool.sweep();
-        let news = node.catalog().expire(Instant::now());
-        node.report(news);
+        node.expire();
     }
 }
--- a/crates/winch-relay/src/lib.rs
+++ b/crates/winch-relay/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod call;
 pub mod catalog;
+pub mod changelog;
 pub mod code;
 pub mod counter;
 pub mod daemon;
--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     catalog::{Catalog, Key, News},
+    changelog::Changelog,
     plan::Plan,
     pool::Pool,
     prelude::*,
@@ -54,6 +55,7 @@
     catalog: Mutex<Catalog>,
     plan: Mutex<Option<Published>>,
     learnt: Sender<()>,
+    changelog: Mutex<Changelog>,
     confirmed: Mutex<[Option<Instant>; Topic::ALL.len()]>,
     started: Instant,
     budgets: Mutex<HashMap<Name, Budget>>,
@@ -76,6 +78,7 @@
             catalog: Mutex::default(),
             plan: Mutex::default(),
             learnt: Sender::new(()),
+            changelog: Mutex::default(),
             confirmed: Mutex::default(),
             started: Instant::now(),
             budgets: Mutex::default(),
@@ -112,8 +115,14 @@
         newer
     }
 
-    /// Applies changes of the list of replicas; all that is not in a whole listing is gone.
-    pub fn list(&self, changes: Vec<Change>, whole: bool) {
+    /// Recent changes of the list of replicas.
+    pub fn changelog(&self) -> MutexGuard<'_, Changelog> {
+        lock(&self.changelog)
+    }
+
+    /// Applies changes of the list of replicas up to `version`; all that is not in a
+    /// whole listing is gone.
+    pub fn list(&self, changes: Vec<Change>, version: u64, whole: bool) {
         for change in &changes {
             if let Change::Unreadable { id, fault } = change {
                 emit!(Event::EntryUnreadable, replica = id, fault = fault);
@@ -128,6 +137,23 @@
         };
         news.extend(catalog.expire(now));
         drop(catalog);
+        self.note(news, version);
+    }
+
+    /// Drops replicas whose entries are still missing some time after an outage.
+    pub fn expire(&self) {
+        let news = self.catalog().expire(Instant::now());
+        self.note(news, 0);
+    }
+
+    /// Takes in a replica that is not listed yet.
+    pub fn adopt_replica(&self, replica: Replica) {
+        let news = self.catalog().adopt(replica, Instant::now());
+        self.note(news.into_iter().collect(), 0);
+    }
+
+    fn note(&self, news: Vec<News>, version: u64) {
+        self.changelog().record(&news, version);
         if !news.is_empty() {
             self.learnt.send_replace(());
         }
@@ -228,7 +254,7 @@
     }
 
     /// Logs changes of what is believed of replicas.
-    pub fn report(&self, news: impl IntoIterator<Item = News>) {
+    fn report(&self, news: Vec<News>) {
         for item in news {
             match item {
                 News::Listed(replica) => emit!(
@@ -238,7 +264,8 @@
                     address = replica.address,
                     dc = replica.dc
                 ),
-                News::Leaving(replica) => {
+                News::Changed(_) => {}
+                News::Leaving(replica) | News::Gone(replica) => {
                     self.pool.forget(replica.address);
                     emit!(
                         Event::ReplicaLeaving,
--- a/crates/winch-relay/src/peer.rs
+++ b/crates/winch-relay/src/peer.rs
@@ -6,11 +6,12 @@
 //! [`Update`]s in length-delimited frames. What they hold came from the store;
 //! nothing is agreed on here.
 
-use std::{collections::HashMap, convert::Infallible, io, net::SocketAddr};
+use std::{convert::Infallible, io, net::SocketAddr};
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt, stream::FuturesUnordered};
 use prost::Message;
+use snafu::{OptionExt, Snafu, ensure};
 use tokio::{
     net::{TcpListener, TcpStream},
     task::JoinSet,
@@ -18,7 +19,7 @@
 };
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::{node::Node, prelude::*, store::Change, watch::Topic};
+use crate::{catalog::News, node::Node, prelude::*, store::Change, watch::Topic};
 
 /// Longest time for one peer's answer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
@@ -39,12 +40,36 @@
 /// from the store, which has the wider links.
 const MAX_PUSHED_PLAN: usize = 8 * 1024;
 
+/// Longest list that an update carries whole; followers read a longer one from
+/// the store.
+const MAX_PUSHED_LIST: usize = 400;
+
+/// Why a seed is no longer followed.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The seed does not keep the changes since the follower's list was read.
+    #[snafu(display("the list of replicas is older than the changes that the seed keeps"))]
+    Behind,
+    /// What the seed knows is no longer fresh.
+    #[snafu(display("the seed's knowledge is stale"))]
+    Stale,
+    /// The connection broke or is silent.
+    #[snafu(display("{source}"), context(false))]
+    Lost {
+        /// What the system says.
+        source: io::Error,
+    },
+}
+
 /// What a daemon asks another.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct Question {
     /// Whether updates shall follow until the connection ends.
     #[prost(bool, tag = "1")]
     pub follow: bool,
+    /// Version up to which the asking daemon knows the list of replicas.
+    #[prost(uint64, tag = "2")]
+    pub list_version: u64,
 }
 
 /// What one daemon knows, or what has changed of it.
@@ -65,6 +90,15 @@
     /// Time since the store last confirmed the knowledge, in milliseconds.
     #[prost(uint64, optional, tag = "5")]
     pub age_ms: Option<u64>,
+    /// Version up to which the list of replicas is told.
+    #[prost(uint64, tag = "6")]
+    pub list_version: u64,
+    /// Whether all replicas are told, so that others are gone.
+    #[prost(bool, tag = "7")]
+    pub whole: bool,
+    /// Whether the follower has to read the list again before changes can be told.
+    #[prost(bool, tag = "8")]
+    pub behind: bool,
 }
 
 /// One replica of an [`Update`].
@@ -137,15 +171,19 @@
 }
 
 /// What a connection's other end has been told.
-#[derive(Debug, Default)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Told {
     plan_version: u64,
-    replicas: HashMap<Name, Arc<Replica>>,
+    /// Version of the list that the other end has read itself.
+    read_version: u64,
+    /// Number of the last change that was told.
+    change: Option<u64>,
 }
 
 impl Told {
-    /// What has changed since the last update, with plans of up to `max_plan` bytes.
-    fn update<D: Dialect>(&mut self, node: &Node<D>, max_plan: usize) -> Update {
+    /// What has changed since the last update, with plans of up to `max_plan` bytes
+    /// and whole lists of up to `max_list` replicas.
+    fn update<D: Dialect>(&mut self, node: &Node<D>, max_plan: usize, max_list: usize) -> Update {
         let mut update = Update { age_ms: node.knowledge_age_ms(), ..Update::default() };
         if let Some(published) = node.published() {
             update.plan_version = published.plan.version;
@@ -154,19 +192,32 @@
             }
             self.plan_version = update.plan_version;
         }
-        let current: HashMap<Name, Arc<Replica>> = node
-            .catalog()
-            .replicas()
-            .map(|replica| (replica.id.clone(), replica.clone()))
-            .collect();
-        let changed =
-            current.iter().filter(|(id, replica)| self.replicas.get(*id) != Some(replica));
-        update.replicas = changed.map(|(_, replica)| Listed::from(&**replica)).collect();
-        let gone = self.replicas.keys().filter(|id| !current.contains_key(*id));
-        update.removed = gone.map(ToString::to_string).collect();
-        self.replicas = current;
+        self.list(node, max_list, &mut update);
         update
     }
+
+    fn list<D: Dialect>(&mut self, node: &Node<D>, max_list: usize, update: &mut Update) {
+        let changelog = node.changelog();
+        update.list_version = changelog.version();
+        let told = self.change.replace(changelog.number());
+        let changes = match told {
+            Some(number) => changelog.since_number(number),
+            None => changelog.since_version(self.read_version),
+        };
+        if let Some(changes) = changes {
+            for (id, news) in changes {
+                match news {
+                    News::Gone(_) => update.removed.push(id.to_string()),
+                    _ => update.replicas.push(Listed::from(&**news.replica())),
+                }
+            }
+        } else if node.catalog().len() > max_list {
+            update.behind = true;
+        } else {
+            update.whole = true;
+            update.replicas = node.catalog().replicas().map(|r| Listed::from(&**r)).collect();
+        }
+    }
 }
 
 /// Answers other daemons for as long as the daemon runs.
@@ -190,13 +241,13 @@
     let asked = timeout(ASK_TIMEOUT, framed.next()).await?.transpose()?;
     let Some(question) = asked else { return Ok(()) };
     let question = Question::decode(question).map_err(io::Error::other)?;
-    let mut told = Told::default();
+    let mut told = Told { read_version: question.list_version, ..Told::default() };
     if !question.follow {
-        return send(&mut framed, told.update(node, usize::MAX)).await;
+        return send(&mut framed, told.update(node, usize::MAX, usize::MAX)).await;
     }
     let mut learnt = node.learnt();
     loop {
-        let update = told.update(node, MAX_PUSHED_PLAN);
+        let update = told.update(node, MAX_PUSHED_PLAN, MAX_PUSHED_LIST);
         timeout(SEED_TIMEOUT, send(&mut framed, update)).await??;
         tokio::select! {
             // The sender lives as long as the node.
@@ -241,13 +292,14 @@
         emit!(Event::PeerAnswered, version = version, replicas = replicas);
         adopt_plan(node, update.plan);
         if node.catalog().is_empty() {
-            node.list(update.replicas.into_iter().map(Listed::change).collect(), false);
+            node.list(update.replicas.into_iter().map(Listed::change).collect(), 0, false);
         }
     }
 }
 
 async fn learn_from(seed: SocketAddr) -> io::Result<Update> {
-    receive(&mut ask(seed, Question { follow: false }).await?).await
+    let question = Question { follow: false, list_version: 0 };
+    receive(&mut ask(seed, question).await?).await
 }
 
 fn adopt_plan<D: Dialect>(node: &Node<D>, document: Bytes) {
@@ -265,18 +317,20 @@
 /// `store` is asked for configurations that are too long for an update.
 ///
 /// # Errors
-/// Why the seed is no longer followed.
+/// Any [`Error`]; after [`Error::Behind`] the list has to be read again.
 pub async fn follow<D: Dialect, S: Store>(
     node: &Node<D>,
     seed: SocketAddr,
     store: &mut S,
-) -> io::Result<Infallible> {
-    let mut framed = ask(seed, Question { follow: true }).await?;
+) -> Result<Infallible, Error> {
+    let list_version = node.changelog().version();
+    let mut framed = ask(seed, Question { follow: true, list_version }).await?;
     let mut first = true;
     loop {
         let update = receive(&mut framed).await?;
         let age = update.age_ms.map(Duration::from_millis);
-        let age = age.filter(|age| *age <= MAX_AGE).ok_or(io::ErrorKind::TimedOut)?;
+        let age = age.filter(|age| *age <= MAX_AGE).context(StaleSnafu)?;
+        ensure!(!update.behind, BehindSnafu);
         if first {
             emit!(Event::SeedFollowed, seed = seed, version = update.plan_version);
         }
@@ -292,7 +346,7 @@
         let listed = update.replicas.into_iter().map(Listed::change);
         let removed = update.removed.into_iter().map(|id| Change::Removed(id.into()));
         node.catalog().store_back(Instant::now());
-        node.list(listed.chain(removed).collect(), first);
+        node.list(listed.chain(removed).collect(), update.list_version, update.whole);
         first = false;
     }
 }
--- a/crates/winch-relay/src/probe.rs
+++ b/crates/winch-relay/src/probe.rs
@@ -73,8 +73,7 @@
     let Ok(Ok((reply, _))) = asked else { return };
     let Some(id) = node.dialect.healthy(&reply) else { return };
     let replica = Replica { id, draining: false, born_ms: report.born_ms, ..former.clone() };
-    let news = node.catalog().adopt(replica, Instant::now());
-    node.report(news);
+    node.adopt_replica(replica);
 }
 
 /// Asks several replicas at once; late answers are not waited for.
--- a/crates/winch-relay/src/watch.rs
+++ b/crates/winch-relay/src/watch.rs
@@ -110,7 +110,13 @@
     loop {
         let seed = seeds.choose(&mut node.rng()).copied().filter(|_| !reads);
         if let Some(seed) = seed {
+            if node.changelog().version() == 0 {
+                read_whole(&node, &mut stores).await;
+            }
             let Err(reason) = peer::follow(&node, seed, &mut stores.0).await;
+            if matches!(reason, peer::Error::Behind) && read_whole(&node, &mut stores).await {
+                continue;
+            }
             if !node.is_informed() && started.elapsed() < SEED_START {
                 sleep(jittered(RETRY_PAUSE)).await;
                 continue;
@@ -129,6 +135,23 @@
     }
 }
 
+/// Reads all from the store, so that a seed has to tell changes only.
+///
+/// A failure is not retried here: the seed then tells everything. Whether the
+/// list was read.
+async fn read_whole<D: Dialect, S: Store>(node: &Node<D>, stores: &mut (S, S)) -> bool {
+    let started = Instant::now();
+    let (plan, listing) = tokio::join!(stores.0.plan(), stores.1.replicas());
+    Contact::new(Topic::Plan).note(&plan, started);
+    Contact::new(Topic::Replicas).note(&listing, started);
+    if let Ok(publication) = plan {
+        publish(node, publication);
+    }
+    let Ok(listing) = listing else { return false };
+    node.list(listing.changes, listing.version, true);
+    true
+}
+
 async fn follow_plan<D: Dialect, S: Store>(node: &Node<D>, store: &mut S) {
     let mut contact = Contact::new(Topic::Plan);
     let mut version = None;
@@ -176,7 +199,7 @@
     let settings = &node.settings;
     let seed = settings.seeds.contains(&settings.peers);
     let interval = settings.list_interval.min(if seed { SEED_INTERVAL } else { Duration::MAX });
-    let mut version = None;
+    let mut version = Some(node.changelog().version()).filter(|version| *version > 0);
     loop {
         let started = Instant::now();
         let read = match version {
@@ -189,7 +212,7 @@
                 node.catalog().store_back(Instant::now());
                 let whole = version.is_none();
                 version = Some(listing.version);
-                node.list(listing.changes, whole);
+                node.list(listing.changes, listing.version, whole);
                 node.confirm(Topic::Replicas, Some(started));
                 sleep(jittered(interval)).await;
             }
--- a/crates/winch-relay/tests/catalog_outage.rs
+++ b/crates/winch-relay/tests/catalog_outage.rs
@@ -37,7 +37,7 @@
     let mut catalog = Catalog::default();
     put(&mut catalog, replica("i-1", 1, 5));
     let news = catalog.apply(Change::Removed("i-1".into()), Instant::now());
-    assert!(matches!(news, Some(News::Leaving(gone)) if &*gone.id == "i-1"));
+    assert!(matches!(news, Some(News::Gone(gone)) if &*gone.id == "i-1"));
     assert!(catalog.is_empty());
 }
 
@@ -55,7 +55,7 @@
     put(&mut catalog, replica("i-1", 1, 5));
     assert_eq!(catalog.expire(start + LAPSE_CONFIRMATION / 2), []);
     let gone = catalog.expire(start + LAPSE_CONFIRMATION);
-    assert_eq!(gone, [News::Leaving(Arc::new(replica("i-2", 2, 5)))]);
+    assert_eq!(gone, [News::Gone(Arc::new(replica("i-2", 2, 5)))]);
     assert_eq!(ids(&catalog), ["i-1"]);
 }
 
