winch-relay: copy a run again when the holder of its copy is lost

Ruled out: full replicas (50,000 free tokens and more in each 1112 line). What: when the holder leaves the list, the run's replica is told to copy it elsewhere, and again before that copy expires, until the run ends.

--- a/crates/winch-event/src/lib.rs
+++ b/crates/winch-event/src/lib.rs
@@ -99,6 +99,8 @@
     EntryUnreadable = 1117, Warn, "entry of a replica unreadable";
     /// A request was refused by the configuration or the state of the daemon.
     RequestUnadmitted = 1118, Warn, "request not admitted";
+    /// A run has a new copy in place of one that was lost.
+    CopyRenewed = 1119, Info, "copy of a run renewed";
     /// The outcome of an order is not known.
     OrderUnknown = 1201, Error, "outcome of an order is not known";
     /// The outcome of an order could not be recorded yet.
--- a/crates/winch-relay/src/counter.rs
+++ b/crates/winch-relay/src/counter.rs
@@ -37,6 +37,11 @@
     counter!("winch_copies_total").increment(1);
 }
 
+/// Snapshots of runs whose copy was lost, by result.
+pub fn snapshot(result: &'static str) {
+    counter!("winch_snapshots_total", "result" => result).increment(1);
+}
+
 /// Questions for a replica's report, by result.
 pub fn probed(result: &'static str) {
     counter!("winch_probes_total", "result" => result).increment(1);
--- a/crates/winch-relay/src/dialect.rs
+++ b/crates/winch-relay/src/dialect.rs
@@ -13,8 +13,11 @@
 pub struct Copy {
     /// The replica that holds it.
     pub replica: Arc<Replica>,
-    /// Identity of the run.
-    pub run: Name,
+    /// Address under which it is known: the holder's own for a copy that grows with
+    /// the run, the source's for one that was made on demand.
+    pub known_at: SocketAddr,
+    /// Its name there.
+    pub name: Name,
 }
 
 /// What a replica is asked beyond the caller's request.
@@ -64,6 +67,12 @@
     /// Decodes a replica's report.
     fn report(&self, body: &[u8]) -> Option<Report>;
 
+    /// Encodes the order to copy `run` from the replica that runs it to `target`.
+    fn snapshot_request(&self, run: &str, source: &Replica, target: SocketAddr) -> (Method, Bytes);
+
+    /// The name of the copy that was made.
+    fn snapshot(&self, reply: &head::Reply, body: &[u8]) -> Option<Name>;
+
     /// Encodes the question for a replica's identity and health.
     fn health_request(&self, path: &str, replica: &Replica) -> (Method, Bytes);
 
--- a/crates/winch-relay/src/lib.rs
+++ b/crates/winch-relay/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod pool;
 pub mod prelude;
 pub mod probe;
+pub mod protect;
 pub mod replica;
 pub mod respond;
 pub mod settings;
--- a/crates/winch-relay/src/plan.rs
+++ b/crates/winch-relay/src/plan.rs
@@ -85,6 +85,8 @@
     pub memory_tokens: u64,
     /// Whether a run can be copied to another replica while it goes on.
     pub copies: bool,
+    /// How long a copy that was made on demand is kept, where that can be done.
+    pub snapshot_life: Option<Duration>,
 }
 
 /// A service.
--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -18,9 +18,10 @@
     node::Node,
     place,
     plain::{Ending, Flight, Job, Trace, belongs},
-    plan::Semantics,
+    plan::{Engine, Semantics},
     prelude::*,
     probe,
+    protect::{Protector, Subject},
     respond::{Progress, Responder},
     silence::Pace,
 };
@@ -80,6 +81,7 @@
     last_event: Option<u64>,
     last_at: Instant,
     copy: Option<Copy>,
+    protector: Option<Protector>,
     lost_dc: Option<Name>,
     /// Whether the caller has got an event.
     began: bool,
@@ -108,6 +110,7 @@
         last_event: job.call.last_event,
         last_at: now,
         copy: None,
+        protector: None,
         lost_dc: None,
         began: false,
         may_have_run: false,
@@ -151,6 +154,7 @@
                     code = Code::Refused;
                     // A run that never began has no copy.
                     self.copy = None;
+                    self.protector = None;
                     if target.copy_from.is_none() {
                         self.trace.tried.push(replica.id.clone());
                     }
@@ -208,10 +212,12 @@
         self.job.call.size.map_or(DEFAULT_TOKENS, |size| size.total())
     }
 
+    fn engine(&self) -> Option<Engine> {
+        self.node.plan()?.service(&self.job.service)?.engine
+    }
+
     fn copies(&self) -> bool {
-        let plan = self.node.plan();
-        let service = plan.as_ref().and_then(|plan| plan.service(&self.job.service));
-        let engine = service.and_then(|service| service.engine);
+        let engine = self.engine();
         self.job.route.semantics.may_repeat()
             && self.job.call.id.is_some()
             && engine.is_some_and(|engine| engine.copies)
@@ -226,7 +232,8 @@
     }
 
     fn copy_target(&mut self) -> Option<Target> {
-        let copy = self.copy.take()?;
+        let renewed = self.protector.take().and_then(|protector| protector.copy());
+        let copy = renewed.or(self.copy.take())?;
         let now = Instant::now();
         let catalog = self.node.catalog();
         let key = catalog.key(&copy.replica.id)?;
@@ -333,7 +340,8 @@
         let request = self.node.dialect.request(&self.job.call, &order);
         if let (Some(replica), Some(run)) = (&target.copy_to, &self.job.call.id) {
             counter::copy_ordered();
-            self.copy = Some(Copy { replica: replica.clone(), run: run.clone() });
+            let (known_at, name) = (replica.address, run.clone());
+            self.copy = Some(Copy { replica: replica.clone(), known_at, name });
         }
         let starting = Starting::new(self.node, target.key);
         let reply = match self.await_head(&request, target, connection).await {
@@ -455,6 +463,19 @@
         self.began = true;
         self.pace.event(now);
         self.last_at = now;
+        self.protect(target);
+    }
+
+    /// Has the run copied again if the holder of its copy is gone.
+    fn protect(&mut self, target: &Target) {
+        let Some(copy) = &self.copy else { return };
+        if self.protector.is_some() || self.node.catalog().key(&copy.replica.id).is_some() {
+            return;
+        }
+        let life = self.engine().and_then(|engine| engine.snapshot_life);
+        let (Some(life), Some(run)) = (life, self.job.call.id.clone()) else { return };
+        let subject = Subject { run, source: target.replica.clone(), life };
+        self.protector = Some(Protector::start(self.node, subject));
     }
 
     /// Ends when the stream is to go on elsewhere because its replica is silent.
