--- /dev/null
+++ b/crates/winch-relay/src/stream/target.rs
@@ -0,0 +1,125 @@
+//! Where a stream starts or goes on.
+
+use tokio::{io::AsyncWrite, time::sleep};
+
+use super::{Run, Target};
+use crate::{place, plan::Engine, prelude::*, probe};
+
+/// Pauses between rounds of questions while no replica answers.
+const PLACEMENT_PAUSES: [Duration; 6] = [
+    Duration::from_millis(5),
+    Duration::from_millis(20),
+    Duration::from_millis(60),
+    Duration::from_millis(150),
+    Duration::from_millis(300),
+    Duration::from_millis(500),
+];
+/// Size assumed of a generation that states none, in tokens.
+const DEFAULT_TOKENS: u64 = 1_000;
+
+impl<D: Dialect, W: AsyncWrite + Unpin> Run<'_, D, W> {
+    fn tokens(&self) -> u64 {
+        self.job.call.size.map_or(DEFAULT_TOKENS, |size| size.total())
+    }
+
+    pub(super) fn engine(&self) -> Option<Engine> {
+        self.node.plan()?.service(&self.job.service)?.engine
+    }
+
+    fn copies(&self) -> bool {
+        let engine = self.engine();
+        self.job.route.semantics.may_repeat()
+            && self.job.call.id.is_some()
+            && engine.is_some_and(|engine| engine.copies)
+    }
+
+    /// Chooses where the stream starts or goes on.
+    pub(super) async fn target(&mut self) -> Option<Target> {
+        if let Some(target) = self.copy_target() {
+            return Some(target);
+        }
+        self.fresh_target().await
+    }
+
+    fn copy_target(&mut self) -> Option<Target> {
+        let renewed = self.protector.take().and_then(|protector| protector.copy());
+        let copy = renewed.or(self.copy.take())?;
+        let now = Instant::now();
+        let catalog = self.node.catalog();
+        let key = catalog.key(&copy.replica.id)?;
+        let entry = catalog.get(key)?;
+        if entry.replica.draining || entry.is_avoided(now) {
+            return None;
+        }
+        let replica = entry.replica.clone();
+        let lost = self.lost_dc.as_deref().unwrap_or_default();
+        let avoid = [&*replica.dc, lost];
+        let rng = &mut self.node.rng();
+        let copy_to = place::blind_copy_place(&catalog, &self.job.service, &avoid, now, rng);
+        Some(Target { key, replica, copy_from: Some(copy), copy_to })
+    }
+
+    /// Asks replicas until one answers; several may be down at once.
+    async fn fresh_target(&mut self) -> Option<Target> {
+        for (round, pause) in (0..).zip(PLACEMENT_PAUSES) {
+            let target = self.place(round).await;
+            if target.is_some() {
+                return target;
+            }
+            sleep(pause).await;
+        }
+        None
+    }
+
+    async fn place(&self, round: u32) -> Option<Target> {
+        let (node, service) = (self.node, &self.job.service);
+        let dc = &node.settings.dc;
+        let candidates = {
+            let tried = &self.trace.tried;
+            let (now, rng) = (Instant::now(), &mut node.rng());
+            place::candidates(&node.catalog(), service, dc, tried, round, now, rng)
+        };
+        let single = (candidates.len() == 1).then(|| candidates[0].clone());
+        let answers = probe::ask_all(node, candidates).await;
+        let tokens = self.tokens();
+        let cost = |answer: &probe::Answer| {
+            let starting = node.catalog().get(answer.key).map_or(0, |entry| entry.starting);
+            place::stream_cost(&answer.report, starting, answer.replica.dc == *dc, tokens)
+        };
+        let best = answers
+            .iter()
+            .filter(|answer| !answer.report.leaving)
+            .min_by(|a, b| cost(a).total_cmp(&cost(b)));
+        let Some(best) = best else {
+            // A replica that does not answer in time may still serve, unless
+            // another incarnation has taken its place.
+            let (key, replica) = single?;
+            node.catalog().get(key)?;
+            return Some(Target { key, replica, copy_from: None, copy_to: None });
+        };
+        let copy_to = if self.copies() {
+            let reports = answers.iter().map(|answer| (&answer.replica, &answer.report));
+            let avoid = [&*best.replica.dc];
+            place::copy_place(reports, &avoid, tokens).or_else(|| {
+                let (now, rng) = (Instant::now(), &mut node.rng());
+                place::blind_copy_place(&node.catalog(), service, &avoid, now, rng)
+            })
+        } else {
+            None
+        };
+        let report = best.report;
+        emit!(
+            Event::ReplicaChosen,
+            request = self.job.call.label(),
+            replica = best.replica.id,
+            dc = best.replica.dc,
+            asked = answers.len(),
+            waiting = report.waiting,
+            running = report.running,
+            prefilling = report.prefilling,
+            free_tokens = report.free_tokens(),
+            copy = copy_to.as_ref().map_or("-", |copy| &*copy.id)
+        );
+        Some(Target { key: best.key, replica: best.replica.clone(), copy_from: None, copy_to })
+    }
+}
