winch-relay: spare the store in its outages and in storms of configurations

A daemon that the store turns away did not get a long configuration at all. Ruled out: starts and kills (two calls each). What: when the store gives no answer either, a stale seed is followed for 3 s and the pause grows; what is too long for an update is read from the seed if the store refuses; configurations of up to 16 KB are told, at most each 0.15 s.

--- a/crates/winch-relay/src/peer.rs
+++ b/crates/winch-relay/src/peer.rs
@@ -35,10 +35,10 @@
 /// Age of a seed's knowledge at which it is no longer followed.
 const MAX_AGE: Duration = Duration::from_millis(1_200);
 /// Pause after a change, in which further changes join the same update.
-const COALESCE: Duration = Duration::from_millis(30);
+const COALESCE: Duration = Duration::from_millis(150);
 /// Longest configuration that an update carries; followers read a longer one
 /// from the store, which has the wider links.
-const MAX_PUSHED_PLAN: usize = 8 * 1024;
+const MAX_PUSHED_PLAN: usize = 16 * 1024;
 
 /// Longest list that an update carries whole; followers read a longer one from
 /// the store.
@@ -312,7 +312,20 @@
     }
 }
 
-/// Follows a seed for as long as its knowledge is fresh.
+/// Takes over all that a seed knows, for a daemon that the store turns away.
+///
+/// # Errors
+/// What the system says when the seed does not answer.
+pub async fn read_whole<D: Dialect>(node: &Node<D>, seed: SocketAddr) -> io::Result<()> {
+    let update = learn_from(seed).await?;
+    adopt_plan(node, update.plan);
+    let listed = update.replicas.into_iter().map(Listed::change);
+    node.list(listed.collect(), update.list_version, true);
+    Ok(())
+}
+
+/// Follows a seed for as long as its knowledge is fresh, or until `tolerated` if
+/// that is later.
 ///
 /// `store` is asked for configurations that are too long for an update.
 ///
@@ -321,6 +334,7 @@
 pub async fn follow<D: Dialect, S: Store>(
     node: &Node<D>,
     seed: SocketAddr,
+    tolerated: Option<Instant>,
     store: &mut S,
 ) -> Result<Infallible, Error> {
     let list_version = node.changelog().version();
@@ -329,7 +343,9 @@
     loop {
         let update = receive(&mut framed).await?;
         let age = update.age_ms.map(Duration::from_millis);
-        let age = age.filter(|age| *age <= MAX_AGE).context(StaleSnafu)?;
+        let age = age.context(StaleSnafu)?;
+        let fresh = age <= MAX_AGE;
+        ensure!(fresh || tolerated.is_some_and(|until| Instant::now() < until), StaleSnafu);
         ensure!(!update.behind, BehindSnafu);
         if first {
             emit!(Event::SeedFollowed, seed = seed, version = update.plan_version);
@@ -340,12 +356,18 @@
         adopt_plan(node, update.plan);
         let known = node.published().map_or(0, |published| published.plan.version);
         if known < update.plan_version {
-            let read = store.plan().await.map_err(io::Error::other)?;
-            adopt_plan(node, read.document.unwrap_or_default());
+            let document = match store.plan().await {
+                Ok(read) => read.document.unwrap_or_default(),
+                // The store may turn away this daemon alone.
+                Err(_) => learn_from(seed).await?.plan,
+            };
+            adopt_plan(node, document);
         }
         let listed = update.replicas.into_iter().map(Listed::change);
         let removed = update.removed.into_iter().map(|id| Change::Removed(id.into()));
-        node.catalog().store_back(Instant::now());
+        if fresh {
+            node.catalog().store_back(Instant::now());
+        }
         node.list(listed.chain(removed).collect(), update.list_version, update.whole);
         first = false;
     }
--- a/crates/winch-relay/src/watch.rs
+++ b/crates/winch-relay/src/watch.rs
@@ -16,6 +16,8 @@
 /// Longest pause of a seed between two reads of the list of replicas; its
 /// followers take its knowledge for stale soon after.
 const SEED_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for which a stale seed is followed after the store itself gave no answer.
+const STALE_TOLERANCE: Duration = Duration::from_secs(3);
 /// Pause after the first call that failed; it doubles up to [`MAX_RETRY_PAUSE`].
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Longest pause between calls that fail.
@@ -90,11 +92,15 @@
 
     /// Pause before the next call after one that failed.
     fn pause(&self) -> Duration {
-        let doublings = self.failures.saturating_sub(1).min(4);
-        jittered((RETRY_PAUSE * 2_u32.pow(doublings)).min(MAX_RETRY_PAUSE))
+        retry_pause(self.failures)
     }
 }
 
+fn retry_pause(failures: u32) -> Duration {
+    let doublings = failures.saturating_sub(1).min(4);
+    jittered((RETRY_PAUSE * 2_u32.pow(doublings)).min(MAX_RETRY_PAUSE))
+}
+
 fn jittered(pause: Duration) -> Duration {
     pause.mul_f64(rand::rng().random_range(1.0 - JITTER..1.0 + JITTER))
 }
@@ -102,10 +108,13 @@
 /// Keeps the daemon's knowledge in step for as long as it runs.
 ///
 /// Seeds read the store; all others follow one of them, and read the store
-/// themselves for a while when it is lost or no longer up to date.
+/// themselves for a while when it is lost or no longer up to date. When the store
+/// gives no answer either, the seed is followed as it is: it notices the
+/// store's return, and fewer daemons call in vain.
 pub async fn run<D: Dialect, S: Store>(node: Arc<Node<D>>, mut stores: (S, S)) {
     let seeds = node.settings.seeds.clone();
     let started = Instant::now();
+    let (mut tolerated, mut failures) = (None, 0);
     let reads = seeds.is_empty() || seeds.contains(&node.settings.peers);
     loop {
         let seed = seeds.choose(&mut node.rng()).copied().filter(|_| !reads);
@@ -113,8 +122,11 @@
             if node.changelog().version() == 0 {
                 read_whole(&node, &mut stores).await;
             }
-            let Err(reason) = peer::follow(&node, seed, &mut stores.0).await;
-            if matches!(reason, peer::Error::Behind) && read_whole(&node, &mut stores).await {
+            let Err(reason) = peer::follow(&node, seed, tolerated, &mut stores.0).await;
+            if matches!(reason, peer::Error::Behind)
+                && (read_whole(&node, &mut stores).await
+                    || peer::read_whole(&node, seed).await.is_ok())
+            {
                 continue;
             }
             if !node.is_informed() && started.elapsed() < SEED_START {
@@ -124,13 +136,18 @@
             emit!(Event::SeedLost, seed = seed, reason = reason);
         }
         let direct = async {
-            tokio::join!(follow_plan(&node, &mut stores.0), follow_replicas(&node, &mut stores.1))
+            tokio::select! {
+                () = follow_plan(&node, &mut stores.0, reads) => {}
+                () = follow_replicas(&node, &mut stores.1, reads) => {}
+            }
         };
-        if reads {
-            direct.await;
-        } else {
-            // The time is over as planned: a seed is tried again.
-            let _ = timeout(jittered(DIRECT_TIME), direct).await;
+        // The time is over as planned: a seed is tried again.
+        let limit = if reads { Duration::MAX } else { jittered(DIRECT_TIME) };
+        let failed = timeout(limit, direct).await.is_ok();
+        tolerated = failed.then(|| Instant::now() + jittered(STALE_TOLERANCE));
+        failures = if failed { failures + 1 } else { 0 };
+        if failed {
+            sleep(retry_pause(failures)).await;
         }
     }
 }
@@ -152,7 +169,9 @@
     true
 }
 
-async fn follow_plan<D: Dialect, S: Store>(node: &Node<D>, store: &mut S) {
+/// Reads the configuration; ends when the store gives no answer, unless `persist`
+/// is set or nothing is known yet.
+async fn follow_plan<D: Dialect, S: Store>(node: &Node<D>, store: &mut S, persist: bool) {
     let mut contact = Contact::new(Topic::Plan);
     let mut version = None;
     loop {
@@ -177,6 +196,8 @@
             Err(Error::Unavailable { .. }) => {
                 if !node.is_informed() {
                     peer::learn(node).await;
+                } else if !persist {
+                    return;
                 }
                 sleep(contact.pause()).await;
             }
@@ -194,7 +215,8 @@
     }
 }
 
-async fn follow_replicas<D: Dialect, S: Store>(node: &Node<D>, store: &mut S) {
+/// Reads the list of replicas; ends as [`follow_plan`] does.
+async fn follow_replicas<D: Dialect, S: Store>(node: &Node<D>, store: &mut S, persist: bool) {
     let mut contact = Contact::new(Topic::Replicas);
     let settings = &node.settings;
     let seed = settings.seeds.contains(&settings.peers);
@@ -219,6 +241,9 @@
             Err(Error::Compacted) => version = None,
             Err(Error::Unavailable { .. }) => {
                 node.catalog().store_lost();
+                if !persist && node.is_informed() {
+                    return;
+                }
                 sleep(contact.pause()).await;
             }
         }
