winch-relay: move what all requests share into a module of its own

Cause: the stream's modules took the job, its ending and its trace from the module of plain requests. What: job holds them; no line of behaviour changed.

--- a/crates/winch-relay/src/edge.rs
+++ b/crates/winch-relay/src/edge.rs
@@ -15,8 +15,9 @@
 
 use crate::{
     counter,
+    job::{Ending, Job, Trace},
     node::Node,
-    plain::{self, Ending, Job, Trace},
+    plain,
     plan::{Limits, Route, Semantics, Team},
     prelude::*,
     respond::{Progress, Responder},
--- a/crates/winch-relay/src/lib.rs
+++ b/crates/winch-relay/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod edge;
 pub mod events;
 pub mod exposition;
+pub mod job;
 pub mod node;
 pub mod peer;
 pub mod place;
