winch-relay: take removals after the store's return as leaving at once

Its daemon alone had been cut off from the store until 24.9 s; the entry was removed at 25.4 and the removal was put off until 2.5 s after the return, although the store answered by then. What: only what the first read after an outage shows as missing may be a lapse and waits; a later removal is a leaving. Test: removal_after_return_is_leaving.

--- a/crates/winch-relay/src/catalog.rs
+++ b/crates/winch-relay/src/catalog.rs
@@ -98,6 +98,8 @@
     by_id: HashMap<Name, Key>,
     by_address: HashMap<SocketAddr, Key>,
     outage: bool,
+    /// Set until the first read after an outage is applied.
+    returning: bool,
     settled_at: Option<Instant>,
 }
 
@@ -111,33 +113,38 @@
     pub fn store_back(&mut self, now: Instant) {
         if self.outage {
             self.outage = false;
+            self.returning = true;
             self.settled_at = Some(now + LAPSE_CONFIRMATION);
         }
     }
 
-    /// Whether a missing entry means that its replica is gone.
-    ///
-    /// Entries lapse while the store is away although their replicas live; they
-    /// are back soon after its return.
+    /// Notes that a read of the list is applied.
+    pub fn read_applied(&mut self) {
+        self.returning = false;
+    }
+
+    /// Whether entries that lapsed in an outage have had time to come back.
     fn is_settled(&self, now: Instant) -> bool {
         !self.outage && self.settled_at.is_none_or(|at| now >= at)
     }
 
     /// Applies a whole listing: what it does not hold is gone.
-    pub fn replace(&mut self, changes: Vec<Change>, now: Instant) -> Vec<News> {
+    pub fn replace(&mut self, changes: Vec<Change>) -> Vec<News> {
         let listed: HashSet<Name> = changes.iter().map(|change| change.id().clone()).collect();
         let known = self.entries.values().filter(|entry| entry.unlisted_since.is_none());
         let known = known.map(|entry| entry.replica.id.clone());
         let missing: Vec<Name> = known.filter(|id| !listed.contains(id)).collect();
         let removals = missing.into_iter().map(Change::Removed);
-        changes.into_iter().chain(removals).filter_map(|change| self.apply(change, now)).collect()
+        changes.into_iter().chain(removals).filter_map(|change| self.apply(change)).collect()
     }
 
     /// Applies one change of the list.
-    pub fn apply(&mut self, change: Change, now: Instant) -> Option<News> {
+    pub fn apply(&mut self, change: Change) -> Option<News> {
         match change {
             Change::Put(replica) => self.put(replica),
-            Change::Removed(id) if self.is_settled(now) => self.remove(&id),
+            // Entries lapse while the store is away although their replicas live, and
+            // are back soon after its return. What is removed later has left.
+            Change::Removed(id) if !self.outage && !self.returning => self.remove(&id),
             Change::Removed(id) => {
                 let key = *self.by_id.get(&id)?;
                 self.entries[key].lapsed = true;
--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -131,11 +131,12 @@
         let now = Instant::now();
         let mut catalog = self.catalog();
         let mut news: Vec<News> = if whole {
-            catalog.replace(changes, now)
+            catalog.replace(changes)
         } else {
-            changes.into_iter().filter_map(|change| catalog.apply(change, now)).collect()
+            changes.into_iter().filter_map(|change| catalog.apply(change)).collect()
         };
         news.extend(catalog.expire(now));
+        catalog.read_applied();
         drop(catalog);
         self.note(news, version);
     }
--- a/crates/winch-relay/tests/catalog_outage.rs
+++ b/crates/winch-relay/tests/catalog_outage.rs
@@ -29,14 +29,14 @@
 }
 
 fn put(catalog: &mut Catalog, replica: Replica) -> Option<News> {
-    catalog.apply(Change::Put(replica), Instant::now())
+    catalog.apply(Change::Put(replica))
 }
 
 #[test]
 fn removal_is_leaving() {
     let mut catalog = Catalog::default();
     put(&mut catalog, replica("i-1", 1, 5));
-    let news = catalog.apply(Change::Removed("i-1".into()), Instant::now());
+    let news = catalog.apply(Change::Removed("i-1".into()));
     assert!(matches!(news, Some(News::Gone(gone)) if &*gone.id == "i-1"));
     assert!(catalog.is_empty());
 }
@@ -49,7 +49,7 @@
     catalog.store_lost();
     catalog.store_back(start);
     for id in ["i-1", "i-2"] {
-        assert_eq!(catalog.apply(Change::Removed(id.into()), start), None);
+        assert_eq!(catalog.apply(Change::Removed(id.into())), None);
     }
     // One is back soon; the other one is still missing after that.
     put(&mut catalog, replica("i-1", 1, 5));
@@ -59,6 +59,18 @@
     assert_eq!(ids(&catalog), ["i-1"]);
 }
 
+#[test]
+fn removal_after_return_is_leaving() {
+    let (mut catalog, now) = (Catalog::default(), Instant::now());
+    put(&mut catalog, replica("i-1", 1, 5));
+    catalog.store_lost();
+    catalog.store_back(now);
+    catalog.read_applied();
+    // The store has answered since: this entry did not lapse in the outage.
+    let news = catalog.apply(Change::Removed("i-1".into()));
+    assert!(matches!(news, Some(News::Gone(_))));
+}
+
 #[test]
 fn leaving_is_final() {
     let mut catalog = Catalog::default();
@@ -89,7 +101,7 @@
     put(&mut catalog, replica("i-1", 1, 5));
     assert!(catalog.adopt(replica("i-2", 1, 9), now).is_some());
     // A whole listing from before its restart does not remove it.
-    catalog.replace(vec![Change::Put(replica("i-1", 1, 5))], now);
+    catalog.replace(vec![Change::Put(replica("i-1", 1, 5))]);
     assert_eq!(ids(&catalog), ["i-2"]);
     catalog.expire(now + Duration::from_secs(60));
     assert!(catalog.is_empty());
@@ -100,8 +112,8 @@
     let mut catalog = Catalog::default();
     put(&mut catalog, replica("i-1", 1, 5));
     let change = Change::Unreadable { id: "i-1".into(), fault: "no state".into() };
-    assert_eq!(catalog.apply(change.clone(), Instant::now()), None);
-    assert_eq!(catalog.replace(vec![change], Instant::now()), []);
+    assert_eq!(catalog.apply(change.clone()), None);
+    assert_eq!(catalog.replace(vec![change]), []);
     assert_eq!(ids(&catalog), ["i-1"]);
 }
 
--- a/crates/winch-relay/tests/place_choice.rs
+++ b/crates/winch-relay/tests/place_choice.rs
@@ -27,7 +27,7 @@
 fn catalog(dcs: &[&str]) -> Catalog {
     let mut catalog = Catalog::default();
     for (number, dc) in (1..).zip(dcs) {
-        catalog.apply(Change::Put(replica(number, dc)), Instant::now());
+        catalog.apply(Change::Put(replica(number, dc)));
     }
     catalog
 }
