winch-move: collect the evidence of both versions in one observer

Cause: the bound of slowness stood in the daemon's own trial, where the relay of the platform cannot use it. It moves beside the collector; answers that are failures are counted one by one, only broken attempts at one replica count once.

--- a/crates/winch-move/src/evidence.rs
+++ b/crates/winch-move/src/evidence.rs
@@ -217,6 +217,11 @@
         self.side(side).failed += 1;
     }
 
+    /// Counts a failure that a live replica answered with.
+    pub fn answered_badly(&mut self, side: Side) {
+        self.side(side).failed += 1;
+    }
+
     /// Counts the death of a replica.
     pub fn died(&mut self, side: Side, now: Duration) {
         match side {
--- a/crates/wisteriawinch/src/control/moves.rs
+++ b/crates/wisteriawinch/src/control/moves.rs
@@ -109,10 +109,10 @@
             let Some(trial) = trials.get_mut(name) else {
                 return;
             };
-            trial.collector.settle(now);
+            trial.observer.collector.settle(now);
             let finding = trial.finding(self.alive.len() + 1);
             let bad = matches!(finding, Finding::Failing | Finding::Slow) && !trial.fault;
-            bad.then_some((finding, trial.collector.new))
+            bad.then_some((finding, trial.observer.collector.new))
         };
         if let Some((finding, tally)) = found {
             emit!(
@@ -135,7 +135,7 @@
             let mut trials = self.fleet.trials();
             trials.get_mut(name).and_then(|trial| {
                 let grant = trial.grant.clone()?;
-                let counts = (trial.collector.new, trial.collector.old);
+                let counts = (trial.observer.collector.new, trial.observer.collector.old);
                 Some((grant, counts))
             })
         };
@@ -229,7 +229,7 @@
             Plan { start: trial.planned.start as f64, deadline: trial.planned.deadline as f64 };
         let options = evidence::Options::default();
         trial.machine = Some(Machine::new(plan, options, record.stage, unix_now_f64()));
-        trial.collector.restart();
+        trial.observer.collector.restart();
         trial.told.clear();
         trial.record = record.clone();
         drop(trials);
--- a/crates/wisteriawinch/src/trial.rs
+++ b/crates/wisteriawinch/src/trial.rs
@@ -5,8 +5,9 @@
 use winch_config::object::Move;
 use winch_gossip::facts::Fact;
 use winch_move::{
-    evidence::{self, Collector, Finding, Quantile, Side, Tally},
+    evidence::{self, Finding, Side, Tally},
     machine::Machine,
+    observer::Observer,
     schedule,
     verdict::{Record, Verdict},
 };
@@ -44,7 +45,7 @@
     /// Why it ended.
     pub reason: String,
     /// This daemon's evidence.
-    pub collector: Collector,
+    pub observer: Observer,
     /// Evidence told by others for the present stage, by daemon; kept by the holder.
     pub told: HashMap<Name, (Tally, Tally)>,
     /// The holder's decisions, while this daemon is the holder.
@@ -53,15 +54,8 @@
     pub record: Record,
     /// Whether its lateness was told.
     pub told_late: bool,
-    first_token: Quantile,
-    gap: Quantile,
 }
 
-/// Part of the old version's attempts that is quicker than the bound of slowness.
-const SLOW_QUANTILE: f64 = 0.9;
-/// Factor on that quantile, so that a tie does not count as slow.
-const SLOW_FACTOR: f64 = 1.3;
-
 impl Trial {
     fn new(planned: Move) -> Self {
         Self {
@@ -70,13 +64,11 @@
             fault: false,
             verdict: None,
             reason: String::new(),
-            collector: Collector::default(),
+            observer: Observer::default(),
             told: HashMap::new(),
             machine: None,
             record: Record::default(),
             told_late: false,
-            first_token: Quantile::new(SLOW_QUANTILE),
-            gap: Quantile::new(SLOW_QUANTILE),
         }
     }
 
@@ -107,7 +99,7 @@
 
     /// Counts of the whole fleet for the present stage, as far as they were told.
     pub fn pooled(&self) -> (Tally, Tally) {
-        let own = (self.collector.new, self.collector.old);
+        let own = (self.observer.collector.new, self.observer.collector.old);
         self.told.values().fold(own, |(new, old), told| (new.plus(told.0), old.plus(told.1)))
     }
 
@@ -117,7 +109,7 @@
             return;
         }
         if self.grant.as_ref().is_none_or(|known| known.stage != grant.stage) {
-            self.collector.restart();
+            self.observer.collector.restart();
             self.told.clear();
         }
         self.grant = Some(grant);
@@ -127,7 +119,7 @@
     pub fn finding(&self, daemons: usize) -> Finding {
         let stage = self.grant.as_ref().map_or(0, |grant| grant.stage);
         let options = evidence::Options::default().at_stage(stage);
-        evidence::test(self.collector.new, self.collector.old, &options, daemons)
+        evidence::test(self.observer.collector.new, self.observer.collector.old, &options, daemons)
     }
 }
 
@@ -216,14 +208,7 @@
             let Some(side) = trial.side(version) else {
                 continue;
             };
-            let (first_token, gap) = (first_token.as_secs_f64(), gap.as_secs_f64());
-            let above = |bound: Option<f64>, value| bound.is_some_and(|b| value > b * SLOW_FACTOR);
-            let slow = above(trial.first_token.get(), first_token) || above(trial.gap.get(), gap);
-            if side == Side::Old {
-                trial.first_token.add(first_token);
-                trial.gap.add(gap);
-            }
-            trial.collector.good(side, slow);
+            trial.observer.good(side, first_token, Some(gap));
         }
     }
 
@@ -231,7 +216,7 @@
     pub fn failed(&mut self, version: &str, replica: &str, now: Duration) {
         for trial in self.trials.values_mut().filter(|trial| trial.is_open()) {
             if let Some(side) = trial.side(version) {
-                trial.collector.failed(side, hash::name(replica), now);
+                trial.observer.collector.failed(side, hash::name(replica), now);
             }
         }
     }
@@ -240,7 +225,7 @@
     pub fn died(&mut self, version: &str, now: Duration) {
         for trial in self.trials.values_mut().filter(|trial| trial.is_open()) {
             if let Some(side) = trial.side(version) {
-                trial.collector.died(side, now);
+                trial.observer.collector.died(side, now);
             }
         }
     }
