winch-relay: move services between versions on the platform

Cause: an operator's order to move a service was not read; all versions of a service shared its traffic, no verdict was reached and no status written. Daemons that read the store pool what all daemons count, hold a lease, raise the stage and write record and status in one transaction; followers report counts to their seed and are told the stage. A stage that is not heard of for 6 s counts as none; any reader ends a move whose version shows a fault. A run and its copies stay on one version.

--- a/crates/winch-event/src/lib.rs
+++ b/crates/winch-event/src/lib.rs
@@ -127,6 +127,10 @@
     MoveVerdict = 1503, Info, "move has its verdict";
     /// A move is likely to miss its deadline.
     MoveLate = 1504, Warn, "move is likely to be late";
+    /// An operator ordered a move of a service.
+    MoveOrdered = 1505, Info, "move ordered";
+    /// This daemon has learnt how far a move has come.
+    MoveLearnt = 1506, Info, "move has come further";
 }
 
 /// Logs an event with `key = value` pairs.
--- a/crates/winch-relay/src/counter.rs
+++ b/crates/winch-relay/src/counter.rs
@@ -2,7 +2,7 @@
 
 use metrics::{counter, gauge, histogram};
 
-use crate::prelude::*;
+use crate::{mover::State, prelude::*};
 
 /// Requests that ended, by kind and outcome.
 pub fn ended(kind: &'static str, outcome: &'static str, taken: Duration) {
@@ -63,6 +63,16 @@
     gauge!("winch_knowledge_age_seconds", "kind" => kind).set(age.as_secs_f64());
 }
 
+/// Version moves that this daemon has ended, by verdict.
+pub fn move_ended(state: State) {
+    let verdict = match state {
+        State::Running => "running",
+        State::Completed => "completed",
+        State::TakenBack => "taken_back",
+    };
+    counter!("winch_moves_total", "verdict" => verdict).increment(1);
+}
+
 /// Lines of the log that were left out.
 pub fn log_losses() {
     counter!("winch_log_omitted_total").absolute(winch_event::limit::omitted());
--- a/crates/winch-relay/src/daemon.rs
+++ b/crates/winch-relay/src/daemon.rs
@@ -10,7 +10,11 @@
     time::{sleep, timeout_at},
 };
 
-use crate::{edge, exposition, node::Node, peer, prelude::*, settings::Settings, watch};
+use winch_platform::table::Table;
+
+use crate::{
+    edge, exposition, mover, node::Node, peer, prelude::*, settings::Settings, store::Access, watch,
+};
 
 /// How long new connections are accepted after the signal to stop, so that the
 /// platform's balancer notices first.
@@ -74,16 +78,17 @@
 }
 
 /// Runs a daemon until `stop` ends and its work is done, or the grace is over.
-pub async fn run<D: Dialect, S: Store>(
+pub async fn run<D: Dialect, S: Store, T: Table>(
     node: Arc<Node<D>>,
     sockets: Sockets,
-    stores: (S, S),
+    access: Access<S, T>,
     stop: impl Future<Output = ()>,
 ) {
     let settings = &node.settings;
     emit!(Event::Started, name = settings.name, listen = settings.callers, dc = settings.dc);
     let mut children = JoinSet::new();
-    children.spawn(watch::run(node.clone(), stores));
+    children.spawn(mover::run(node.clone(), access.table.clone()));
+    children.spawn(watch::run(node.clone(), access));
     children.spawn(serve_ready(node.clone(), sockets.ready));
     children.spawn(peer::serve(node.clone(), sockets.peers));
     children.spawn(sweep(node.clone()));
--- a/crates/winch-relay/src/dialect.rs
+++ b/crates/winch-relay/src/dialect.rs
@@ -6,7 +6,7 @@
 use http::Method;
 use winch_http::head;
 
-use crate::{plan::Plan, prelude::*, replica::Report};
+use crate::{mover::State, plan::Plan, prelude::*, replica::Report};
 
 /// Where the copy of a run lies.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -50,6 +50,15 @@
     pub encoded: bool,
 }
 
+/// The row in which an operator reads how far a move has come.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Status {
+    /// Key of the row.
+    pub key: Name,
+    /// JSON text.
+    pub value: Name,
+}
+
 /// Translates messages of one platform.
 pub trait Dialect: Clone + Send + Sync + 'static {
     /// Decodes a caller's request.
@@ -85,6 +94,9 @@
     /// What is wrong with it.
     fn plan(&self, document: &[u8]) -> Result<Plan, String>;
 
+    /// Encodes the state of a move of `service` to the version `to`.
+    fn move_status(&self, service: &str, to: &str, state: State) -> Status;
+
     /// Whether `request` asks if the daemon is ready.
     fn asks_ready(&self, request: &head::Request) -> bool;
 }
--- a/crates/winch-relay/src/edge.rs
+++ b/crates/winch-relay/src/edge.rs
@@ -12,6 +12,7 @@
     head::Request,
     server::{Error, Reader},
 };
+use winch_move::evidence::Side;
 
 use crate::{
     counter,
@@ -170,12 +171,13 @@
     route: Arc<Route>,
     service: Name,
     team: Option<Arc<Team>>,
+    side: Side,
 }
 
 impl Admitted {
     fn job(self, call: Call) -> Job {
-        let Self { route, service, team } = self;
-        Job { call, route, service, team }
+        let Self { route, service, team, side } = self;
+        Job { call, route, service, team, side }
     }
 }
 
@@ -192,7 +194,8 @@
     }
     let service = route.pick(&mut node.rng()).clone();
     node.earn_retry(&service);
-    Ok(Admitted { route, service, team })
+    let side = node.draw_side(&service);
+    Ok(Admitted { route, service, team, side })
 }
 
 async fn relay<D, W>(
--- a/crates/winch-relay/src/job.rs
+++ b/crates/winch-relay/src/job.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use winch_http::head::Reply;
+use winch_move::evidence::Side;
 
 use crate::{
     catalog::Key,
@@ -21,6 +22,8 @@
     pub service: Name,
     /// The caller's team.
     pub team: Option<Arc<Team>>,
+    /// Which version it was drawn for, where its service is being moved.
+    pub side: Side,
 }
 
 impl Job {
--- a/crates/winch-relay/src/lib.rs
+++ b/crates/winch-relay/src/lib.rs
@@ -4,6 +4,7 @@
 //! request, [`catalog`] keeps what is known of replicas, [`place`] chooses one,
 //! [`events`] splits streams into whole events and [`silence`] tells a slow
 //! stream from a lost one. [`edge`], [`plain`] and [`stream`] carry them out.
+//! [`moves`] holds what is known of version moves and [`mover`] decides them.
 //! [`dialect`] and [`store`] are what an adapter to a platform implements.
 
 pub mod call;
@@ -17,6 +18,8 @@
 pub mod events;
 pub mod exposition;
 pub mod job;
+pub mod mover;
+pub mod moves;
 pub mod node;
 pub mod peer;
 pub mod place;
--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::HashMap,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
 use bytes::Bytes;
@@ -12,11 +15,13 @@
     time::timeout_at,
 };
 use tokio_util::task::TaskTracker;
+use winch_move::evidence::Side;
 use winch_route::budget::{self, Budget};
 
 use crate::{
     catalog::{Catalog, Key, News},
     changelog::Changelog,
+    moves::{Order, Progress, Rule, Trials},
     plan::Plan,
     pool::Pool,
     prelude::*,
@@ -56,6 +61,8 @@
     plan: Mutex<Option<Published>>,
     learnt: Sender<()>,
     changelog: Mutex<Changelog>,
+    trials: Mutex<Trials>,
+    reads_store: AtomicBool,
     confirmed: Mutex<[Option<Instant>; Topic::ALL.len()]>,
     started: Instant,
     budgets: Mutex<HashMap<Name, Budget>>,
@@ -79,6 +86,8 @@
             plan: Mutex::default(),
             learnt: Sender::new(()),
             changelog: Mutex::default(),
+            trials: Mutex::default(),
+            reads_store: AtomicBool::new(false),
             confirmed: Mutex::default(),
             started: Instant::now(),
             budgets: Mutex::default(),
@@ -161,6 +170,73 @@
         self.report(news);
     }
 
+    /// What is known of version moves.
+    pub fn trials(&self) -> MutexGuard<'_, Trials> {
+        lock(&self.trials)
+    }
+
+    /// Takes in an operator's order to move a service.
+    pub fn order_move(&self, order: Order) {
+        let (service, to, revision) = (order.service.clone(), order.to.clone(), order.revision);
+        if self.trials().order(order) {
+            emit!(Event::MoveOrdered, name = service, to = to, revision = revision);
+            self.learnt.send_replace(());
+        }
+    }
+
+    /// Takes in how far a move has come.
+    pub fn learn_move(&self, progress: Progress) {
+        let (service, to) = (progress.order.service.clone(), progress.order.to.clone());
+        let (stage, verdict) = (progress.stage, progress.verdict);
+        if self.trials().learn(progress) {
+            emit!(
+                Event::MoveLearnt,
+                name = service,
+                to = to,
+                stage = stage,
+                verdict = verdict.map_or("-".to_owned(), |verdict| format!("{verdict:?}"))
+            );
+            self.learnt.send_replace(());
+        }
+    }
+
+    /// Draws which side of a move a new request belongs to.
+    pub fn draw_side(&self, service: &str) -> Side {
+        let trials = self.trials();
+        if trials.get(service).is_none() {
+            return Side::Old;
+        }
+        let (number, catalog) = (self.rng().random(), self.catalog());
+        let serving = catalog.serving(service).map(|(_, entry)| &*entry.replica);
+        trials.draw(service, number, serving, Instant::now())
+    }
+
+    /// Replicas that may serve a request that was drawn for `side`.
+    pub fn rule(&self, service: &str, side: Side) -> Rule {
+        let trials = self.trials();
+        if trials.get(service).is_none() {
+            return Rule::Any;
+        }
+        let catalog = self.catalog();
+        let serving = catalog.serving(service).map(|(_, entry)| &*entry.replica);
+        trials.rule(service, side, serving, Instant::now())
+    }
+
+    /// Time since the daemon started.
+    pub fn age(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Whether the daemon reads the store itself at present.
+    pub fn reads_store(&self) -> bool {
+        self.reads_store.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether the daemon reads the store itself.
+    pub fn set_reads_store(&self, reads: bool) {
+        self.reads_store.store(reads, Ordering::Relaxed);
+    }
+
     /// Notes when the store last confirmed what is known of a topic, if that is later.
     pub fn confirm(&self, topic: Topic, at: Option<Instant>) {
         let confirmed = &mut lock(&self.confirmed)[topic as usize];
--- a/crates/winch-relay/src/peer.rs
+++ b/crates/winch-relay/src/peer.rs
@@ -3,8 +3,11 @@
 //! Most daemons follow a seed, which reads the store for them, so that calls to
 //! the store do not grow with the fleet. A daemon that starts while the store is
 //! away asks the seeds once. The wire is a [`Question`] and then one or more
-//! [`Update`]s in length-delimited frames. What they hold came from the store;
-//! nothing is agreed on here.
+//! [`Update`]s in length-delimited frames; while a service is being moved, a
+//! follower sends [`Report`]s of what it has counted. What a seed tells came from
+//! the store; nothing is agreed on here.
+
+mod message;
 
 use std::{convert::Infallible, io, net::SocketAddr};
 
@@ -15,10 +18,11 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     task::JoinSet,
-    time::{sleep, timeout},
+    time::{MissedTickBehavior, interval, sleep, sleep_until, timeout, timeout_at},
 };
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
+use self::message::{Listed, Moving, Question, Report, Update};
 use crate::{catalog::News, node::Node, prelude::*, store::Change, watch::Topic};
 
 /// Longest time for one peer's answer.
@@ -34,6 +38,8 @@
 const SEED_TIMEOUT: Duration = Duration::from_millis(800);
 /// Age of a seed's knowledge at which it is no longer followed.
 const MAX_AGE: Duration = Duration::from_millis(1_200);
+/// Interval of a follower's reports while a service is being moved.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// Pause after a change, in which further changes join the same update.
 const COALESCE: Duration = Duration::from_millis(150);
 /// Longest configuration that an update carries; followers read a longer one
@@ -61,109 +67,6 @@
     },
 }
 
-/// What a daemon asks another.
-#[derive(Clone, Copy, PartialEq, Message)]
-pub struct Question {
-    /// Whether updates shall follow until the connection ends.
-    #[prost(bool, tag = "1")]
-    pub follow: bool,
-    /// Version up to which the asking daemon knows the list of replicas.
-    #[prost(uint64, tag = "2")]
-    pub list_version: u64,
-}
-
-/// What one daemon knows, or what has changed of it.
-#[derive(Clone, PartialEq, Message)]
-pub struct Update {
-    /// Version of the configuration.
-    #[prost(uint64, tag = "1")]
-    pub plan_version: u64,
-    /// The configuration as it was published, if it is new and short.
-    #[prost(bytes = "bytes", tag = "2")]
-    pub plan: Bytes,
-    /// Replicas that are new or have changed.
-    #[prost(message, repeated, tag = "3")]
-    pub replicas: Vec<Listed>,
-    /// Identities of replicas that are gone.
-    #[prost(string, repeated, tag = "4")]
-    pub removed: Vec<String>,
-    /// Time since the store last confirmed the knowledge, in milliseconds.
-    #[prost(uint64, optional, tag = "5")]
-    pub age_ms: Option<u64>,
-    /// Version up to which the list of replicas is told.
-    #[prost(uint64, tag = "6")]
-    pub list_version: u64,
-    /// Whether all replicas are told, so that others are gone.
-    #[prost(bool, tag = "7")]
-    pub whole: bool,
-    /// Whether the follower has to read the list again before changes can be told.
-    #[prost(bool, tag = "8")]
-    pub behind: bool,
-}
-
-/// One replica of an [`Update`].
-#[derive(Clone, PartialEq, Message)]
-pub struct Listed {
-    /// See [`Replica::id`].
-    #[prost(string, tag = "1")]
-    pub id: String,
-    /// See [`Replica::service`].
-    #[prost(string, tag = "2")]
-    pub service: String,
-    /// See [`Replica::address`].
-    #[prost(string, tag = "3")]
-    pub address: String,
-    /// See [`Replica::dc`].
-    #[prost(string, tag = "4")]
-    pub dc: String,
-    /// See [`Replica::version`].
-    #[prost(string, tag = "5")]
-    pub version: String,
-    /// See [`Replica::slots`].
-    #[prost(uint32, tag = "6")]
-    pub slots: u32,
-    /// See [`Replica::draining`].
-    #[prost(bool, tag = "7")]
-    pub draining: bool,
-    /// See [`Replica::born_ms`].
-    #[prost(uint64, optional, tag = "8")]
-    pub born_ms: Option<u64>,
-}
-
-impl From<&Replica> for Listed {
-    fn from(replica: &Replica) -> Self {
-        Self {
-            id: replica.id.to_string(),
-            service: replica.service.to_string(),
-            address: replica.address.to_string(),
-            dc: replica.dc.to_string(),
-            version: replica.version.to_string(),
-            slots: replica.slots,
-            draining: replica.draining,
-            born_ms: replica.born_ms,
-        }
-    }
-}
-
-impl Listed {
-    fn change(self) -> Change {
-        let id: Name = self.id.into();
-        let Ok(address) = self.address.parse() else {
-            return Change::Unreadable { id, fault: format!("address `{}`", self.address) };
-        };
-        Change::Put(Replica {
-            id,
-            service: self.service.into(),
-            address,
-            dc: self.dc.into(),
-            version: self.version.into(),
-            slots: self.slots,
-            draining: self.draining,
-            born_ms: self.born_ms,
-        })
-    }
-}
-
 type Wire = Framed<TcpStream, LengthDelimitedCodec>;
 
 fn codec(stream: TcpStream) -> Wire {
@@ -193,6 +96,9 @@
             self.plan_version = update.plan_version;
         }
         self.list(node, max_list, &mut update);
+        let now = Instant::now();
+        let trials = node.trials();
+        update.moving = trials.iter().map(|t| Moving::encode_at(t.progress(), now)).collect();
         update
     }
 
@@ -249,22 +155,47 @@
     loop {
         let update = told.update(node, MAX_PUSHED_PLAN, MAX_PUSHED_LIST);
         timeout(SEED_TIMEOUT, send(&mut framed, update)).await??;
-        tokio::select! {
-            // The sender lives as long as the node.
-            _ = learnt.changed() => sleep(COALESCE).await,
-            () = sleep(HEARTBEAT) => {}
-            // A follower sends nothing more: its connection has ended.
-            _ = framed.next() => return Ok(()),
+        let beat = Instant::now() + HEARTBEAT;
+        loop {
+            tokio::select! {
+                // The sender lives as long as the node.
+                _ = learnt.changed() => {
+                    sleep(COALESCE).await;
+                    break;
+                }
+                () = sleep_until(beat) => break,
+                frame = framed.next() => {
+                    let Some(frame) = frame.transpose()? else { return Ok(()) };
+                    let report = Report::decode(frame).map_err(io::Error::other)?;
+                    take_report(node, report);
+                }
+            }
         }
     }
 }
 
-async fn send(framed: &mut Wire, update: Update) -> io::Result<()> {
-    framed.send(Bytes::from(update.encode_to_vec())).await
+fn take_report<D: Dialect>(node: &Node<D>, report: Report) {
+    let (name, now) = (Name::from(report.daemon), Instant::now());
+    let mut trials = node.trials();
+    for counted in report.counted {
+        trials.told(&name, counted.into(), now);
+    }
+}
+
+fn report<D: Dialect>(node: &Node<D>) -> Report {
+    let evidence = node.trials().evidence(Instant::now());
+    Report {
+        daemon: node.settings.name.to_string(),
+        counted: evidence.into_iter().map(Into::into).collect(),
+    }
+}
+
+async fn send(framed: &mut Wire, message: impl Message) -> io::Result<()> {
+    framed.send(Bytes::from(message.encode_to_vec())).await
 }
 
-async fn receive(framed: &mut Wire) -> io::Result<Update> {
-    let frame = timeout(SEED_TIMEOUT, framed.next()).await?.transpose()?;
+async fn receive(framed: &mut Wire, until: Instant) -> io::Result<Update> {
+    let frame = timeout_at(until, framed.next()).await?.transpose()?;
     let frame = frame.ok_or(io::ErrorKind::UnexpectedEof)?;
     Update::decode(frame).map_err(io::Error::other)
 }
@@ -299,7 +230,7 @@
 
 async fn learn_from(seed: SocketAddr) -> io::Result<Update> {
     let question = Question { follow: false, list_version: 0 };
-    receive(&mut ask(seed, question).await?).await
+    receive(&mut ask(seed, question).await?, Instant::now() + SEED_TIMEOUT).await
 }
 
 fn adopt_plan<D: Dialect>(node: &Node<D>, document: Bytes) {
@@ -339,9 +270,21 @@
 ) -> Result<Infallible, Error> {
     let list_version = node.changelog().version();
     let mut framed = ask(seed, Question { follow: true, list_version }).await?;
-    let mut first = true;
+    let (mut first, mut heard) = (true, Instant::now());
+    let mut reports = interval(REPORT_INTERVAL);
+    reports.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        let update = receive(&mut framed).await?;
+        let update = tokio::select! {
+            update = receive(&mut framed, heard + SEED_TIMEOUT) => update?,
+            _ = reports.tick() => {
+                if node.trials().any_open() {
+                    let sent = timeout(SEED_TIMEOUT, send(&mut framed, report(node))).await;
+                    sent.map_err(io::Error::from)??;
+                }
+                continue;
+            }
+        };
+        heard = Instant::now();
         let age = update.age_ms.map(Duration::from_millis);
         let age = age.context(StaleSnafu)?;
         let fresh = age <= MAX_AGE;
@@ -353,6 +296,9 @@
         for topic in Topic::ALL {
             node.confirm(topic, Instant::now().checked_sub(age));
         }
+        for moving in update.moving {
+            node.learn_move(moving.progress(heard));
+        }
         adopt_plan(node, update.plan);
         let known = node.published().map_or(0, |published| published.plan.version);
         if known < update.plan_version {
--- a/crates/winch-relay/src/place.rs
+++ b/crates/winch-relay/src/place.rs
@@ -25,7 +25,8 @@
 /// Weight of the share of failures in the cost of plain replicas.
 const FAILING_FACTOR: f64 = 4.0;
 
-/// Draws replicas that are asked for their load before a stream is placed.
+/// Draws replicas that are asked for their load before a stream is placed, out of
+/// those that are `fit`.
 ///
 /// Each `round` without an answer doubles the draw, so that the last live
 /// replica of many is found soon.
@@ -33,12 +34,12 @@
     catalog: &Catalog,
     service: &str,
     dc: &str,
-    tried: &[Name],
+    fit: impl Fn(&Replica) -> bool,
     round: u32,
     now: Instant,
     rng: &mut R,
 ) -> Vec<(Key, Arc<Replica>)> {
-    let fit = |(_, entry): &(Key, &Entry)| !tried.contains(&entry.replica.id);
+    let fit = |(_, entry): &(Key, &Entry)| fit(&entry.replica);
     let near = |(_, entry): &(Key, &Entry)| *entry.replica.dc == *dc;
     let pairs = |(key, entry): (Key, &Entry)| (key, entry.replica.clone());
     let usable = || catalog.usable(service, now).filter(fit);
@@ -63,38 +64,43 @@
     f64::from(reading) + f64::from(making) * RUNNING_COST + far + full
 }
 
-/// Chooses where the copy of a stream goes: outside the data centres in `avoid`,
-/// where most memory is free.
+/// Chooses where the copy of a stream at `source` goes: to a replica of the same
+/// version outside its data centre, where most memory is free.
 pub fn copy_place<'a>(
     reports: impl Iterator<Item = (&'a Arc<Replica>, &'a Report)>,
-    avoid: &[&str],
+    source: &Replica,
     tokens: u64,
 ) -> Option<Arc<Replica>> {
     reports
-        .filter(|(replica, _)| !avoid.contains(&&*replica.dc))
+        .filter(|(replica, _)| replica.dc != source.dc && replica.version == source.version)
         .filter(|(_, report)| report.free_tokens() >= tokens && !report.leaving)
         .max_by_key(|(_, report)| report.free_tokens())
         .map(|(replica, _)| replica.clone())
 }
 
-/// Draws a replica for a copy without asking: outside the data centres in `avoid`.
+/// Draws a replica for the copy of a run at `source` without asking: of the same
+/// version, outside its data centre and `avoid`.
 pub fn blind_copy_place<R: Rng>(
     catalog: &Catalog,
-    service: &str,
-    avoid: &[&str],
+    source: &Replica,
+    avoid: &str,
     now: Instant,
     rng: &mut R,
 ) -> Option<Arc<Replica>> {
-    let usable = catalog.usable(service, now).map(|(_, entry)| &entry.replica);
-    usable.filter(|replica| !avoid.contains(&&*replica.dc)).choose(rng).cloned()
+    let usable = catalog.usable(&source.service, now).map(|(_, entry)| &entry.replica);
+    let fit = |replica: &&Arc<Replica>| {
+        replica.version == source.version && replica.dc != source.dc && *replica.dc != *avoid
+    };
+    usable.filter(fit).choose(rng).cloned()
 }
 
-/// Chooses a replica of a plain service: the least expected time to an answer.
+/// Chooses a replica of a plain service out of those that are `fit`: the least
+/// expected time to an answer.
 pub fn plain<R: Rng>(
     catalog: &Catalog,
     service: &str,
     dc: &str,
-    tried: &[Name],
+    fit: impl Fn(&Replica) -> bool,
     now: Instant,
     rng: &mut R,
 ) -> Option<(Key, Arc<Replica>)> {
@@ -106,7 +112,7 @@
         let jitter = rng.random_range(0.95..1.05);
         latency * load * far * avoided * (1.0 + FAILING_FACTOR * entry.failing) * jitter
     };
-    let entries = catalog.serving(service).filter(|(_, e)| !tried.contains(&e.replica.id));
+    let entries = catalog.serving(service).filter(|(_, entry)| fit(&entry.replica));
     let costs: Vec<_> = entries.map(|(key, e)| (cost(e, rng), key, &e.replica)).collect();
     let best = costs.into_iter().min_by(|a, b| a.0.total_cmp(&b.0));
     best.map(|(_, key, replica)| (key, replica.clone()))
--- a/crates/winch-relay/src/plain.rs
+++ b/crates/winch-relay/src/plain.rs
@@ -52,8 +52,11 @@
         }
         let (service, dc) = (&job.service, &node.settings.dc);
         let place = {
+            let rule = node.rule(service, job.side);
+            let tried = &trace.tried;
+            let fit = |replica: &Replica| rule.allows(replica) && !tried.contains(&replica.id);
             let catalog = node.catalog();
-            place::plain(&catalog, service, dc, &trace.tried, now, &mut node.rng())
+            place::plain(&catalog, service, dc, fit, now, &mut node.rng())
         };
         let Some((key, replica)) = place else { break };
         if trace.sends > 0 && !node.spend_retry(&job.service) {
@@ -86,6 +89,7 @@
             }
             Attempt::Unusable(cause) | Attempt::Broken(cause) => {
                 trace.step(&replica, &cause);
+                node.trials().broke(&replica, node.age());
                 may_have_run = true;
                 counter::retried("broken");
                 if !repeatable {
@@ -94,6 +98,7 @@
             }
             Attempt::TimedOut => {
                 trace.step(&replica, "no answer in time");
+                node.trials().broke(&replica, node.age());
                 may_have_run = true;
                 counter::retried("timeout");
                 if last {
@@ -150,6 +155,11 @@
             }
             let failure = reply.status.is_server_error();
             node.catalog().answered(key, Some(taken), failure);
+            if failure {
+                node.trials().answered_badly(replica);
+            } else {
+                node.trials().good(replica, taken, None);
+            }
             if facts.encoded || !facts.signed {
                 return Attempt::Unusable(format!("unusable {}", reply.status.as_u16()));
             }
--- a/crates/winch-relay/src/protect.rs
+++ b/crates/winch-relay/src/protect.rs
@@ -89,7 +89,7 @@
 fn choose<D: Dialect>(node: &Node<D>, subject: &Subject) -> Option<Arc<Replica>> {
     let source = &subject.source;
     let (now, rng) = (Instant::now(), &mut node.rng());
-    place::blind_copy_place(&node.catalog(), &source.service, &[&source.dc], now, rng)
+    place::blind_copy_place(&node.catalog(), source, &source.dc, now, rng)
 }
 
 async fn snapshot<D: Dialect>(
--- a/crates/winch-relay/src/silence.rs
+++ b/crates/winch-relay/src/silence.rs
@@ -35,6 +35,11 @@
         self.last = now;
     }
 
+    /// Mean time between events.
+    pub fn mean_gap(&self) -> Option<Duration> {
+        self.mean_ms.map(|ms| Duration::from_secs_f64(ms / 1_000.0))
+    }
+
     /// When the replica is asked whether it lives, if no event comes.
     pub fn check_at(&self) -> Instant {
         let usual = self.mean_ms.unwrap_or_default() * CHECK_GAPS;
--- a/crates/winch-relay/src/store.rs
+++ b/crates/winch-relay/src/store.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use snafu::Snafu;
 
-use crate::prelude::*;
+use crate::{moves::Order, prelude::*};
 
 /// Why the store gave no answer.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
@@ -46,16 +46,29 @@
     pub version: u64,
 }
 
-/// Configurations as of one version of the store.
+/// What the operator has published, as of one version of the store.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Publication {
+    /// New orders to move services, or what is wrong with them.
+    pub moves: Vec<Result<Order, String>>,
     /// The newest configuration as it was published, if there is a new one.
     pub document: Option<Bytes>,
     /// Version up to which the publication is complete.
     pub version: u64,
 }
 
-/// The platform's store, as far as an entry daemon reads it.
+/// Access to the store for one daemon, over connections of their own.
+#[derive(Debug)]
+pub struct Access<S, T> {
+    /// Reads the configuration.
+    pub plan: S,
+    /// Reads the list of replicas.
+    pub list: S,
+    /// Reads and writes rows.
+    pub table: T,
+}
+
+/// The platform's store, as far as an entry daemon follows it.
 pub trait Store: Send + 'static {
     /// The configuration in force.
     fn plan(&mut self) -> impl Future<Output = Result<Publication, Error>> + Send;
--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -66,6 +66,8 @@
     may_have_run: bool,
     connect_failures: u32,
     pace: Pace,
+    /// Time from the first send to the first event.
+    first_event: Option<Duration>,
 }
 
 /// Relays a request whose answer is a stream of events.
@@ -94,6 +96,7 @@
         may_have_run: false,
         connect_failures: 0,
         pace: Pace::new(pause, now),
+        first_event: None,
     };
     run.drive().await
 }
@@ -117,6 +120,10 @@
             let attempt = timeout_at(deadline, self.attempt(&target)).await;
             match attempt.unwrap_or(Attempt::TimedOut) {
                 Attempt::Complete => {
+                    // What goes on elsewhere says little of the usual pace.
+                    if let (1, Some(first)) = (self.trace.sends, self.first_event) {
+                        self.node.trials().good(&replica, first, self.pace.mean_gap());
+                    }
                     self.trace.step(&replica, "complete");
                     return Ending::Streamed;
                 }
@@ -144,6 +151,7 @@
                     counter::retried("not_sent");
                 }
                 Attempt::Failure(reply, body) => {
+                    self.node.trials().answered_badly(&replica);
                     self.trace.step(&replica, reply.status.as_u16());
                     self.trace.tried.push(replica.id.clone());
                     counter::retried("failure");
@@ -159,6 +167,7 @@
                     }
                 }
                 Attempt::Lost(cause) => {
+                    self.node.trials().broke(&replica, self.node.age());
                     self.trace.step(&replica, &cause);
                     self.trace.tried.push(replica.id.clone());
                     self.node.avoid(target.key, &replica, &cause);
--- a/crates/winch-relay/src/stream/attempt.rs
+++ b/crates/winch-relay/src/stream/attempt.rs
@@ -160,7 +160,9 @@
         if starting.take().is_some() {
             node_answered(self.node, target.key);
             if self.trace.sends == 1 {
-                counter::first_event(now - self.job.call.received);
+                let taken = now - self.job.call.received;
+                counter::first_event(taken);
+                self.first_event = Some(taken);
             } else {
                 let (pause, copied) = (now - self.last_at, target.copy_from.is_some());
                 counter::resumed(copied, pause);
--- a/crates/winch-relay/src/stream/target.rs
+++ b/crates/winch-relay/src/stream/target.rs
@@ -44,6 +44,9 @@
     fn copy_target(&mut self) -> Option<Target> {
         let renewed = self.protector.take().and_then(|protector| protector.copy());
         let copy = renewed.or(self.copy.take())?;
+        if self.node.rule(&self.job.service, self.job.side).bans(&copy.replica.version) {
+            return None;
+        }
         let now = Instant::now();
         let catalog = self.node.catalog();
         let key = catalog.key(&copy.replica.id)?;
@@ -53,9 +56,8 @@
         }
         let replica = entry.replica.clone();
         let lost = self.lost_dc.as_deref().unwrap_or_default();
-        let avoid = [&*replica.dc, lost];
         let rng = &mut self.node.rng();
-        let copy_to = place::blind_copy_place(&catalog, &self.job.service, &avoid, now, rng);
+        let copy_to = place::blind_copy_place(&catalog, &replica, lost, now, rng);
         Some(Target { key, replica, copy_from: Some(copy), copy_to })
     }
 
@@ -75,9 +77,10 @@
         let (node, service) = (self.node, &self.job.service);
         let dc = &node.settings.dc;
         let candidates = {
-            let tried = &self.trace.tried;
+            let (rule, tried) = (node.rule(service, self.job.side), &self.trace.tried);
+            let fit = |replica: &Replica| rule.allows(replica) && !tried.contains(&replica.id);
             let (now, rng) = (Instant::now(), &mut node.rng());
-            place::candidates(&node.catalog(), service, dc, tried, round, now, rng)
+            place::candidates(&node.catalog(), service, dc, fit, round, now, rng)
         };
         let single = (candidates.len() == 1).then(|| candidates[0].clone());
         let answers = probe::ask_all(node, candidates).await;
@@ -99,10 +102,9 @@
         };
         let copy_to = if self.copies() {
             let reports = answers.iter().map(|answer| (&answer.replica, &answer.report));
-            let avoid = [&*best.replica.dc];
-            place::copy_place(reports, &avoid, tokens).or_else(|| {
+            place::copy_place(reports, &best.replica, tokens).or_else(|| {
                 let (now, rng) = (Instant::now(), &mut node.rng());
-                place::blind_copy_place(&node.catalog(), service, &avoid, now, rng)
+                place::blind_copy_place(&node.catalog(), &best.replica, "", now, rng)
             })
         } else {
             None
--- a/crates/winch-relay/src/watch.rs
+++ b/crates/winch-relay/src/watch.rs
@@ -8,7 +8,7 @@
     node::Node,
     peer,
     prelude::*,
-    store::{Error, Publication},
+    store::{Access, Error, Publication},
 };
 
 /// Longest wait of one call for a new configuration.
@@ -111,7 +111,7 @@
 /// themselves for a while when it is lost or no longer up to date. When the store
 /// gives no answer either, the seed is followed as it is: it notices the
 /// store's return, and fewer daemons call in vain.
-pub async fn run<D: Dialect, S: Store>(node: Arc<Node<D>>, mut stores: (S, S)) {
+pub async fn run<D: Dialect, S: Store, T>(node: Arc<Node<D>>, mut access: Access<S, T>) {
     let seeds = node.settings.seeds.clone();
     let started = Instant::now();
     let (mut tolerated, mut failures) = (None, 0);
@@ -120,11 +120,11 @@
         let seed = seeds.choose(&mut node.rng()).copied().filter(|_| !reads);
         if let Some(seed) = seed {
             if node.changelog().version() == 0 {
-                read_whole(&node, &mut stores).await;
+                read_whole(&node, &mut access).await;
             }
-            let Err(reason) = peer::follow(&node, seed, tolerated, &mut stores.0).await;
+            let Err(reason) = peer::follow(&node, seed, tolerated, &mut access.plan).await;
             if matches!(reason, peer::Error::Behind)
-                && (read_whole(&node, &mut stores).await
+                && (read_whole(&node, &mut access).await
                     || peer::read_whole(&node, seed).await.is_ok())
             {
                 continue;
@@ -137,13 +137,15 @@
         }
         let direct = async {
             tokio::select! {
-                () = follow_plan(&node, &mut stores.0, reads) => {}
-                () = follow_replicas(&node, &mut stores.1, reads) => {}
+                () = follow_plan(&node, &mut access.plan, reads) => {}
+                () = follow_replicas(&node, &mut access.list, reads) => {}
             }
         };
+        node.set_reads_store(true);
         // The time is over as planned: a seed is tried again.
         let limit = if reads { Duration::MAX } else { jittered(DIRECT_TIME) };
         let failed = timeout(limit, direct).await.is_ok();
+        node.set_reads_store(false);
         tolerated = failed.then(|| Instant::now() + jittered(STALE_TOLERANCE));
         failures = if failed { failures + 1 } else { 0 };
         if failed {
@@ -156,9 +158,9 @@
 ///
 /// A failure is not retried here: the seed then tells everything. Whether the
 /// list was read.
-async fn read_whole<D: Dialect, S: Store>(node: &Node<D>, stores: &mut (S, S)) -> bool {
+async fn read_whole<D: Dialect, S: Store, T>(node: &Node<D>, access: &mut Access<S, T>) -> bool {
     let started = Instant::now();
-    let (plan, listing) = tokio::join!(stores.0.plan(), stores.1.replicas());
+    let (plan, listing) = tokio::join!(access.plan.plan(), access.list.replicas());
     Contact::new(Topic::Plan).note(&plan, started);
     Contact::new(Topic::Replicas).note(&listing, started);
     if let Ok(publication) = plan {
@@ -206,6 +208,14 @@
 }
 
 fn publish<D: Dialect>(node: &Node<D>, publication: Publication) {
+    for ordered in publication.moves {
+        match ordered {
+            Ok(order) => node.order_move(order),
+            Err(fault) => {
+                emit!(Event::ConfigUnreadable, fault = fault, version = publication.version);
+            }
+        }
+    }
     let Some(document) = publication.document else { return };
     match node.dialect.plan(&document) {
         Ok(plan) => drop(node.adopt(plan, document)),
--- a/crates/winch-relay/tests/place_choice.rs
+++ b/crates/winch-relay/tests/place_choice.rs
@@ -24,6 +24,10 @@
     }
 }
 
+fn any(_: &Replica) -> bool {
+    true
+}
+
 fn catalog(dcs: &[&str]) -> Catalog {
     let mut catalog = Catalog::default();
     for (number, dc) in (1..).zip(dcs) {
@@ -59,10 +63,10 @@
     let replicas: Vec<Arc<Replica>> =
         [("a", 1), ("b", 2), ("b", 3)].map(|(dc, number)| Arc::new(replica(number, dc))).into();
     let reports = [report(0, 0, 0), report(3, 0, 30_000), report(1, 0, 9_000)];
-    let chosen = place::copy_place(replicas.iter().zip(&reports), &["a"], 9_000).unwrap();
+    let chosen = place::copy_place(replicas.iter().zip(&reports), &replica(9, "a"), 9_000).unwrap();
     assert_eq!(&*chosen.id, "i-3");
     let full = [report(0, 0, 0), report(3, 0, 87_000), report(1, 0, 87_000)];
-    assert_eq!(place::copy_place(replicas.iter().zip(&full), &["a"], 9_000), None);
+    assert_eq!(place::copy_place(replicas.iter().zip(&full), &replica(9, "a"), 9_000), None);
 }
 
 #[test]
@@ -71,11 +75,12 @@
     let catalog = catalog(&dcs);
     for seed in 0..50 {
         let mut rng = SmallRng::seed_from_u64(seed);
-        let drawn = place::candidates(&catalog, "s", "a", &[], 0, Instant::now(), &mut rng);
+        let drawn = place::candidates(&catalog, "s", "a", any, 0, Instant::now(), &mut rng);
         let near = drawn.iter().filter(|(_, replica)| &*replica.dc == "a").count();
         assert_eq!((near, drawn.len()), (2, 4));
-        let tried = [drawn[0].1.id.clone()];
-        let others = place::candidates(&catalog, "s", "a", &tried, 9, Instant::now(), &mut rng);
+        let tried = drawn[0].1.id.clone();
+        let fit = |replica: &Replica| replica.id != tried;
+        let others = place::candidates(&catalog, "s", "a", fit, 9, Instant::now(), &mut rng);
         assert_eq!(others.len(), 11, "a late round asks all that were not tried");
     }
 }
@@ -86,8 +91,8 @@
     let key = catalog.key("i-1").unwrap();
     catalog.failed(key, now);
     let mut rng = SmallRng::seed_from_u64(1);
-    assert_eq!(place::candidates(&catalog, "s", "a", &[], 0, now, &mut rng).len(), 1);
-    assert!(place::plain(&catalog, "s", "a", &[], now, &mut rng).is_some());
+    assert_eq!(place::candidates(&catalog, "s", "a", any, 0, now, &mut rng).len(), 1);
+    assert!(place::plain(&catalog, "s", "a", any, now, &mut rng).is_some());
 }
 
 #[test]
@@ -95,7 +100,7 @@
     let (mut catalog, now) = (catalog(&["a", "b"]), Instant::now());
     let mut rng = SmallRng::seed_from_u64(1);
     let mut chosen = |catalog: &Catalog| {
-        place::plain(catalog, "s", "a", &[], now, &mut rng).unwrap().1.id.to_string()
+        place::plain(catalog, "s", "a", any, now, &mut rng).unwrap().1.id.to_string()
     };
     assert_eq!(chosen(&catalog), "i-1");
     let key = catalog.key("i-1").unwrap();
