winch-relay: refuse requests that crash replicas, and tell strikes to peers

Cause: a request that crashes each replica that begins to run it was bounded by its route's attempts alone; sent again at twelve daemons it could cost twelve times as many replicas. A replica that breaks off before it has answered anything, and then gives no report (a plain service: takes no connection), strikes the request; a live one accuses nobody, so that lost answers and losses under a running stream do not count. Three strikes refuse it with the new code 612. A strike is sent to all seeds, which tell their followers. Ruled out: striking every broken run as the product's own mode does; a data centre lost under a stream three times in a row would refuse an innocent.

--- a/crates/winch-relay/src/code.rs
+++ b/crates/winch-relay/src/code.rs
@@ -56,6 +56,8 @@
     Expired = 610, "expired", SERVICE_UNAVAILABLE, false;
     /// The retry budget of the service is used up before the request ran.
     NoBudget = 611, "no_budget", SERVICE_UNAVAILABLE, false;
+    /// The request has crashed the replicas that ran it before.
+    Suspect = 612, "suspect", SERVICE_UNAVAILABLE, false;
     /// The replica broke off; the request may have run.
     Broken = 620, "broken", BAD_GATEWAY, true;
     /// The reply of the replica is not acceptable.
--- a/crates/winch-relay/src/counter.rs
+++ b/crates/winch-relay/src/counter.rs
@@ -63,6 +63,11 @@
     gauge!("winch_knowledge_age_seconds", "kind" => kind).set(age.as_secs_f64());
 }
 
+/// Deaths of replicas that this daemon blames on a request.
+pub fn struck() {
+    counter!("winch_strikes_total").increment(1);
+}
+
 /// Version moves that this daemon has ended, by verdict.
 pub fn move_ended(state: State) {
     let verdict = match state {
--- a/crates/winch-relay/src/edge.rs
+++ b/crates/winch-relay/src/edge.rs
@@ -13,6 +13,7 @@
     server::{Error, Reader},
 };
 use winch_move::evidence::Side;
+use winch_route::suspect::Standing;
 
 use crate::{
     counter,
@@ -22,7 +23,7 @@
     plan::{Limits, Route, Semantics, Team},
     prelude::*,
     respond::{Progress, Responder},
-    stream,
+    stream, strikes,
 };
 
 /// Longest time for the body of a request after its head.
@@ -192,12 +193,25 @@
     if node.is_stopping() && matches!(route.semantics, Semantics::Stream { .. }) {
         return Err(Code::Stopping);
     }
+    if is_refused(node, call, team.as_deref()) {
+        return Err(Code::Suspect);
+    }
     let service = route.pick(&mut node.rng()).clone();
     node.earn_retry(&service);
     let side = node.draw_side(&service);
     Ok(Admitted { route, service, team, side })
 }
 
+/// Whether the request has crashed several replicas.
+fn is_refused<D: Dialect>(node: &Node<D>, call: &Call, team: Option<&Team>) -> bool {
+    let strikes = node.strikes();
+    // Mostly nobody is struck; then nothing needs to be hashed.
+    !strikes.is_empty() && {
+        let request = strikes::fingerprint(call, team.map(|team| &team.name));
+        strikes.standing(request, Instant::now()) == Standing::Refused
+    }
+}
+
 async fn relay<D, W>(
     node: &Arc<Node<D>>,
     job: &Job,
@@ -234,6 +248,9 @@
         Ending::CallerGone => ("caller_gone", false),
     };
     note(job, result, trace, failed);
+    if !failed && !node.strikes().is_empty() {
+        node.strikes().completed(job.fingerprint());
+    }
     let kind = match job.route.semantics {
         Semantics::Idempotent => "lookup",
         Semantics::AtMostOnce => "order",
--- a/crates/winch-relay/src/job.rs
+++ b/crates/winch-relay/src/job.rs
@@ -3,12 +3,14 @@
 use bytes::Bytes;
 use winch_http::head::Reply;
 use winch_move::evidence::Side;
+use winch_route::suspect::Fingerprint;
 
 use crate::{
     catalog::Key,
     node::Node,
     plan::{Route, Team},
     prelude::*,
+    strikes,
 };
 
 /// A request with everything that decides its way.
@@ -33,6 +35,11 @@
         self.call.received + self.call.patience.map_or(timeout, |p| p.min(timeout))
     }
 
+    /// What the request is known by when it is blamed for a replica's death.
+    pub fn fingerprint(&self) -> Fingerprint {
+        strikes::fingerprint(&self.call, self.team.as_ref().map(|team| &team.name))
+    }
+
     /// What is left of the caller's own time.
     pub fn left(&self, now: Instant) -> Option<Duration> {
         let end = self.call.received + self.call.patience?;
--- a/crates/winch-relay/src/lib.rs
+++ b/crates/winch-relay/src/lib.rs
@@ -35,4 +35,5 @@
 pub mod silence;
 pub mod store;
 pub mod stream;
+pub mod strikes;
 pub mod watch;
--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -27,6 +27,7 @@
     prelude::*,
     settings::Settings,
     store::Change,
+    strikes::Strikes,
     watch::Topic,
 };
 
@@ -62,6 +63,7 @@
     learnt: Sender<()>,
     changelog: Mutex<Changelog>,
     trials: Mutex<Trials>,
+    strikes: Mutex<Strikes>,
     reads_store: AtomicBool,
     confirmed: Mutex<[Option<Instant>; Topic::ALL.len()]>,
     started: Instant,
@@ -77,6 +79,7 @@
 impl<D: Dialect> Node<D> {
     /// The state of a daemon that knows nothing yet.
     pub fn new(settings: Settings, dialect: D) -> Arc<Self> {
+        let started = Instant::now();
         Arc::new(Self {
             settings,
             dialect,
@@ -87,9 +90,10 @@
             learnt: Sender::new(()),
             changelog: Mutex::default(),
             trials: Mutex::default(),
+            strikes: Strikes::new(started).into(),
             reads_store: AtomicBool::new(false),
             confirmed: Mutex::default(),
-            started: Instant::now(),
+            started,
             budgets: Mutex::default(),
             stopping: Sender::new(false),
         })
@@ -200,6 +204,16 @@
         }
     }
 
+    /// Requests that are blamed for deaths of replicas.
+    pub fn strikes(&self) -> MutexGuard<'_, Strikes> {
+        lock(&self.strikes)
+    }
+
+    /// Tells followers soon of a strike that was noted.
+    pub fn note_strike(&self) {
+        self.learnt.send_replace(());
+    }
+
     /// Draws which side of a move a new request belongs to.
     pub fn draw_side(&self, service: &str) -> Side {
         let trials = self.trials();
--- a/crates/winch-relay/src/peer.rs
+++ b/crates/winch-relay/src/peer.rs
@@ -22,8 +22,8 @@
 };
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use self::message::{Listed, Moving, Question, Report, Update};
-use crate::{catalog::News, node::Node, prelude::*, store::Change, watch::Topic};
+use self::message::{Blame, Listed, Moving, Question, Report, Update};
+use crate::{catalog::News, node::Node, prelude::*, store::Change, strikes::Strike, watch::Topic};
 
 /// Longest time for one peer's answer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
@@ -81,6 +81,8 @@
     read_version: u64,
     /// Number of the last change that was told.
     change: Option<u64>,
+    /// Number of strikes that were told.
+    strikes: usize,
 }
 
 impl Told {
@@ -98,6 +100,9 @@
         self.list(node, max_list, &mut update);
         let now = Instant::now();
         let trials = node.trials();
+        let (strikes, count) = node.strikes().after(self.strikes);
+        update.strikes = strikes.into_iter().map(Into::into).collect();
+        self.strikes = count;
         update.moving = trials.iter().map(|t| Moving::encode_at(t.progress(), now)).collect();
         update
     }
@@ -147,6 +152,10 @@
     let asked = timeout(ASK_TIMEOUT, framed.next()).await?.transpose()?;
     let Some(question) = asked else { return Ok(()) };
     let question = Question::decode(question).map_err(io::Error::other)?;
+    if !question.strikes.is_empty() {
+        take_strikes(node, question.strikes);
+        return Ok(());
+    }
     let mut told = Told { read_version: question.list_version, ..Told::default() };
     if !question.follow {
         return send(&mut framed, told.update(node, usize::MAX, usize::MAX)).await;
@@ -174,6 +183,28 @@
     }
 }
 
+fn take_strikes<D: Dialect>(node: &Node<D>, strikes: Vec<Blame>) {
+    let now = Instant::now();
+    for strike in strikes {
+        node.strikes().told(strike.into(), now);
+    }
+    node.note_strike();
+}
+
+/// Tells all seeds of a strike, so that they tell their followers.
+///
+/// A seed that cannot be reached learns of the next strike.
+pub async fn tell_seeds<D: Dialect>(node: &Node<D>, strike: Strike) {
+    let seeds = node.settings.seeds.iter().filter(|seed| **seed != node.settings.peers);
+    let question = Question { strikes: vec![strike.into()], ..Question::default() };
+    let telling = seeds.map(|seed| ask(*seed, question.clone()));
+    for told in futures_util::future::join_all(telling).await {
+        if let Err(error) = told {
+            emit!(Event::SeedLost, seed = "of a strike", reason = error);
+        }
+    }
+}
+
 fn take_report<D: Dialect>(node: &Node<D>, report: Report) {
     let (name, now) = (Name::from(report.daemon), Instant::now());
     let mut trials = node.trials();
@@ -229,7 +260,7 @@
 }
 
 async fn learn_from(seed: SocketAddr) -> io::Result<Update> {
-    let question = Question { follow: false, list_version: 0 };
+    let question = Question::default();
     receive(&mut ask(seed, question).await?, Instant::now() + SEED_TIMEOUT).await
 }
 
@@ -269,7 +300,8 @@
     store: &mut S,
 ) -> Result<Infallible, Error> {
     let list_version = node.changelog().version();
-    let mut framed = ask(seed, Question { follow: true, list_version }).await?;
+    let mut framed =
+        ask(seed, Question { follow: true, list_version, strikes: Vec::new() }).await?;
     let (mut first, mut heard) = (true, Instant::now());
     let mut reports = interval(REPORT_INTERVAL);
     reports.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -296,6 +328,9 @@
         for topic in Topic::ALL {
             node.confirm(topic, Instant::now().checked_sub(age));
         }
+        if !update.strikes.is_empty() {
+            take_strikes(node, update.strikes);
+        }
         for moving in update.moving {
             node.learn_move(moving.progress(heard));
         }
--- a/crates/winch-relay/src/peer/message.rs
+++ b/crates/winch-relay/src/peer/message.rs
@@ -3,16 +3,18 @@
 use bytes::Bytes;
 use prost::Message;
 use winch_move::{evidence, verdict::Verdict};
+use winch_route::suspect::{Death, Fingerprint};
 use winch_wire::message::Tally;
 
 use crate::{
     moves::{Counts, Evidence, Order, Progress},
     prelude::*,
     store::Change,
+    strikes::Strike,
 };
 
 /// What a daemon asks another.
-#[derive(Clone, Copy, PartialEq, Message)]
+#[derive(Clone, PartialEq, Message)]
 pub(super) struct Question {
     /// Whether updates shall follow until the connection ends.
     #[prost(bool, tag = "1")]
@@ -20,6 +22,9 @@
     /// Version up to which the asking daemon knows the list of replicas.
     #[prost(uint64, tag = "2")]
     pub list_version: u64,
+    /// Strikes that the asked daemon shall learn; then nothing is answered.
+    #[prost(message, repeated, tag = "3")]
+    pub strikes: Vec<Blame>,
 }
 
 /// What one daemon knows, or what has changed of it.
@@ -52,6 +57,32 @@
     /// Version moves that the seed knows.
     #[prost(message, repeated, tag = "9")]
     pub moving: Vec<Moving>,
+    /// Strikes that are new to the follower.
+    #[prost(message, repeated, tag = "10")]
+    pub strikes: Vec<Blame>,
+}
+
+/// A [`Strike`].
+#[derive(Clone, Copy, PartialEq, Message)]
+pub(super) struct Blame {
+    /// See [`Strike::request`].
+    #[prost(fixed64, tag = "1")]
+    pub request: u64,
+    /// See [`Strike::death`].
+    #[prost(fixed64, tag = "2")]
+    pub death: u64,
+}
+
+impl From<Strike> for Blame {
+    fn from(strike: Strike) -> Self {
+        Self { request: strike.request.0, death: strike.death.0 }
+    }
+}
+
+impl From<Blame> for Strike {
+    fn from(blame: Blame) -> Self {
+        Self { request: Fingerprint(blame.request), death: Death(blame.death) }
+    }
 }
 
 /// One replica of an [`Update`].
--- a/crates/winch-relay/src/plain.rs
+++ b/crates/winch-relay/src/plain.rs
@@ -7,6 +7,7 @@
     client::{Connection, Error},
     head::Reply,
 };
+use winch_route::suspect::Standing;
 
 use crate::{
     catalog::Key,
@@ -16,6 +17,7 @@
     node::Node,
     place,
     prelude::*,
+    strikes,
 };
 
 /// Longest answer of a plain service, in bytes.
@@ -37,7 +39,7 @@
 }
 
 /// Relays a request whose answer is sent as a whole.
-pub async fn relay<D: Dialect>(node: &Node<D>, job: &Job, trace: &mut Trace) -> Ending {
+pub async fn relay<D: Dialect>(node: &Arc<Node<D>>, job: &Job, trace: &mut Trace) -> Ending {
     let deadline = job.deadline();
     let repeatable = job.route.semantics.may_repeat();
     let (mut may_have_run, mut timed_out) = (false, false);
@@ -93,6 +95,10 @@
                 may_have_run = true;
                 counter::retried("broken");
                 if !repeatable {
+                    strikes::accuse_later(node, job, &replica);
+                    return Ending::Own(Code::Broken);
+                }
+                if strikes::accuse(node, job, &replica).await == Standing::Refused {
                     return Ending::Own(Code::Broken);
                 }
             }
--- a/crates/winch-relay/src/probe.rs
+++ b/crates/winch-relay/src/probe.rs
@@ -6,9 +6,12 @@
     sync::mpsc,
     time::{timeout, timeout_at},
 };
-use winch_http::{client::Error, head::Reply};
+use winch_http::{
+    client::{Connection, Error},
+    head::Reply,
+};
 
-use crate::{catalog::Key, counter, prelude::*, replica::Report};
+use crate::{catalog::Key, counter, pool::CONNECT_TIMEOUT, prelude::*, replica::Report};
 
 /// Longest wait for a report.
 pub const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
@@ -43,6 +46,19 @@
     }
 }
 
+/// Whether the incarnation of `replica` that is known still serves.
+///
+/// An engine is asked for its report; a plain service has none, and lives if it
+/// takes a new connection.
+pub async fn lives<D: Dialect>(node: &Node<D>, replica: &Replica) -> bool {
+    let plan = node.plan();
+    let service = plan.as_ref().and_then(|plan| plan.service(&replica.service));
+    if service.is_some_and(|service| service.engine.is_some()) {
+        return ask(node, replica).await.is_some();
+    }
+    Connection::open(replica.address, CONNECT_TIMEOUT).await.is_ok()
+}
+
 async fn exchange<D: Dialect>(
     node: &Node<D>,
     replica: &Replica,
--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -7,6 +7,7 @@
 
 use tokio::{io::AsyncWrite, time::timeout_at};
 use winch_http::head::Reply;
+use winch_route::suspect::Standing;
 
 use crate::{
     catalog::Key,
@@ -19,6 +20,7 @@
     protect::Protector,
     respond::{Progress, Responder},
     silence::Pace,
+    strikes,
 };
 
 /// Connections that may fail before a stream is given up.
@@ -63,6 +65,8 @@
     lost_dc: Option<Name>,
     /// Whether the caller has got an event.
     began: bool,
+    /// Whether the present attempt has made an event.
+    answered: bool,
     may_have_run: bool,
     connect_failures: u32,
     pace: Pace,
@@ -93,6 +97,7 @@
         protector: None,
         lost_dc: None,
         began: false,
+        answered: false,
         may_have_run: false,
         connect_failures: 0,
         pace: Pace::new(pause, now),
@@ -175,6 +180,10 @@
                     self.may_have_run = true;
                     counter::retried("lost");
                     if !self.job.route.semantics.may_repeat() {
+                        strikes::accuse_later(self.node, self.job, &replica);
+                        return self.give_up(Code::Broken);
+                    }
+                    if self.is_refused(&replica).await {
                         return self.give_up(Code::Broken);
                     }
                 }
@@ -183,6 +192,14 @@
         self.give_up(code)
     }
 
+    /// Whether the request is blamed for too many deaths, that of `replica` among them.
+    async fn is_refused(&self, replica: &Replica) -> bool {
+        if self.answered {
+            return false;
+        }
+        strikes::accuse(self.node, self.job, replica).await == Standing::Refused
+    }
+
     fn give_up(&self, code: Code) -> Ending {
         if self.out.progress() == Progress::Streaming {
             return Ending::Cut(code);
--- a/crates/winch-relay/src/stream/attempt.rs
+++ b/crates/winch-relay/src/stream/attempt.rs
@@ -35,6 +35,7 @@
             Err(error) => return Attempt::NotSent(error.to_string()),
         };
         self.trace.sends += 1;
+        self.answered = false;
         let node = self.node;
         let _flight = Flight::new(node, target.key);
         let ended = self.exchange(target, &mut connection).await;
@@ -179,6 +180,7 @@
             }
         }
         self.began = true;
+        self.answered = true;
         self.pace.event(now);
         self.last_at = now;
         self.protect(target);
