--- a/crates/winch-event/src/lib.rs
+++ b/crates/winch-event/src/lib.rs
@@ -69,6 +69,8 @@
     SeedLost = 1015, Warn, "seed lost";
     /// The grace of a planned stop is over; what still runs is cut.
     GraceOver = 1016, Warn, "grace of the stop is over, running work is cut";
+    /// The settings have changed and have faults; those in force stay.
+    SettingsFaulty = 1017, Warn, "changed settings have faults";
     /// An attempt on an engine broke.
     AttemptLost = 1101, Warn, "attempt lost";
     /// A second attempt runs beside a suspected one.
--- a/crates/winch-relay/src/daemon.rs
+++ b/crates/winch-relay/src/daemon.rs
@@ -101,7 +101,7 @@
         () = stop => {}
         () = accepting => {}
     }
-    let end = Instant::now() + settings.stop_grace.saturating_sub(STOP_MARGIN);
+    let end = Instant::now() + node.tuning().stop_grace.saturating_sub(STOP_MARGIN);
     node.stop();
     emit!(Event::Stopping, open = callers.len());
     let accepting = accept(&node, &sockets.callers, &mut callers);
--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -25,7 +25,7 @@
     plan::Plan,
     pool::Pool,
     prelude::*,
-    settings::Settings,
+    settings::{Settings, Tuning},
     store::Change,
     strikes::Strikes,
     watch::Topic,
@@ -52,6 +52,7 @@
 pub struct Node<D> {
     /// What it was told at its start.
     pub settings: Settings,
+    tuning: Sender<Arc<Tuning>>,
     /// Translation of the platform's messages.
     pub dialect: D,
     /// Idle connections to replicas.
@@ -81,6 +82,7 @@
     pub fn new(settings: Settings, dialect: D) -> Arc<Self> {
         let started = Instant::now();
         Arc::new(Self {
+            tuning: Sender::new(Arc::new(settings.tuning.clone())),
             settings,
             dialect,
             pool: Pool::default(),
@@ -99,6 +101,23 @@
         })
     }
 
+    /// Settings that may change, as they are now.
+    pub fn tuning(&self) -> Arc<Tuning> {
+        self.tuning.borrow().clone()
+    }
+
+    /// Tells of changed settings.
+    pub fn tunings(&self) -> Receiver<Arc<Tuning>> {
+        self.tuning.subscribe()
+    }
+
+    /// Puts changed settings in force.
+    pub fn retune(&self, tuning: Tuning) {
+        // Each budget keeps its ratio; new ones are made with the new one.
+        lock(&self.budgets).clear();
+        self.tuning.send_replace(tuning.into());
+    }
+
     /// What is known of the replicas.
     pub fn catalog(&self) -> MutexGuard<'_, Catalog> {
         lock(&self.catalog)
@@ -322,7 +341,7 @@
     }
 
     fn with_budget<T>(&self, service: &Name, act: impl FnOnce(&mut Budget) -> T) -> T {
-        let ratio = self.settings.retry_ratio;
+        let ratio = self.tuning().retry_ratio;
         let mut budgets = lock(&self.budgets);
         let new = || Budget::new(budget::Options { ratio, burst: RETRY_BURST });
         act(budgets.entry(service.clone()).or_insert_with(new))
--- a/crates/winch-relay/src/peer.rs
+++ b/crates/winch-relay/src/peer.rs
@@ -195,7 +195,8 @@
 ///
 /// A seed that cannot be reached learns of the next strike.
 pub async fn tell_seeds<D: Dialect>(node: &Node<D>, strike: Strike) {
-    let seeds = node.settings.seeds.iter().filter(|seed| **seed != node.settings.peers);
+    let tuning = node.tuning();
+    let seeds = tuning.seeds.iter().filter(|seed| **seed != node.settings.peers);
     let question = Question { strikes: vec![strike.into()], ..Question::default() };
     let telling = seeds.map(|seed| ask(*seed, question.clone()));
     for told in futures_util::future::join_all(telling).await {
@@ -244,8 +245,8 @@
 /// The newest configuration wins; a list of replicas is only taken while none is
 /// known, and stays open to correction until the store answers.
 pub async fn learn<D: Dialect>(node: &Node<D>) {
-    let settings = &node.settings;
-    let seeds = settings.seeds.iter().filter(|seed| **seed != settings.peers);
+    let tuning = node.tuning();
+    let seeds = tuning.seeds.iter().filter(|seed| **seed != node.settings.peers);
     let mut asking: FuturesUnordered<_> = seeds.map(|seed| learn_from(*seed)).collect();
     while let Some(asked) = asking.next().await {
         // A seed that does not answer is one of several.
--- a/crates/winch-relay/src/settings.rs
+++ b/crates/winch-relay/src/settings.rs
@@ -1,4 +1,4 @@
-//! What an entry daemon has to be told at its start.
+//! What an entry daemon has to be told.
 
 use std::net::SocketAddr;
 
@@ -17,10 +17,17 @@
     pub ready: SocketAddr,
     /// Where other daemons ask what this one knows.
     pub peers: SocketAddr,
-    /// Daemons that are asked for their knowledge when the store is away at the start.
-    pub seeds: Vec<SocketAddr>,
     /// Where counters and histograms are served, if anywhere.
     pub metrics: Option<SocketAddr>,
+    /// What may change while the daemon runs.
+    pub tuning: Tuning,
+}
+
+/// Settings that may change while the daemon runs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tuning {
+    /// Daemons that read the store for the others.
+    pub seeds: Vec<SocketAddr>,
     /// Time from the signal to stop until the process is killed.
     pub stop_grace: Duration,
     /// Retries that a service takes per request of callers.
--- a/crates/winch-relay/src/watch.rs
+++ b/crates/winch-relay/src/watch.rs
@@ -112,17 +112,22 @@
 /// gives no answer either, the seed is followed as it is: it notices the
 /// store's return, and fewer daemons call in vain.
 pub async fn run<D: Dialect, S: Store, T>(node: Arc<Node<D>>, mut access: Access<S, T>) {
-    let seeds = node.settings.seeds.clone();
+    let mut tunings = node.tunings();
     let started = Instant::now();
     let (mut tolerated, mut failures) = (None, 0);
-    let reads = seeds.is_empty() || seeds.contains(&node.settings.peers);
     loop {
+        let seeds = tunings.borrow_and_update().seeds.clone();
+        let reads = seeds.is_empty() || seeds.contains(&node.settings.peers);
         let seed = seeds.choose(&mut node.rng()).copied().filter(|_| !reads);
         if let Some(seed) = seed {
             if node.changelog().version() == 0 {
                 read_whole(&node, &mut access).await;
             }
-            let Err(reason) = peer::follow(&node, seed, tolerated, &mut access.plan).await;
+            let reason = tokio::select! {
+                Err(reason) = peer::follow(&node, seed, tolerated, &mut access.plan) => reason,
+                // The sender lives as long as the node.
+                _ = tunings.changed() => continue,
+            };
             if matches!(reason, peer::Error::Behind)
                 && (read_whole(&node, &mut access).await
                     || peer::read_whole(&node, seed).await.is_ok())
@@ -144,7 +149,10 @@
         node.set_reads_store(true);
         // The time is over as planned: a seed is tried again.
         let limit = if reads { Duration::MAX } else { jittered(DIRECT_TIME) };
-        let failed = timeout(limit, direct).await.is_ok();
+        let failed = tokio::select! {
+            ended = timeout(limit, direct) => ended.is_ok(),
+            _ = tunings.changed() => false,
+        };
         node.set_reads_store(false);
         tolerated = failed.then(|| Instant::now() + jittered(STALE_TOLERANCE));
         failures = if failed { failures + 1 } else { 0 };
@@ -228,9 +236,9 @@
 /// Reads the list of replicas; ends as [`follow_plan`] does.
 async fn follow_replicas<D: Dialect, S: Store>(node: &Node<D>, store: &mut S, persist: bool) {
     let mut contact = Contact::new(Topic::Replicas);
-    let settings = &node.settings;
-    let seed = settings.seeds.contains(&settings.peers);
-    let interval = settings.list_interval.min(if seed { SEED_INTERVAL } else { Duration::MAX });
+    let tuning = node.tuning();
+    let seed = tuning.seeds.contains(&node.settings.peers);
+    let interval = tuning.list_interval.min(if seed { SEED_INTERVAL } else { Duration::MAX });
     let mut version = Some(node.changelog().version()).filter(|version| *version > 0);
     loop {
         let started = Instant::now();
