--- a/crates/wisteriawinch/src/command/entry.rs
+++ b/crates/wisteriawinch/src/command/entry.rs
@@ -1,6 +1,7 @@
 //! `entry`: runs an entry daemon on the users' platform.
 
 use gumdrop::Options;
+use winch_event::log::LevelFilter;
 
 use super::Exit;
 
@@ -13,11 +14,18 @@
     /// Port on which counters are served.
     #[options(no_short, help = "port on which counters are served", meta = "PORT")]
     pub metrics_port: Option<u16>,
+    /// Least severity of what is logged.
+    #[options(no_short, help = "off, error, warn or info (default: info)", meta = "LEVEL")]
+    pub log_level: Option<LevelFilter>,
 }
 
 /// Runs the daemon until it is told to stop.
 pub async fn run(options: &Entry) -> Exit {
-    match winch_adapter::run(options.metrics_port).await {
+    let options = winch_adapter::Options {
+        metrics_port: options.metrics_port,
+        log_level: options.log_level,
+    };
+    match winch_adapter::run(options).await {
         Ok(()) => Exit::Success,
         Err(faults) => {
             faults.iter().for_each(|fault| eprintln!("wisteriawinch: {fault}"));
