--- a/crates/winch-relay/tests/move_rules.rs
+++ b/crates/winch-relay/tests/move_rules.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 use tokio::time::Instant;
 use winch_move::{
     evidence::{Side, Tally},
@@ -138,6 +138,8 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(11), ..ProptestConfig::default() })]
+
     /// Whatever is heard in whatever order, nothing goes to a version after its fault.
     #[test]
     fn no_use_after_fault(
