winch-relay: free copies on demand when their run has ended

Cause: a run whose copy dies with its holder is copied again on demand; that copy held a slot and the run's memory for four seconds after the run had ended. The protector frees its last copy when it is dropped, unless the run goes on from it. Ruled out: copies that grow with their run, which the replica frees itself. Test, red before: stream_resume unused_copy_freed.

--- a/crates/winch-relay/src/dialect.rs
+++ b/crates/winch-relay/src/dialect.rs
@@ -79,6 +79,9 @@
     /// Encodes the order to copy `run` from the replica that runs it to `target`.
     fn snapshot_request(&self, run: &str, source: &Replica, target: SocketAddr) -> (Method, Bytes);
 
+    /// Encodes the order to free the copy `name` that was made at `source`.
+    fn release_request(&self, name: &str, source: &Replica) -> (Method, Bytes);
+
     /// The name of the copy that was made.
     fn snapshot(&self, reply: &head::Reply, body: &[u8]) -> Option<Name>;
 
--- a/crates/winch-relay/src/protect.rs
+++ b/crates/winch-relay/src/protect.rs
@@ -36,33 +36,57 @@
     pub life: Duration,
 }
 
-/// Makes snapshots of one run until it is dropped.
+/// Makes snapshots of one run until it is dropped; the last one is then freed.
 #[derive(Debug)]
-pub struct Protector {
+pub struct Protector<D: Dialect> {
+    node: Arc<Node<D>>,
+    source: Arc<Replica>,
     copy: Arc<Mutex<Option<Copy>>>,
     task: AbortHandle,
 }
 
-impl Protector {
+impl<D: Dialect> Protector<D> {
     /// Starts to make snapshots.
-    pub fn start<D: Dialect>(node: &Arc<Node<D>>, subject: Subject) -> Self {
+    pub fn start(node: &Arc<Node<D>>, subject: Subject) -> Self {
         let copy = Arc::new(Mutex::new(None));
+        let source = subject.source.clone();
         let task = node.tasks.spawn(protect(node.clone(), subject, copy.clone()));
-        Self { copy, task: task.abort_handle() }
+        Self { node: node.clone(), source, copy, task: task.abort_handle() }
     }
 
-    /// The newest snapshot.
-    pub fn copy(&self) -> Option<Copy> {
-        self.copy.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    /// Ends the protection and hands out the newest snapshot, for the run to go on from it.
+    pub fn into_copy(self) -> Option<Copy> {
+        self.take()
+    }
+
+    fn take(&self) -> Option<Copy> {
+        self.copy.lock().unwrap_or_else(PoisonError::into_inner).take()
     }
 }
 
-impl Drop for Protector {
+impl<D: Dialect> Drop for Protector<D> {
     fn drop(&mut self) {
         self.task.abort();
+        let Some(copy) = self.take() else { return };
+        let (node, source) = (self.node.clone(), self.source.clone());
+        let release = async move { release(&node, &source, &copy.name).await };
+        self.node.tasks.spawn(timeout(SNAPSHOT_TIMEOUT, release));
     }
 }
 
+/// Frees a snapshot at its source and its holder; otherwise it expires by itself.
+async fn release<D: Dialect>(node: &Node<D>, source: &Replica, name: &str) {
+    let (method, request) = node.dialect.release_request(name, source);
+    let freed = async {
+        let mut connection = node.pool.open(source.address).await?;
+        connection.exchange(&method, &request, |_| true).await?;
+        connection.body(MAX_ANSWER).await?;
+        node.pool.put(source.address, connection);
+        Ok::<(), Error>(())
+    };
+    counter::snapshot(if freed.await.is_ok() { "freed" } else { "left" });
+}
+
 async fn protect<D: Dialect>(node: Arc<Node<D>>, subject: Subject, copy: Arc<Mutex<Option<Copy>>>) {
     let mut failures = 0;
     let mut holder = None;
--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -61,7 +61,7 @@
     last_event: Option<u64>,
     last_at: Instant,
     copy: Option<Copy>,
-    protector: Option<Protector>,
+    protector: Option<Protector<D>>,
     lost_dc: Option<Name>,
     /// Whether the caller has got an event.
     began: bool,
--- a/crates/winch-relay/src/stream/target.rs
+++ b/crates/winch-relay/src/stream/target.rs
@@ -3,7 +3,7 @@
 use tokio::{io::AsyncWrite, time::sleep};
 
 use super::{Run, Target};
-use crate::{place, plan::Engine, prelude::*, probe};
+use crate::{place, plan::Engine, prelude::*, probe, protect::Protector};
 
 /// Pauses between rounds of questions while no replica answers.
 const PLACEMENT_PAUSES: [Duration; 6] = [
@@ -42,7 +42,7 @@
     }
 
     fn copy_target(&mut self) -> Option<Target> {
-        let renewed = self.protector.take().and_then(|protector| protector.copy());
+        let renewed = self.protector.take().and_then(Protector::into_copy);
         let copy = renewed.or(self.copy.take())?;
         if self.node.rule(&self.job.service, self.job.side).bans(&copy.replica.version) {
             return None;
