winch-relay: read the record of a move however many daemons have counted

Cause, found in reading: the counts of daemons sorted before the record of a move, and a read is bounded to 500 rows; with more daemons that read the store the record would not have been seen, and its move never raised (the conditional write would have failed, so nothing worse). The counts sort after record and lease now, and are removed with the verdict, since replaced daemons would leave theirs for good.

--- a/crates/winch-relay/src/mover.rs
+++ b/crates/winch-relay/src/mover.rs
@@ -34,6 +34,10 @@
 const CONTEND_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Time after which counts that another daemon has not written again are ignored.
 const COUNTS_LIFE: Duration = Duration::from_secs(4);
+/// What is read, in events.
+const TOPIC: &str = "moves";
+/// Most rows that are removed with the verdict.
+const MAX_REMOVED: usize = 80;
 /// Most rows of one move.
 const MAX_ROWS: usize = 500;
 
@@ -127,7 +131,7 @@
 /// Looks after moves for as long as the daemon runs.
 pub async fn run<D: Dialect, T: Table>(node: Arc<Node<D>>, table: T) {
     let mut learnt = node.learnt();
-    let mut mover = Mover { node: node.clone(), table, cares: HashMap::new(), failing: false };
+    let mut mover = Mover { node: node.clone(), table, cares: HashMap::new(), lost_at: None };
     loop {
         if node.trials().any_open() {
             mover.tick().await;
@@ -144,7 +148,8 @@
     node: Arc<Node<D>>,
     table: T,
     cares: HashMap<Name, Care>,
-    failing: bool,
+    /// When the store was lost, while it is.
+    lost_at: Option<Instant>,
 }
 
 impl<D: Dialect, T: Table> Mover<D, T> {
@@ -158,11 +163,18 @@
             open.map(|trial| trial.progress().order.clone()).collect()
         };
         for order in orders {
-            let looked = self.look_after(order).await;
-            if let (Err(error), false) = (&looked, self.failing) {
-                emit!(Event::StoreLost, topic = "moves", reason = error, age_ms = 0);
+            match (self.look_after(order).await, self.lost_at) {
+                (Err(error), None) => {
+                    emit!(Event::StoreLost, topic = TOPIC, reason = error, age_ms = 0);
+                    self.lost_at = Some(Instant::now());
+                }
+                (Ok(()), Some(at)) => {
+                    let away = at.elapsed().as_millis();
+                    emit!(Event::StoreBack, topic = TOPIC, away_ms = away);
+                    self.lost_at = None;
+                }
+                (Err(_), Some(_)) | (Ok(()), None) => {}
             }
-            self.failing = looked.is_err();
         }
     }
 
@@ -185,7 +197,6 @@
             // A newer order is on its way to this daemon.
             return Ok(());
         }
-        let version = row.map(|row| row.version);
         let entry = Some(entry).filter(|entry| entry.revision == order.revision);
         let entry = entry.unwrap_or_default();
         self.care(&order).learn_age(entry.age_s);
@@ -209,7 +220,7 @@
         };
         let fence = held.unwrap_or(entry.record.fence);
         let next = Record { stage, fence, verdict, reason: reason.to_owned() };
-        self.write_record(&order, &entry.record, next, version).await
+        self.write_record(&order, &entry.record, next, &rows).await
     }
 
     fn learn(&self, order: &Order, record: &Record) {
@@ -224,7 +235,7 @@
 
     /// Counts of other daemons that are still written.
     fn others(&mut self, order: &Order, record: &Record, rows: &[Row]) -> Counts {
-        let own = counts_key(&order.service, &self.node.settings.name);
+        let own = tally_key(&order.service, &self.node.settings.name);
         let (now, care) = (Instant::now(), self.care(order));
         let mut sum = Counts::default();
         for row in rows.iter().filter(|row| *row.key != *own) {
@@ -243,7 +254,7 @@
     }
 
     async fn write_counts(&mut self, order: &Order) -> Result<(), Error> {
-        let key = counts_key(&order.service, &self.node.settings.name);
+        let key = tally_key(&order.service, &self.node.settings.name);
         let pooled = {
             let trials = self.node.trials();
             let Some(trial) = trials.get(&order.service) else { return Ok(()) };
@@ -331,7 +342,7 @@
         order: &Order,
         present: &Record,
         next: Record,
-        version: Option<u64>,
+        rows: &[Row],
     ) -> Result<(), Error> {
         let Some(next) = present.follow(&next) else { return Ok(()) };
         let entry =
@@ -339,8 +350,15 @@
         let state = next.verdict.map_or(State::Running, State::from);
         let status = self.node.dialect.move_status(&order.service, &order.to, state);
         let key = record_key(&order.service);
+        let version = rows.iter().find(|row| *row.key == *key).map(|row| row.version);
         let txn = Transaction::default().expect(&*key, version).put(&*key, encode(&entry));
-        let txn = txn.put(status.key, status.value);
+        let mut txn = txn.put(status.key, status.value);
+        if next.verdict.is_some() {
+            // The counts have served; daemons that are replaced leave theirs behind.
+            let tallies = tally_prefix(&order.service);
+            let counted = rows.iter().filter(|row| row.key.starts_with(&tallies));
+            txn = counted.take(MAX_REMOVED).fold(txn, |txn, row| txn.delete(row.key.clone()));
+        }
         // After a lost answer or a conflict the next look finds what was written.
         if self.table.commit(txn).await? != Commit::Committed {
             return Ok(());
@@ -362,8 +380,14 @@
     }
 }
 
-fn counts_key(service: &str, daemon: &str) -> String {
-    format!("{}counts/{daemon}", prefix(service))
+/// Before the name of the daemon in the key of its counts. The lease and the record
+/// sort before it, so that they are read however many daemons have written.
+fn tally_prefix(service: &str) -> String {
+    format!("{}tally/", prefix(service))
+}
+
+fn tally_key(service: &str, daemon: &str) -> String {
+    format!("{}{daemon}", tally_prefix(service))
 }
 
 fn decode<V: for<'a> Deserialize<'a>>(row: &Row) -> Option<V> {
