--- a/crates/winch-relay/src/peer.rs
+++ b/crates/winch-relay/src/peer.rs
@@ -2,9 +2,9 @@
 //!
 //! Most daemons follow a seed, which reads the store for them, so that calls to
 //! the store do not grow with the fleet. A daemon that starts while the store is
-//! away asks the seeds once. The wire is a [`Question`] and then one or more
-//! [`Update`]s in length-delimited frames; while a service is being moved, a
-//! follower sends [`Report`]s of what it has counted. What a seed tells came from
+//! away asks the seeds once. The wire is a question and then one or more
+//! updates in length-delimited frames; while a service is being moved, a
+//! follower sends reports of what it has counted. What a seed tells came from
 //! the store; nothing is agreed on here.
 
 mod message;
