--- /dev/null
+++ b/crates/winch-roster/tests/frame_faults.rs
@@ -0,0 +1,34 @@
+//! A frame that cannot be used has a numbered fault.
+
+use assert_matches::assert_matches;
+use winch_roster::frame::{Delta, Entry, Error, FORMAT};
+
+fn delta(entry: Entry) -> Delta {
+    Delta { format: FORMAT, names: vec!["s".to_owned()], put: vec![entry], ..Delta::default() }
+}
+
+fn entry() -> Entry {
+    Entry { id: "i-1".to_owned(), ip: vec![10, 0, 0, 1].into(), port: 80, ..Entry::default() }
+}
+
+#[test]
+fn unknown_format() {
+    let decoded = Delta { format: FORMAT + 1, ..Delta::default() }.decode_delta();
+    assert_matches!(decoded, Err(Error::Format { found }) if found == FORMAT + 1);
+}
+
+#[test]
+fn unlisted_name() {
+    let decoded = delta(Entry { dc: 1, ..entry() }).decode_delta();
+    assert_matches!(&decoded, Err(Error::Name { index: 1, .. }));
+    assert!(decoded.unwrap_err().to_string().starts_with("702: "));
+}
+
+#[test]
+fn invalid_address() {
+    for entry in [Entry { ip: vec![10, 0, 1].into(), ..entry() }, Entry { port: 70_000, ..entry() }]
+    {
+        assert_matches!(delta(entry).decode_delta(), Err(Error::Address { .. }));
+    }
+    assert_matches!(delta(entry()).decode_delta(), Ok(_));
+}
