winch-roster, winch-relay: a seed back from an outage does not bring back what has left

When the seeds read the store again (13.3 s) its history was gone; a complete read lacked the entry, and the seeds held the removal back for 2.5 s, as entries expire in an outage. Their followers received the replica as listed and used it.

Change: an entry whose removal is held back is passed on as such. A daemon that knows the replica keeps it, one that does not leaves it; only a daemon that knows no replica at all takes it. removal_in_outage_delayed expected no transition from a held removal; it now expects the one that tells followers, once, and that both replicas stay.

Ruled out: counting a seed as stale until its grace is over; after an outage of the store all seeds are in that state, and every daemon would read the whole list.

--- a/crates/winch-relay/src/catalog.rs
+++ b/crates/winch-relay/src/catalog.rs
@@ -50,6 +50,8 @@
     /// Whether the replica's entry in the list was removed during an outage of the store or in
     /// the first read after it, and was not written again since.
     removed_in_outage: bool,
+    /// Whether the daemon that this one follows holds the removal of the replica back.
+    held_by_source: bool,
     /// When the replica was inserted before it was listed; `None` if it is listed.
     unlisted_since: Option<Instant>,
 }
@@ -65,6 +67,7 @@
             ejected_until: None,
             consecutive_failures: 0,
             removed_in_outage: false,
+            held_by_source: false,
             unlisted_since: None,
         }
     }
@@ -84,6 +87,9 @@
     Changed(Arc<Replica>),
     /// A known or added replica drains: it gets no new requests.
     Draining(Arc<Replica>),
+    /// A replica is no longer listed, but may only have expired in an outage; it stays in the
+    /// catalog for now.
+    Held(Arc<Replica>),
     /// A replica is no longer in the catalog.
     Removed(Arc<Replica>),
 }
@@ -95,6 +101,7 @@
             Self::Added(replica)
             | Self::Changed(replica)
             | Self::Draining(replica)
+            | Self::Held(replica)
             | Self::Removed(replica) => replica,
         }
     }
@@ -163,9 +170,15 @@
             // immediately unless an outage can have caused it.
             Change::Removed(id) if !self.in_outage && !self.first_read_pending => self.remove(&id),
             Change::Removed(id) => {
-                let key = *self.by_id.get(&id)?;
-                self.entries[key].removed_in_outage = true;
-                None
+                let entry = &mut self.entries[*self.by_id.get(&id)?];
+                let was_held = std::mem::replace(&mut entry.removed_in_outage, true);
+                (!was_held).then(|| Transition::Held(entry.replica.clone()))
+            }
+            // A daemon that does not know the replica may have seen it leave.
+            Change::Held(replica) => {
+                let entry = &mut self.entries[*self.by_id.get(&replica.id)?];
+                let was_held = std::mem::replace(&mut entry.held_by_source, true);
+                (!was_held).then(|| Transition::Held(entry.replica.clone()))
             }
             // The entry may come from another kind of writer, so the known replica stays.
             Change::Unreadable { .. } => None,
@@ -207,10 +220,11 @@
     fn put(&mut self, replica: Replica) -> Option<Transition> {
         if let Some(&key) = self.by_id.get(&replica.id) {
             let entry = &mut self.entries[key];
-            entry.removed_in_outage = false;
+            let was_held = std::mem::take(&mut entry.removed_in_outage)
+                | std::mem::take(&mut entry.held_by_source);
             entry.unlisted_since = None;
             if *entry.replica == replica {
-                return None;
+                return was_held.then(|| Transition::Changed(entry.replica.clone()));
             }
             let same_incarnation = entry.replica.started_at_ms == replica.started_at_ms
                 && entry.replica.address == replica.address;
@@ -339,10 +353,18 @@
 }
 
 impl Change {
+    /// The change for a daemon that knows no replica at all: it tries also those that may be gone.
+    pub(crate) fn assume_alive(self) -> Self {
+        match self {
+            Self::Held(replica) => Self::Put(replica),
+            change => change,
+        }
+    }
+
     /// Id of the replica that has changed.
     pub fn id(&self) -> &Name {
         match self {
-            Self::Put(replica) => &replica.id,
+            Self::Put(replica) | Self::Held(replica) => &replica.id,
             Self::Removed(id) | Self::Unreadable { id, .. } => id,
         }
     }
--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -167,7 +167,7 @@
     /// [`Catalog::replace`]. `is_whole` tells whether this daemon then knows all replicas, and
     /// not only a subset.
     pub fn apply_listing(&self, listing: Listing, is_whole: bool) {
-        let Listing { changes, version, is_complete } = listing;
+        let Listing { mut changes, version, is_complete } = listing;
         for change in &changes {
             if let Change::Unreadable { id, fault } = change {
                 emit!(Event::ReplicaEntryInvalid, replica = id, fault = fault);
@@ -175,6 +175,9 @@
         }
         let now = Instant::now();
         let mut catalog = self.catalog();
+        if catalog.is_empty() {
+            changes = changes.into_iter().map(Change::assume_alive).collect();
+        }
         let mut transitions: Vec<Transition> = if is_complete {
             catalog.replace(changes)
         } else {
@@ -210,6 +213,7 @@
         for transition in &transitions {
             let replica = transition.replica();
             roster.apply(match transition {
+                Transition::Held(_) => roster::Change::Held(replica.id.clone()),
                 Transition::Removed(_) => roster::Change::Removed(replica.id.clone()),
                 _ => roster::Change::Put(replica.clone()),
             });
@@ -431,7 +435,7 @@
                     address = replica.address,
                     dc = replica.dc
                 ),
-                Transition::Changed(_) => {}
+                Transition::Changed(_) | Transition::Held(_) => {}
                 Transition::Draining(replica) | Transition::Removed(replica) => {
                     self.pool.evict(replica.address);
                     emit!(
--- a/crates/winch-relay/src/peer/message.rs
+++ b/crates/winch-relay/src/peer/message.rs
@@ -5,7 +5,10 @@
 use bytes::Bytes;
 use prost::Message;
 use winch_move::{evidence, verdict::Verdict};
-use winch_roster::{cursor::Delta, frame};
+use winch_roster::{
+    cursor::{Delta, Listed},
+    frame,
+};
 use winch_route::suspect::{Crash, Fingerprint};
 use winch_wire::message::Tally;
 
@@ -81,7 +84,8 @@
 impl Update {
     /// Adds changes of the list in the form of before the compact list.
     pub(super) fn put_uncompacted(&mut self, delta: &Delta) {
-        self.replicas = delta.put.iter().map(|replica| ListedReplica::from(&**replica)).collect();
+        self.replicas =
+            delta.put.iter().map(|listed| ListedReplica::from(&*listed.replica)).collect();
         self.removed = delta.removed.iter().map(ToString::to_string).collect();
         self.whole = delta.complete;
     }
@@ -101,7 +105,10 @@
             return Ok((Listing { changes, version, is_complete: self.whole }, true));
         };
         let delta = list.decode_delta()?;
-        let put = delta.put.into_iter().map(|replica| Change::Put(Arc::unwrap_or_clone(replica)));
+        let put = delta.put.into_iter().map(|Listed { replica, is_held }| {
+            let replica = Arc::unwrap_or_clone(replica);
+            if is_held { Change::Held(replica) } else { Change::Put(replica) }
+        });
         let changes = put.chain(delta.removed.into_iter().map(Change::Removed)).collect();
         Ok((Listing { changes, version, is_complete: delta.complete }, delta.whole))
     }
--- a/crates/winch-relay/src/store.rs
+++ b/crates/winch-relay/src/store.rs
@@ -26,6 +26,9 @@
 pub enum Change {
     /// An entry was written.
     Put(Replica),
+    /// The entry is missing since an outage of the store, in which it may only have expired; the
+    /// sender holds the removal back. Only daemons that know the replica keep it.
+    Held(Replica),
     /// The entry with this key was removed.
     Removed(Name),
     /// An entry does not describe a usable replica.
--- a/crates/winch-relay/tests/catalog_outage.rs
+++ b/crates/winch-relay/tests/catalog_outage.rs
@@ -49,16 +49,33 @@
     catalog.mark_store_unreachable();
     catalog.mark_store_reachable(start);
     for id in ["i-1", "i-2"] {
+        let transition = catalog.apply(Change::Removed(id.into()));
+        assert!(matches!(transition, Some(Transition::Held(held)) if &*held.id == id));
         assert_eq!(catalog.apply(Change::Removed(id.into())), None);
     }
+    assert_eq!(ids(&catalog), ["i-1", "i-2"], "both stay");
     // The first entry is written again within the grace period, the second one is not.
-    put(&mut catalog, replica("i-1", 1, 5));
+    assert!(matches!(put(&mut catalog, replica("i-1", 1, 5)), Some(Transition::Changed(_))));
     assert_eq!(catalog.expire(start + REMOVAL_GRACE / 2), []);
     let removed = catalog.expire(start + REMOVAL_GRACE);
     assert_eq!(removed, [Transition::Removed(Arc::new(replica("i-2", 2, 5)))]);
     assert_eq!(ids(&catalog), ["i-1"]);
 }
 
+#[test]
+fn held_replica_not_added() {
+    let mut catalog = Catalog::default();
+    put(&mut catalog, replica("i-1", 1, 5));
+    // A source that was cut off holds the removals of both; this daemon saw the second one leave.
+    let listing = || vec![Change::Held(replica("i-1", 1, 5)), Change::Held(replica("i-2", 2, 5))];
+    assert!(matches!(&catalog.replace(listing())[..], [Transition::Held(_)]));
+    assert_eq!(catalog.replace(listing()), []);
+    assert_eq!(ids(&catalog), ["i-1"]);
+    // Followers have to hear that the entry was written again.
+    assert!(matches!(put(&mut catalog, replica("i-1", 1, 5)), Some(Transition::Changed(_))));
+    assert_eq!(put(&mut catalog, replica("i-1", 1, 5)), None);
+}
+
 #[test]
 fn removal_after_first_read() {
     let (mut catalog, now) = (Catalog::default(), Instant::now());
--- a/crates/winch-roster/src/cursor.rs
+++ b/crates/winch-roster/src/cursor.rs
@@ -7,6 +7,16 @@
 
 use crate::{Name, interest::Interest, replica::Replica, roster::Roster};
 
+/// A replica in a [`Delta`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listed {
+    /// The replica.
+    pub replica: Arc<Replica>,
+    /// Whether its entry is missing since an outage of the store, and only its removal is held
+    /// back. A follower that knows the replica keeps it; one that does not may know better.
+    pub is_held: bool,
+}
+
 /// The changes that bring a follower's part of the list up to date.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Delta {
@@ -15,7 +25,7 @@
     /// Whether the follower has the whole list after the change, and not only a subset.
     pub whole: bool,
     /// New and changed replicas.
-    pub put: Vec<Arc<Replica>>,
+    pub put: Vec<Listed>,
     /// Ids of replicas that were removed from the list, or that the follower needs no longer.
     pub removed: Vec<Name>,
 }
@@ -66,7 +76,9 @@
             selected.iter().map(|entry| (entry.replica.id.clone(), entry.revision)).collect();
         let is_new = |id: &Name, revision| self.sent.get(id) != Some(&revision);
         let put = selected.iter().filter(|entry| is_new(&entry.replica.id, entry.revision));
-        let put = put.map(|entry| entry.replica.clone()).collect();
+        let put = put
+            .map(|entry| Listed { replica: entry.replica.clone(), is_held: entry.is_held })
+            .collect();
         let removed = self.sent.keys().filter(|id| !revisions.contains_key(*id));
         let removed = removed.cloned().collect();
         self.sent = revisions;
--- a/crates/winch-roster/src/frame.rs
+++ b/crates/winch-roster/src/frame.rs
@@ -6,7 +6,6 @@
 use std::{
     collections::HashMap,
     net::{IpAddr, SocketAddr},
-    sync::Arc,
 };
 
 use bytes::Bytes;
@@ -107,6 +106,9 @@
     /// See [`Replica::started_at_ms`].
     #[prost(uint64, optional, tag = "9")]
     pub started_at_ms: Option<u64>,
+    /// See [`cursor::Listed::is_held`].
+    #[prost(bool, tag = "10")]
+    pub held: bool,
 }
 
 /// A [`cursor::Delta`] on the wire.
@@ -166,7 +168,7 @@
 impl From<&cursor::Delta> for Delta {
     fn from(delta: &cursor::Delta) -> Self {
         let mut names = Names::default();
-        let put = delta.put.iter().map(|replica| Entry {
+        let put = delta.put.iter().map(|cursor::Listed { replica, is_held }| Entry {
             id: replica.id.to_string(),
             service: names.index(&replica.service),
             ip: encode_ip(replica.address.ip()),
@@ -176,6 +178,7 @@
             slots: replica.slots,
             draining: replica.draining,
             started_at_ms: replica.started_at_ms,
+            held: *is_held,
         });
         let put = put.collect();
         Self {
@@ -207,8 +210,8 @@
     }
 }
 
-fn decode_entry(entry: Entry, names: &[Name]) -> Result<Arc<Replica>, Error> {
-    let Entry { id, service, ip, port, dc, version, slots, draining, started_at_ms } = entry;
+fn decode_entry(entry: Entry, names: &[Name]) -> Result<cursor::Listed, Error> {
+    let Entry { id, service, ip, port, dc, version, slots, draining, started_at_ms, held } = entry;
     let name = |index: u32| {
         let listed = usize::try_from(index).ok().and_then(|index| names.get(index)).cloned();
         listed.with_context(|| NameSnafu { id: id.clone(), index })
@@ -226,5 +229,5 @@
         draining,
         started_at_ms,
     };
-    Ok(replica.into())
+    Ok(cursor::Listed { replica: replica.into(), is_held: held })
 }
--- a/crates/winch-roster/src/ring.rs
+++ b/crates/winch-roster/src/ring.rs
@@ -16,6 +16,8 @@
 pub(crate) struct Entry {
     pub(crate) replica: Arc<Replica>,
     pub(crate) revision: u64,
+    /// See [`Listed::is_held`](crate::cursor::Listed::is_held).
+    pub(crate) is_held: bool,
 }
 
 /// Key of an entry: the hash of the address, then the id.
@@ -37,6 +39,10 @@
         self.entries.insert(position, entry);
     }
 
+    pub(crate) fn get_mut(&mut self, position: &Position) -> Option<&mut Entry> {
+        self.entries.get_mut(position)
+    }
+
     pub(crate) fn remove(&mut self, position: &Position) {
         self.entries.remove(position);
     }
--- a/crates/winch-roster/src/roster.rs
+++ b/crates/winch-roster/src/roster.rs
@@ -18,6 +18,9 @@
 pub enum Change {
     /// A replica was added or has changed.
     Put(Arc<Replica>),
+    /// The replica with this id is no longer listed, but may only have expired in an outage of
+    /// the store. It is removed or put later.
+    Held(Name),
     /// The replica with this id was removed.
     Removed(Name),
 }
@@ -52,6 +55,7 @@
         self.revision += 1;
         match change {
             Change::Put(replica) => self.put(replica),
+            Change::Held(id) => self.hold(&id),
             Change::Removed(id) => self.remove(&id),
         }
     }
@@ -106,7 +110,17 @@
         };
         self.locations.insert(replica.id.clone(), location);
         let ring = self.services.entry(service).or_default().entry(dc).or_default();
-        ring.insert(position, Entry { replica, revision: self.revision });
+        ring.insert(position, Entry { replica, revision: self.revision, is_held: false });
+    }
+
+    fn hold(&mut self, id: &str) {
+        let Some(location) = self.locations.get(id) else { return };
+        let rings = self.services.get_mut(&location.service);
+        let ring = rings.and_then(|rings| rings.get_mut(&location.dc));
+        if let Some(entry) = ring.and_then(|ring| ring.get_mut(&location.position)) {
+            entry.is_held = true;
+            entry.revision = self.revision;
+        }
     }
 
     fn remove(&mut self, id: &str) {
