winch-http, winch-relay: bytes without end end

Change: only an event with a new id restarts the detection of a stall, and 64 KiB without one are a fault; at most 16 replies and 1 MiB are skipped before an answer, and 16 KiB of trailers; reply bodies share 24 MiB beyond their first 256 KiB. Such a replica is ejected as for any broken exchange (event 1114), and the request goes on elsewhere if it may.

Not seen to fail before: dripping bytes, repeated events and endless heads, which earlier bounds already ended; their tests are kept. winch-bench follows the new arguments of placement.

--- a/crates/winch-bench/src/replay/choose.rs
+++ b/crates/winch-bench/src/replay/choose.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 use winch_relay::{
     catalog::{Catalog, Key},
-    placement,
+    placement::{self, Draw},
     replica::Replica,
 };
 
@@ -122,17 +122,12 @@
         now: Instant,
         rng: &mut SmallRng,
     ) -> Option<Placement> {
+        // No request of a pattern comes twice, so that each has a key of its own.
+        let affinity = rng.random();
         for round in 0..MAX_ROUNDS {
             let accept_any = |_: &Replica| true;
-            let candidates = placement::draw_candidates(
-                &self.catalog,
-                "s",
-                &self.dc,
-                accept_any,
-                round,
-                now,
-                rng,
-            );
+            let draw = Draw { service: "s", dc: &self.dc, affinity, round };
+            let candidates = placement::draw_candidates(&self.catalog, draw, accept_any, now, rng);
             let (lost, live): (Vec<_>, Vec<_>) = candidates
                 .into_iter()
                 .partition(|(_, replica)| engines[replica_number(replica)].lost);
@@ -142,7 +137,8 @@
             let cost = |(key, replica): &(Key, Arc<Replica>)| {
                 let starting = self.catalog.get(*key).map_or(0, |entry| entry.starting);
                 let report = engines[replica_number(replica)].report();
-                placement::stream_cost(&report, starting, *replica.dc == *self.dc, kv_tokens)
+                let is_local = *replica.dc == *self.dc;
+                placement::stream_cost(&report, starting, is_local, kv_tokens, 0.0)
             };
             let best = live.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
             let Some((key, replica)) = best else { continue };
--- a/crates/winch-http/src/body.rs
+++ b/crates/winch-http/src/body.rs
@@ -8,6 +8,9 @@
 /// Longest chunk-size line or trailer line, in bytes.
 const MAX_LINE_BYTES: usize = 1_024;
 
+/// Most bytes of trailers after a chunked body.
+const MAX_TRAILER_BYTES: usize = 16 * 1024;
+
 /// How the end of a body is found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
@@ -80,7 +83,8 @@
     ChunkData(u64),
     /// The line break after the data of a chunk.
     ChunkEnd,
-    Trailer,
+    /// Trailers, of which this many bytes were read.
+    Trailer(usize),
     UntilClose,
     Done,
 }
@@ -145,7 +149,7 @@
                 State::ChunkSize => match httparse::parse_chunk_size(input) {
                     Ok(httparse::Status::Complete((length, size))) => {
                         input.advance(length);
-                        self.0 = if size == 0 { State::Trailer } else { State::ChunkData(size) };
+                        self.0 = if size == 0 { State::Trailer(0) } else { State::ChunkData(size) };
                     }
                     Ok(httparse::Status::Partial) if input.len() < MAX_LINE_BYTES => {
                         return Ok(Step::More);
@@ -158,12 +162,16 @@
                     self.0 = State::ChunkSize;
                 }
                 State::ChunkEnd => return Err(Fault::Malformed),
-                State::Trailer => match input.windows(2).position(|pair| pair == b"\r\n") {
+                State::Trailer(read) if read > MAX_TRAILER_BYTES => return Err(Fault::Malformed),
+                State::Trailer(read) => match input.windows(2).position(|pair| pair == b"\r\n") {
                     Some(0) => {
                         input.advance(2);
                         self.0 = State::Done;
                     }
-                    Some(length) if length < MAX_LINE_BYTES => input.advance(length + 2),
+                    Some(length) if length < MAX_LINE_BYTES => {
+                        input.advance(length + 2);
+                        self.0 = State::Trailer(read + length + 2);
+                    }
                     None if input.len() < MAX_LINE_BYTES => return Ok(Step::More),
                     _ => return Err(Fault::Malformed),
                 },
--- a/crates/winch-http/src/client.rs
+++ b/crates/winch-http/src/client.rs
@@ -19,6 +19,10 @@
 
 /// Longest head of a reply, in bytes.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// Most replies that are skipped before the one to a request.
+const MAX_SKIPPED_REPLIES: u32 = 16;
+/// Most bytes in bodies of replies that are skipped before the one to a request.
+const MAX_SKIPPED_BYTES: usize = 1024 * 1024;
 /// Least free space in the input buffer before a read, in bytes.
 const READ_BYTES: usize = 4 * 1024;
 /// How long an idle connection may be reused if the server states no limit.
@@ -116,7 +120,7 @@
     /// head of a reply for which `accepts` holds.
     ///
     /// Informational replies are skipped, and other replies are read to their end and
-    /// discarded.
+    /// discarded, as long as they are few and short.
     ///
     /// # Errors
     /// Any [`Error`] except [`Error::Connect`].
@@ -131,15 +135,25 @@
         let (mut reader, mut writer) = self.io.split();
         let mut write = std::pin::pin!(writer.write_all(request));
         let mut written = false;
+        let (mut skipped_replies, mut skipped_bytes) = (0, 0);
         loop {
             while !self.decoder.is_done() {
-                if matches!(self.decoder.step(&mut self.input)?, Step::More) {
-                    break;
+                match self.decoder.step(&mut self.input)? {
+                    Step::More => break,
+                    Step::Data(data) => skipped_bytes += data.len(),
+                    Step::Done => {}
+                }
+                if skipped_bytes > MAX_SKIPPED_BYTES {
+                    return Err(Fault::BodyTooLarge.into());
                 }
             }
             if self.decoder.is_done()
                 && let Some(reply) = head::take_reply(&mut self.input, MAX_HEAD_BYTES)?
             {
+                skipped_replies += 1;
+                if skipped_replies > MAX_SKIPPED_REPLIES {
+                    return Err(Fault::TooManyReplies.into());
+                }
                 if reply.status.is_informational() {
                     continue;
                 }
--- a/crates/winch-http/src/lib.rs
+++ b/crates/winch-http/src/lib.rs
@@ -22,6 +22,9 @@
     /// The body is longer than the limit.
     #[snafu(display("the body is longer than the limit"))]
     BodyTooLarge,
+    /// The server sends one reply after another, and none to the request.
+    #[snafu(display("too many replies to other requests"))]
+    TooManyReplies,
     /// The headers state the length of the body more than once, or in conflicting ways.
     #[snafu(display("the length of the body is ambiguous"))]
     Ambiguous,
--- a/crates/winch-http/tests/client_exchange.rs
+++ b/crates/winch-http/tests/client_exchange.rs
@@ -8,7 +8,10 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpListener,
 };
-use winch_http::client::{Connection, Error};
+use winch_http::{
+    Fault,
+    client::{Connection, Error},
+};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -89,3 +92,56 @@
     drop(listener);
     assert_matches!(Connection::open(address, CONNECT_TIMEOUT).await, Err(Error::Connect { .. }));
 }
+
+/// Starts a server that writes `head` and then `repeated` until the client closes the
+/// connection, and returns why an exchange with it fails.
+async fn endless(head: &'static str, repeated: &'static str) -> Error {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut written = stream.write_all(head.as_bytes()).await;
+        while written.is_ok() {
+            written = stream.write_all(repeated.as_bytes()).await;
+        }
+    });
+    let mut connection = Connection::open(address, CONNECT_TIMEOUT).await.unwrap();
+    let accepts = |reply: &winch_http::head::Reply| !reply.headers.contains_key("x-old");
+    let request = b"GET / HTTP/1.1\r\n\r\n";
+    let result = match connection.exchange(&Method::GET, request, accepts).await {
+        Ok(_) => connection.body(100_000).await.map(drop),
+        Err(error) => Err(error),
+    };
+    drop(connection);
+    server.await.expect("the server ends with the connection");
+    result.expect_err("there is no end")
+}
+
+#[tokio::test]
+async fn endless_bytes_end() {
+    let ok = "HTTP/1.1 200 X\r\n";
+    let cases = [
+        ("\u{1}\u{2}", "\u{1}\u{2}\u{3}\u{4}", Fault::Malformed),
+        (ok, "X-Field: 0123456789\r\n", Fault::HeadTooLarge),
+        (ok, "X", Fault::HeadTooLarge),
+        ("", "HTTP/1.1 100 Continue\r\n\r\n", Fault::TooManyReplies),
+        ("", "HTTP/1.1 200 X\r\nX-Old: 1\r\nContent-Length: 1\r\n\r\na", Fault::TooManyReplies),
+        (
+            "HTTP/1.1 200 X\r\nX-Old: 1\r\nContent-Length: 999999999\r\n\r\n",
+            "0123456789",
+            Fault::BodyTooLarge,
+        ),
+        ("HTTP/1.1 200 X\r\nContent-Length: 999999999\r\n\r\n", "0123456789", Fault::BodyTooLarge),
+        ("HTTP/1.1 200 X\r\n\r\n", "0123456789", Fault::BodyTooLarge),
+        (
+            "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+            "X-Trailer: 0123456789\r\n",
+            Fault::Malformed,
+        ),
+        ("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n1;", "extension", Fault::Malformed),
+    ];
+    for (head, repeated, expected) in cases {
+        let error = endless(head, repeated).await;
+        assert_matches!(error, Error::Unacceptable { source } if source == expected, "{repeated}");
+    }
+}
--- a/crates/winch-relay/src/edge.rs
+++ b/crates/winch-relay/src/edge.rs
@@ -127,7 +127,8 @@
     W: AsyncWrite + Unpin,
 {
     let code = match fault {
-        Fault::Malformed | Fault::Ambiguous => Code::BadRequest,
+        // Callers send no replies, so that `TooManyReplies` cannot occur here.
+        Fault::Malformed | Fault::Ambiguous | Fault::TooManyReplies => Code::BadRequest,
         Fault::HeadTooLarge => Code::HeadTooLarge,
         Fault::BodyTooLarge => Code::BodyTooLarge,
     };
--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -14,7 +14,10 @@
 use bytes::Bytes;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use tokio::{
-    sync::watch::{Receiver, Sender},
+    sync::{
+        Semaphore,
+        watch::{Receiver, Sender},
+    },
     time::timeout_at,
 };
 use tokio_util::task::TaskTracker;
@@ -31,6 +34,7 @@
     settings::{Settings, Tuning},
     store::{Change, Listing},
     strikes::Strikes,
+    unary::MAX_BODY_BLOCKS,
     watch::Topic,
 };
 
@@ -60,6 +64,8 @@
     pub protocol: P,
     /// Idle connections to replicas.
     pub pool: Pool,
+    /// Memory for the long bodies of replies.
+    pub body_blocks: Semaphore,
     /// Short tasks of the request path; the daemon joins them when it stops.
     pub tasks: TaskTracker,
     catalog: Mutex<Catalog>,
@@ -94,6 +100,7 @@
             settings,
             protocol,
             pool: Pool::default(),
+            body_blocks: Semaphore::new(MAX_BODY_BLOCKS),
             tasks: TaskTracker::new(),
             catalog: Mutex::default(),
             config: Mutex::default(),
--- a/crates/winch-relay/src/sse.rs
+++ b/crates/winch-relay/src/sse.rs
@@ -17,6 +17,21 @@
     pub id: Option<u64>,
 }
 
+impl Event {
+    /// Whether the event advances a stream whose last event had the id `last`. Comments, events
+    /// that were received before, and events without an id in a stream that has ids do not.
+    pub fn is_progress(&self, last: Option<u64>) -> bool {
+        match self.id {
+            Some(id) => last.is_none_or(|last| id > last),
+            None => last.is_none() && self.has_data(),
+        }
+    }
+
+    fn has_data(&self) -> bool {
+        self.bytes.split(|byte| *byte == b'\n').any(|line| line.starts_with(b"data"))
+    }
+}
+
 /// Collects received bytes and returns complete events.
 #[derive(Clone, Debug, Default)]
 pub struct Splitter {
--- a/crates/winch-relay/src/stream/attempt.rs
+++ b/crates/winch-relay/src/stream/attempt.rs
@@ -18,7 +18,7 @@
     probe,
     protocol::{Dispatch, KvCopy},
     respond::Progress,
-    sse::Splitter,
+    sse::{Event as StreamEvent, Splitter},
 };
 
 /// Interval of liveness probes while the stream waits for its first event.
@@ -26,6 +26,8 @@
 /// Interval of liveness probes while a stalled stream waits for its replica instead of failing
 /// over.
 const STALL_PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// Most bytes of events that do not advance a stream, in a row.
+const MAX_PASSIVE_BYTES: usize = 64 * 1024;
 /// Largest body of a reply that is not a stream.
 const MAX_BODY_BYTES: usize = 1024 * 1024;
 
@@ -127,46 +129,42 @@
         let mut starting = Some(starting);
         let mut splitter = Splitter::default();
         loop {
-            let chunk = tokio::select! {
+            // Only progress restarts the detection of a stall, and not bytes that yield none.
+            let read = tokio::select! {
                 biased;
-                chunk = connection.chunk() => chunk,
+                read = read_events(connection, &mut splitter, self.last_event) => read,
                 () = self.wait_until_stalled(target, starting.is_some()) => {
                     let idle_ms = self.stall.idle_time(Instant::now()).as_millis();
                     return Attempt::Broken(format!("no event for {idle_ms} ms"));
                 }
             };
-            match chunk {
-                Ok(Some(data)) if !splitter.push(&data) => {
-                    return Attempt::Broken("event exceeds the size limit".to_owned());
-                }
-                Ok(Some(_)) => {}
-                Ok(None) if splitter.has_partial() => {
-                    return Attempt::Broken("stream ended inside an event".to_owned());
-                }
-                Ok(None) => {
-                    record_answer(self.node, target.key);
-                    return match self.out.end_stream().await {
-                        Ok(()) => Attempt::Complete,
-                        Err(_) => Attempt::CallerGone,
-                    };
-                }
-                Err(error) => return Attempt::Broken(error.to_string()),
-            }
-            let mut has_new_event = false;
-            while let Some(event) = splitter.next_event() {
+            let Read { events, end } = read;
+            let mut has_progress = false;
+            for event in events {
                 if event.id.is_some() && event.id <= self.last_event {
                     // The caller already has this event.
                     continue;
                 }
+                has_progress |= event.is_progress(self.last_event);
                 self.last_event = event.id.or(self.last_event);
                 self.out.buffer_event(&event.bytes);
-                has_new_event = true;
             }
-            if has_new_event {
+            if has_progress {
                 self.record_event(target, &mut starting);
-                if self.out.flush().await.is_err() {
-                    return Attempt::CallerGone;
+            }
+            if self.out.flush().await.is_err() {
+                return Attempt::CallerGone;
+            }
+            match end {
+                None => {}
+                Some(End::Complete) => {
+                    record_answer(self.node, target.key);
+                    return match self.out.end_stream().await {
+                        Ok(()) => Attempt::Complete,
+                        Err(_) => Attempt::CallerGone,
+                    };
                 }
+                Some(End::Failed(cause)) => return Attempt::Broken(cause),
             }
         }
     }
@@ -234,6 +232,58 @@
     }
 }
 
+/// How a stream ended at its replica.
+enum End {
+    /// With its last event.
+    Complete,
+    /// For this reason.
+    Failed(String),
+}
+
+/// Events that were read, and whether the stream ended after them.
+struct Read {
+    events: Vec<StreamEvent>,
+    end: Option<End>,
+}
+
+/// Reads until an event advances the stream after `last`, or the stream ends.
+///
+/// A replica that sends bytes without progress has failed once they exceed a limit.
+async fn read_events(
+    connection: &mut Connection,
+    splitter: &mut Splitter,
+    last: Option<u64>,
+) -> Read {
+    let mut events = Vec::new();
+    let mut passive_bytes = 0;
+    loop {
+        let end = match connection.chunk().await {
+            Ok(Some(data)) if !splitter.push(&data) => {
+                Some(End::Failed("event exceeds the size limit".to_owned()))
+            }
+            Ok(Some(_)) => None,
+            Ok(None) if splitter.has_partial() => {
+                Some(End::Failed("stream ended inside an event".to_owned()))
+            }
+            Ok(None) => Some(End::Complete),
+            Err(error) => Some(End::Failed(error.to_string())),
+        };
+        let mut has_progress = false;
+        while let Some(event) = splitter.next_event() {
+            has_progress |= event.is_progress(last);
+            passive_bytes += event.bytes.len();
+            events.push(event);
+        }
+        if has_progress || end.is_some() {
+            return Read { events, end };
+        }
+        if passive_bytes > MAX_PASSIVE_BYTES {
+            let cause = format!("no progress in {passive_bytes} bytes");
+            return Read { events: Vec::new(), end: Some(End::Failed(cause)) };
+        }
+    }
+}
+
 /// The replica does not answer liveness probes.
 struct Unresponsive;
 
