--- a/crates/winch-bench/src/lib.rs
+++ b/crates/winch-bench/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod replay;
 pub mod resume;
 pub mod route;
+pub mod spread;
 pub mod table;
--- a/crates/winch-bench/src/main.rs
+++ b/crates/winch-bench/src/main.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 
 use gumdrop::Options;
-use winch_bench::{config, fleet, moves, replay, resume, route};
+use winch_bench::{config, fleet, moves, replay, resume, route, spread};
 
 #[derive(Debug, Options)]
 struct Arguments {
@@ -17,6 +17,8 @@
 enum Command {
     #[options(help = "measure gossip by fleet size: spread time, bytes, CPU time, memory")]
     Fleet(Common),
+    #[options(help = "compare ways to spread the list of replicas by their bytes")]
+    Spread(Common),
     #[options(help = "measure time and memory of the configuration by its size")]
     Config(Common),
     #[options(help = "compare the routing policy with common ones")]
@@ -61,6 +63,7 @@
     let arguments = Arguments::parse_args_default_or_exit();
     let (table, out) = match arguments.command {
         Some(Command::Fleet(options)) => (run_fleet(&options), options.out),
+        Some(Command::Spread(options)) => (run_spread(), options.out),
         Some(Command::Config(options)) => (config::run(), options.out),
         Some(Command::Route(options)) => (run_route(&options), options.out),
         Some(Command::Resume(options)) => (run_resume(&options), options.out),
@@ -85,6 +88,14 @@
     })
 }
 
+fn run_spread() -> winch_bench::table::Table {
+    spread::run(&spread::Config {
+        daemons: vec![30, 100, 300, 970],
+        replicas_per_daemon: 7,
+        dcs: 18,
+    })
+}
+
 fn run_route(options: &Route) -> winch_bench::table::Table {
     route::run(&route::Config {
         replicas: options.replicas,
--- a/crates/winch-roster/src/frame.rs
+++ b/crates/winch-roster/src/frame.rs
@@ -42,6 +42,20 @@
     },
 }
 
+impl Error {
+    /// The numbers of all faults, as listed in `docs/codes.md`.
+    pub const CODES: &'static [u16] = &[701, 702, 703];
+
+    /// The number of the fault, with which its text begins.
+    pub fn code(&self) -> u16 {
+        match self {
+            Self::Format { .. } => 701,
+            Self::Name { .. } => 702,
+            Self::Address { .. } => 703,
+        }
+    }
+}
+
 /// An [`interest::Interest`] on the wire.
 #[derive(Clone, PartialEq, Message)]
 pub struct Interest {
--- a/crates/winch-roster/src/pace.rs
+++ b/crates/winch-roster/src/pace.rs
@@ -1,8 +1,8 @@
 //! Intervals of reading and passing on, derived from the greatest age that knowledge may have.
 //!
-//! A change passes through a wait of the reader and a heartbeat to its follower. Each is a
-//! quarter of the greatest age, and a wait counts twice, since what it confirms is the state at
-//! its begin: the age at a follower of the reader stays below three quarters.
+//! A change reaches a follower after a read by the reader and a heartbeat. Both intervals are a
+//! quarter of the greatest age. A read may count twice, because it confirms the state as of its
+//! start, so that the age at a follower of the reader stays below three quarters.
 
 use std::time::Duration;
 
--- a/crates/winch-roster/src/source.rs
+++ b/crates/winch-roster/src/source.rs
@@ -91,7 +91,7 @@
     /// Follow this source.
     Follow(SocketAddr),
     /// Follow this source although it is stale, for this share of the age above which state is
-    /// stale: when all sources are, the store itself may be slow, and the daemons shall not all
+    /// stale: when all sources are, the store itself may be slow, and the daemons should not all
     /// turn to it at the same time.
     Linger(SocketAddr, f64),
     /// Try again later, as the sources may be starting.
--- a/crates/winch-roster/tests/frame_faults.rs
+++ b/crates/winch-roster/tests/frame_faults.rs
@@ -21,7 +21,7 @@
 fn unlisted_name() {
     let decoded = delta(Entry { dc: 1, ..entry() }).decode_delta();
     assert_matches!(&decoded, Err(Error::Name { index: 1, .. }));
-    assert!(decoded.unwrap_err().to_string().starts_with("702: "));
+    assert_eq!(decoded.unwrap_err().code(), 702);
 }
 
 #[test]
@@ -32,3 +32,17 @@
     }
     assert_matches!(delta(entry()).decode_delta(), Ok(_));
 }
+
+#[test]
+fn texts_begin_with_codes() {
+    let id = "i-1".to_owned();
+    let faults = [
+        Error::Format { found: 2 },
+        Error::Name { id: id.clone(), index: 1 },
+        Error::Address { id },
+    ];
+    for (fault, code) in faults.iter().zip(Error::CODES) {
+        assert_eq!(fault.code(), *code);
+        assert!(fault.to_string().starts_with(&format!("{code}: ")), "{fault}");
+    }
+}
--- a/crates/wisteriawinch/tests/doc_tables.rs
+++ b/crates/wisteriawinch/tests/doc_tables.rs
@@ -4,6 +4,7 @@
 
 use winch_config::check;
 use winch_relay::code as relay;
+use winch_roster::frame;
 use wisteriawinch::{
     code::{Code, Ran},
     event::Event,
@@ -46,7 +47,11 @@
     let relay = |number: u16| relay::Code::ALL.iter().any(|code| *code as u16 == number);
     for number in rows.keys().filter(|number| **number >= 100 && !relay(**number)) {
         let fault = check::Code::ALL.iter().any(|fault| u16::from(*fault) == *number);
-        assert!(fault || Code::from_number(*number).is_some(), "{number} is not in the code");
+        let is_known = fault || frame::Error::CODES.contains(number);
+        assert!(is_known || Code::from_number(*number).is_some(), "{number} is not in the code");
+    }
+    for number in frame::Error::CODES {
+        assert!(rows.contains_key(number), "{number} is not in the table");
     }
     for fault in check::Code::ALL {
         assert!(rows.contains_key(&u16::from(fault)));
