--- a/crates/winch-relay/src/store.rs
+++ b/crates/winch-relay/src/store.rs
@@ -26,6 +26,9 @@
 pub enum Change {
     /// An entry was written.
     Put(Replica),
+    /// The entry is missing since an outage of the store, in which it may only have expired; the
+    /// sender holds the removal back. Only daemons that know the replica keep it.
+    Held(Replica),
     /// The entry with this key was removed.
     Removed(Name),
     /// An entry does not describe a usable replica.
@@ -37,14 +40,15 @@
     },
 }
 
-/// Changes of the list of replicas up to one version of the store; a read of the complete
-/// list gives every entry as a change.
+/// Changes of the list of replicas up to one version of the store.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Listing {
     /// Changes in the order of their versions.
     pub changes: Vec<Change>,
-    /// Version up to which the listing is complete.
+    /// Version of the store up to which the changes were read.
     pub version: u64,
+    /// Whether the changes are the complete list, so that all other replicas are removed.
+    pub is_complete: bool,
 }
 
 /// What the operator has published, up to one version of the store.
