winch-relay: move the node's listing out of node.rs; reword comments

What applies changes of the list and records how old the state is stands in node::listing now; nothing else changed. Comments of limits say what the limit is of.

--- a/crates/winch-http/src/body.rs
+++ b/crates/winch-http/src/body.rs
@@ -8,7 +8,7 @@
 /// Longest chunk-size line or trailer line, in bytes.
 const MAX_LINE_BYTES: usize = 1_024;
 
-/// Most bytes of trailers after a chunked body.
+/// Largest total size of the trailers after a chunked body.
 const MAX_TRAILER_BYTES: usize = 16 * 1024;
 
 /// How the end of a body is found.
--- a/crates/winch-http/src/client.rs
+++ b/crates/winch-http/src/client.rs
@@ -19,9 +19,9 @@
 
 /// Longest head of a reply, in bytes.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
-/// Most replies that are skipped before the one to a request.
+/// Largest number of replies that are skipped before the one to a request.
 const MAX_SKIPPED_REPLIES: u32 = 16;
-/// Most bytes in bodies of replies that are skipped before the one to a request.
+/// Largest total size of the bodies of replies that are skipped before the one to a request.
 const MAX_SKIPPED_BYTES: usize = 1024 * 1024;
 /// Least free space in the input buffer before a read, in bytes.
 const READ_BYTES: usize = 4 * 1024;
--- a/crates/winch-relay/src/catalog.rs
+++ b/crates/winch-relay/src/catalog.rs
@@ -88,7 +88,7 @@
     /// A known or added replica drains: it gets no new requests.
     Draining(Arc<Replica>),
     /// A replica is no longer listed, but may only have expired in an outage; it stays in the
-    /// catalog for now.
+    /// catalog until it is removed or listed again.
     Held(Arc<Replica>),
     /// A replica is no longer in the catalog.
     Removed(Arc<Replica>),
--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -3,6 +3,8 @@
 //!
 //! Changes of that state are logged, recorded for followers and announced to subscribers.
 
+mod listing;
+
 use std::{
     collections::HashMap,
     sync::{
@@ -22,17 +24,16 @@
 };
 use tokio_util::task::TaskTracker;
 use winch_move::evidence::Cohort;
-use winch_roster::roster::{self, Roster};
+use winch_roster::roster::Roster;
 use winch_route::budget::{self, Budget};
 
 use crate::{
-    catalog::{Catalog, Key, Transition},
+    catalog::{Catalog, Key},
     config::Config,
     moves::{Progress, Rollouts, Rule, Spec},
     pool::Pool,
     prelude::*,
     settings::{Settings, Tuning},
-    store::{Change, Listing},
     strikes::Strikes,
     unary::MAX_BODY_BLOCKS,
     watch::Topic,
@@ -170,66 +171,6 @@
         lock(&self.roster)
     }
 
-    /// Applies a listing, which replaces the known replicas if it is complete; see
-    /// [`Catalog::replace`]. `is_whole` tells whether this daemon then knows all replicas, and
-    /// not only a subset.
-    pub fn apply_listing(&self, listing: Listing, is_whole: bool) {
-        let Listing { mut changes, version, is_complete } = listing;
-        for change in &changes {
-            if let Change::Unreadable { id, fault } = change {
-                emit!(Event::ReplicaEntryInvalid, replica = id, fault = fault);
-            }
-        }
-        let now = Instant::now();
-        let mut catalog = self.catalog();
-        if catalog.is_empty() {
-            changes = changes.into_iter().map(Change::assume_alive).collect();
-        }
-        let mut transitions: Vec<Transition> = if is_complete {
-            catalog.replace(changes)
-        } else {
-            changes.into_iter().filter_map(|change| catalog.apply(change)).collect()
-        };
-        transitions.extend(catalog.expire(now));
-        catalog.finish_read();
-        drop(catalog);
-        self.record(transitions);
-        if version > 0 {
-            self.roster().confirm(version, is_whole);
-        }
-    }
-
-    /// Removes replicas that are no longer listed; see [`Catalog::expire`].
-    pub fn expire(&self) {
-        let transitions = self.catalog().expire(Instant::now());
-        self.record(transitions);
-    }
-
-    /// Inserts a replica that is not listed yet; see [`Catalog::insert_unlisted`].
-    pub fn insert_unlisted(&self, replica: Replica) {
-        let transition = self.catalog().insert_unlisted(replica, Instant::now());
-        self.record(transition.into_iter().collect());
-    }
-
-    /// Records transitions for followers, announces and logs them.
-    fn record(&self, transitions: Vec<Transition>) {
-        if transitions.is_empty() {
-            return;
-        }
-        let mut roster = self.roster();
-        for transition in &transitions {
-            let replica = transition.replica();
-            roster.apply(match transition {
-                Transition::Held(_) => roster::Change::Held(replica.id.clone()),
-                Transition::Removed(_) => roster::Change::Removed(replica.id.clone()),
-                _ => roster::Change::Put(replica.clone()),
-            });
-        }
-        drop(roster);
-        self.changed.send_replace(());
-        self.log(transitions);
-    }
-
     /// The known version moves.
     pub fn rollouts(&self) -> MutexGuard<'_, Rollouts> {
         lock(&self.rollouts)
@@ -319,37 +260,6 @@
         self.serves.store(serves, Ordering::Relaxed);
     }
 
-    /// Records that the store confirmed the state of a topic at `at`, unless a later
-    /// confirmation is known or `at` is `None`.
-    pub fn confirm(&self, topic: Topic, at: Option<Instant>) {
-        let mut confirmed = lock(&self.confirmed);
-        let is_first = confirmed[topic as usize].is_none() && at.is_some();
-        confirmed[topic as usize] = confirmed[topic as usize].max(at);
-        drop(confirmed);
-        if is_first {
-            self.changed.send_replace(());
-        }
-    }
-
-    /// Completes when the store has confirmed every topic at least once.
-    pub async fn wait_confirmed(&self) {
-        let mut changes = self.subscribe();
-        while self.state_age_ms().is_none() {
-            // Cannot fail: this node owns the sender.
-            let _ = changes.changed().await;
-        }
-    }
-
-    /// Time since the store last confirmed the topic whose confirmation is oldest, in
-    /// milliseconds; `None` if any topic was never confirmed.
-    pub fn state_age_ms(&self) -> Option<u64> {
-        let confirmed = *lock(&self.confirmed);
-        // `None` sorts before every time, so one topic without confirmation makes this `None`.
-        let oldest = confirmed.into_iter().min().flatten();
-        let age = oldest?.elapsed();
-        u64::try_from(age.as_millis()).ok()
-    }
-
     /// Subscribes to changes of the configuration, replicas, version moves and strikes.
     pub fn subscribe(&self) -> Receiver<()> {
         self.changed.subscribe()
@@ -430,32 +340,6 @@
         }
     }
 
-    /// Logs transitions, and closes the idle connections to replicas that drain or were
-    /// removed.
-    fn log(&self, transitions: Vec<Transition>) {
-        for transition in transitions {
-            match transition {
-                Transition::Added(replica) => emit!(
-                    Event::ReplicaUpdated,
-                    replica = replica.id,
-                    service = replica.service,
-                    address = replica.address,
-                    dc = replica.dc
-                ),
-                Transition::Changed(_) | Transition::Held(_) => {}
-                Transition::Draining(replica) | Transition::Removed(replica) => {
-                    self.pool.evict(replica.address);
-                    emit!(
-                        Event::ReplicaLeaving,
-                        replica = replica.id,
-                        service = replica.service,
-                        draining = replica.draining
-                    );
-                }
-            }
-        }
-    }
-
     /// A random number generator for one decision.
     pub fn rng(&self) -> impl Rng + use<P> {
         SmallRng::from_rng(&mut rand::rng())
--- /dev/null
+++ b/crates/winch-relay/src/node/listing.rs
@@ -0,0 +1,130 @@
+//! Changes of the list of replicas, and how old the state is.
+
+use winch_roster::roster;
+
+use super::{Node, lock};
+use crate::{
+    catalog::Transition,
+    prelude::*,
+    store::{Change, Listing},
+    watch::Topic,
+};
+
+impl<P: Protocol> Node<P> {
+    /// Applies a listing, which replaces the known replicas if it is complete; see
+    /// [`Catalog::replace`](crate::catalog::Catalog::replace). `is_whole` tells whether this daemon then knows all replicas, and
+    /// not only a subset.
+    pub fn apply_listing(&self, listing: Listing, is_whole: bool) {
+        let Listing { mut changes, version, is_complete } = listing;
+        for change in &changes {
+            if let Change::Unreadable { id, fault } = change {
+                emit!(Event::ReplicaEntryInvalid, replica = id, fault = fault);
+            }
+        }
+        let now = Instant::now();
+        let mut catalog = self.catalog();
+        if catalog.is_empty() {
+            changes = changes.into_iter().map(Change::assume_alive).collect();
+        }
+        let mut transitions: Vec<Transition> = if is_complete {
+            catalog.replace(changes)
+        } else {
+            changes.into_iter().filter_map(|change| catalog.apply(change)).collect()
+        };
+        transitions.extend(catalog.expire(now));
+        catalog.finish_read();
+        drop(catalog);
+        self.record(transitions);
+        if version > 0 {
+            self.roster().confirm(version, is_whole);
+        }
+    }
+
+    /// Removes replicas that are no longer listed; see [`Catalog::expire`](crate::catalog::Catalog::expire).
+    pub fn expire(&self) {
+        let transitions = self.catalog().expire(Instant::now());
+        self.record(transitions);
+    }
+
+    /// Inserts a replica that is not listed yet; see [`Catalog::insert_unlisted`](crate::catalog::Catalog::insert_unlisted).
+    pub fn insert_unlisted(&self, replica: Replica) {
+        let transition = self.catalog().insert_unlisted(replica, Instant::now());
+        self.record(transition.into_iter().collect());
+    }
+
+    /// Records transitions for followers, announces and logs them.
+    fn record(&self, transitions: Vec<Transition>) {
+        if transitions.is_empty() {
+            return;
+        }
+        let mut roster = self.roster();
+        for transition in &transitions {
+            let replica = transition.replica();
+            roster.apply(match transition {
+                Transition::Held(_) => roster::Change::Held(replica.id.clone()),
+                Transition::Removed(_) => roster::Change::Removed(replica.id.clone()),
+                _ => roster::Change::Put(replica.clone()),
+            });
+        }
+        drop(roster);
+        self.changed.send_replace(());
+        self.log(transitions);
+    }
+
+    /// Records that the store confirmed the state of a topic at `at`, unless a later
+    /// confirmation is known or `at` is `None`.
+    pub fn confirm(&self, topic: Topic, at: Option<Instant>) {
+        let mut confirmed = lock(&self.confirmed);
+        let is_first = confirmed[topic as usize].is_none() && at.is_some();
+        confirmed[topic as usize] = confirmed[topic as usize].max(at);
+        drop(confirmed);
+        if is_first {
+            self.changed.send_replace(());
+        }
+    }
+
+    /// Completes when the store has confirmed every topic at least once.
+    pub async fn wait_confirmed(&self) {
+        let mut changes = self.subscribe();
+        while self.state_age_ms().is_none() {
+            // Cannot fail: this node owns the sender.
+            let _ = changes.changed().await;
+        }
+    }
+
+    /// Time since the store last confirmed the topic whose confirmation is oldest, in
+    /// milliseconds; `None` if any topic was never confirmed.
+    pub fn state_age_ms(&self) -> Option<u64> {
+        let confirmed = *lock(&self.confirmed);
+        // `None` sorts before every time, so one topic without confirmation makes this `None`.
+        let oldest = confirmed.into_iter().min().flatten();
+        let age = oldest?.elapsed();
+        u64::try_from(age.as_millis()).ok()
+    }
+
+    /// Logs transitions, and closes the idle connections to replicas that drain or were
+    /// removed.
+    fn log(&self, transitions: Vec<Transition>) {
+        for transition in transitions {
+            match transition {
+                Transition::Added(replica) => emit!(
+                    Event::ReplicaUpdated,
+                    replica = replica.id,
+                    service = replica.service,
+                    address = replica.address,
+                    dc = replica.dc
+                ),
+                Transition::Changed(_) | Transition::Held(_) => {}
+                Transition::Draining(replica) | Transition::Removed(replica) => {
+                    self.pool.evict(replica.address);
+                    emit!(
+                        Event::ReplicaLeaving,
+                        replica = replica.id,
+                        service = replica.service,
+                        draining = replica.draining
+                    );
+                }
+            }
+        }
+    }
+}
--- a/crates/winch-relay/src/stream/attempt.rs
+++ b/crates/winch-relay/src/stream/attempt.rs
@@ -26,7 +26,7 @@
 /// Interval of liveness probes while a stalled stream waits for its replica instead of failing
 /// over.
 const STALL_PROBE_INTERVAL: Duration = Duration::from_millis(250);
-/// Most bytes of events that do not advance a stream, in a row.
+/// Largest total size of consecutive events that do not advance a stream, in bytes.
 const MAX_PASSIVE_BYTES: usize = 64 * 1024;
 /// Largest body of a reply that is not a stream.
 const MAX_BODY_BYTES: usize = 1024 * 1024;
@@ -129,7 +129,7 @@
         let mut starting = Some(starting);
         let mut splitter = Splitter::default();
         loop {
-            // Only progress restarts the detection of a stall, and not bytes that yield none.
+            // Only progress restarts the detection of a stall; other bytes do not.
             let read = tokio::select! {
                 biased;
                 read = read_events(connection, &mut splitter, self.last_event) => read,
