--- a/crates/winch-bench/src/spread.rs
+++ b/crates/winch-bench/src/spread.rs
@@ -92,8 +92,7 @@
     }
 }
 
-/// The bytes that a server sends to all its followers for what they lack, and the number of
-/// replicas that the last of them then knows.
+/// The bytes that a server sends to all its followers for what they lack, headers included.
 fn send(roster: &Roster, followers: &mut [Cursor]) -> usize {
     let no_moves = BTreeSet::new();
     let deltas = followers.iter_mut().map(|cursor| cursor.advance(roster, &no_moves));
