winch-relay: count strikes of peers, and name the parts of a suspected request

Change: winch_strikes_total has the label source (own, peer); event 1106 names the parts of the prompt. No decision changes.

--- a/crates/winch-relay/src/counter.rs
+++ b/crates/winch-relay/src/counter.rs
@@ -67,9 +67,10 @@
     gauge!("winch_knowledge_age_seconds", "kind" => kind).set(age.as_secs_f64());
 }
 
-/// Counts a replica crash that this daemon attributes to a request.
-pub fn strike_added() {
-    counter!("winch_strikes_total").increment(1);
+/// Counts a replica crash that is attributed to a request. The source is `own` if this daemon
+/// observed the crash, else `peer`.
+pub fn strike_added(source: &'static str) {
+    counter!("winch_strikes_total", "source" => source).increment(1);
 }
 
 /// Counts a version move that this daemon ended, by verdict.
--- a/crates/winch-relay/src/peer.rs
+++ b/crates/winch-relay/src/peer.rs
@@ -32,7 +32,7 @@
     follow::{Error, Limits, Subscription, fetch_from_seeds},
     serve::serve,
 };
-use crate::{node::Node, prelude::*, strikes::Strike};
+use crate::{counter, node::Node, prelude::*, strikes::Strike};
 
 /// Timeout for connecting to a peer, and for receiving the request of a peer.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(400);
@@ -87,7 +87,9 @@
 fn apply_strikes<P: Protocol>(node: &Node<P>, strikes: Vec<CrashStrike>) {
     let now = Instant::now();
     for strike in strikes {
-        node.strikes().apply(strike.into(), now);
+        if node.strikes().apply(strike.into(), now) {
+            counter::strike_added("peer");
+        }
     }
     node.announce_strike();
 }
--- a/crates/winch-relay/src/strikes.rs
+++ b/crates/winch-relay/src/strikes.rs
@@ -56,12 +56,14 @@
         self.tracker.disposition(strike.request, at)
     }
 
-    /// Applies a strike received from another daemon, unless it is already known.
-    pub fn apply(&mut self, strike: Strike, now: Instant) {
+    /// Applies a strike received from another daemon, and returns whether it was new.
+    pub fn apply(&mut self, strike: Strike, now: Instant) -> bool {
         let at = self.since_origin(now);
-        if self.tracker.record_strike(strike.request, strike.crash, at) {
+        let is_new = self.tracker.record_strike(strike.request, strike.crash, at);
+        if is_new {
             self.push_recent(strike);
         }
+        is_new
     }
 
     fn push_recent(&mut self, strike: Strike) {
@@ -111,7 +113,7 @@
     job: &Job,
     replica: &Replica,
 ) -> Disposition {
-    attribute_crash_to(node, job.fingerprint(), job.call.label(), replica).await
+    attribute_crash_to(node, job, replica).await
 }
 
 /// Like [`attribute_crash`], in a separate task that does not delay the caller's answer.
@@ -119,18 +121,17 @@
 /// Called for requests that must not be repeated; for a stream, even after the attempt has
 /// yielded events.
 pub fn attribute_crash_later<P: Protocol>(node: &Arc<Node<P>>, job: &Job, replica: &Arc<Replica>) {
-    let (node, replica) = (node.clone(), replica.clone());
-    let (request, label) = (job.fingerprint(), job.call.label().to_owned());
+    let (node, job, replica) = (node.clone(), job.clone(), replica.clone());
     let tasks = node.tasks.clone();
-    tasks.spawn(async move { attribute_crash_to(&node, request, &label, &replica).await });
+    tasks.spawn(async move { attribute_crash_to(&node, &job, &replica).await });
 }
 
 async fn attribute_crash_to<P: Protocol>(
     node: &Arc<Node<P>>,
-    request: Fingerprint,
-    label: &str,
+    job: &Job,
     replica: &Replica,
 ) -> Disposition {
+    let request = job.fingerprint();
     if probe::is_alive(node, replica).await {
         return node.strikes().disposition(request, Instant::now());
     }
@@ -139,12 +140,13 @@
     let disposition = node.strikes().record_crash(strike, Instant::now());
     emit!(
         Event::RequestSuspected,
-        request = label,
+        request = job.call.label(),
+        parts = job.call.prompt.iter().map(|part| &*part.id).collect::<Vec<_>>().join(","),
         replica = replica.id,
         dc = replica.dc,
         standing = format!("{disposition:?}")
     );
-    counter::strike_added();
+    counter::strike_added("own");
     node.announce_strike();
     let reporter = node.clone();
     node.tasks.spawn(async move { peer::report_strike(&reporter, strike).await });
