winch-route, winch-relay: quarantine the part of prompts on which replicas crash

Cause: crashes were attributed to whole requests (team, target and body). Requests that share a part and nothing else never repeat, so each starts with no strike, and the class of request is never found. Besides, an attempt that had yielded one event was not attributed at all, and strikes of sound requests at the same replica counted as much as those of the culprit.

Change: a ledger of parts beside that of requests. Three crashes under two requests or more, no survivor meanwhile: the part is refused (613, event 1107) everywhere. Survivors clear (event 1108); explained crashes count against nothing else. Why it works: the culprit is the only part whose requests never survive.

--- a/crates/winch-event/src/lib.rs
+++ b/crates/winch-event/src/lib.rs
@@ -92,6 +92,12 @@
     /// A crash was counted as a strike against a request, or a request with strikes was
     /// isolated or refused.
     RequestSuspected = 1106, Warn, "request suspected of crashing engines";
+    /// Several requests that hold the same part of a prompt crashed replicas; requests with
+    /// this part are refused.
+    PartQuarantined = 1107, Warn, "part of prompts quarantined";
+    /// A request with a part of a prompt that had strikes survived, so that the strikes
+    /// are removed.
+    PartCleared = 1108, Info, "part of prompts cleared";
     /// A request was answered with a success, or its caller disconnected.
     RequestEnded = 1110, Info, "request ended";
     /// A request failed, was refused or was aborted.
--- a/crates/winch-relay/src/code.rs
+++ b/crates/winch-relay/src/code.rs
@@ -61,6 +61,8 @@
     NoBudget = 611, "no_budget", SERVICE_UNAVAILABLE, false;
     /// The request has crashed several replicas and is quarantined.
     Suspect = 612, "suspect", SERVICE_UNAVAILABLE, false;
+    /// The prompt has a part on which several replicas crashed.
+    SuspectPart = 613, "suspect_part", SERVICE_UNAVAILABLE, false;
     /// The connection to the replica broke; the request may have run.
     Broken = 620, "broken", BAD_GATEWAY, true;
     /// The reply of the replica is invalid; the request may have run.
--- a/crates/winch-relay/src/counter.rs
+++ b/crates/winch-relay/src/counter.rs
@@ -73,6 +73,11 @@
     counter!("winch_strikes_total", "source" => source).increment(1);
 }
 
+/// Counts a part of prompts that was quarantined.
+pub fn part_quarantined() {
+    counter!("winch_quarantined_parts_total").increment(1);
+}
+
 /// Counts a version move that this daemon ended, by verdict.
 pub fn move_ended(state: State) {
     let verdict = match state {
--- a/crates/winch-relay/src/edge.rs
+++ b/crates/winch-relay/src/edge.rs
@@ -16,7 +16,7 @@
     server::{Error, Reader},
 };
 use winch_move::evidence::Cohort;
-use winch_route::suspect::Disposition;
+use winch_route::{quarantine::Part, suspect::Disposition};
 
 use crate::{
     config::{Limits, Route, Semantics, Team},
@@ -183,12 +183,14 @@
     service: Name,
     team: Option<Arc<Team>>,
     cohort: Cohort,
+    shared_parts: Arc<[Part]>,
+    is_trial: bool,
 }
 
 impl Admitted {
     fn into_job(self, call: Call) -> Job {
-        let Self { route, service, team, cohort } = self;
-        Job { call, route, service, team, cohort }
+        let Self { route, service, team, cohort, shared_parts, is_trial } = self;
+        Job { call, route, service, team, shared_parts, is_trial, cohort }
     }
 }
 
@@ -210,9 +212,24 @@
         return Err(Code::Suspect);
     }
     let service = route.pick(&mut node.rng()).clone();
+    let shared_parts = strikes::shared_parts(call, &service);
+    let is_trial = check_parts(node, &shared_parts)?;
     node.earn_retry(&service);
     let cohort = node.draw_cohort(&service);
-    Ok(Admitted { route, service, team, cohort })
+    Ok(Admitted { route, service, team, cohort, shared_parts, is_trial })
+}
+
+/// Checks that no part of a prompt is quarantined; true if one is, and the request is its trial.
+/// Only daemons that read the store for others try quarantined parts: these are few in any fleet.
+///
+/// # Errors
+/// The code with which the request is refused.
+fn check_parts<P: Protocol>(node: &Node<P>, shared_parts: &[Part]) -> Result<bool, Code> {
+    let now = Instant::now();
+    let mut strikes = node.strikes();
+    let Some(part) = strikes.quarantined_part(shared_parts, now) else { return Ok(false) };
+    let is_trial = node.serves() && node.reads_store() && strikes.start_trial(part, now);
+    if is_trial { Ok(true) } else { Err(Code::SuspectPart) }
 }
 
 /// Whether a request is refused because it has crashed several replicas.
@@ -221,7 +238,7 @@
     // Hashing the request is skipped in the common case without strikes.
     !strikes.is_empty() && {
         let request = strikes::fingerprint(call, team.map(|team| &team.name));
-        strikes.disposition(request, Instant::now()) == Disposition::Refused
+        strikes.disposition(request, &[], Instant::now()) == Disposition::Refused
     }
 }
 
--- a/crates/winch-relay/src/job.rs
+++ b/crates/winch-relay/src/job.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use winch_http::head::Reply;
 use winch_move::evidence::Cohort;
-use winch_route::suspect::Fingerprint;
+use winch_route::{quarantine::Part, suspect::Fingerprint};
 
 use crate::{
     catalog::Key,
@@ -25,6 +25,10 @@
     pub service: Name,
     /// The caller's team.
     pub team: Option<Arc<Team>>,
+    /// Parts of the prompt that other requests may hold, too.
+    pub shared_parts: Arc<[Part]>,
+    /// Whether the request may run once although a part of its prompt is quarantined.
+    pub is_trial: bool,
     /// Version of the service, old or new, for which the request was drawn while the service
     /// is moved.
     pub cohort: Cohort,
--- a/crates/winch-relay/src/peer.rs
+++ b/crates/winch-relay/src/peer.rs
@@ -4,7 +4,7 @@
 //! so that neither calls nor bytes at the store grow with the fleet. A daemon that cannot read
 //! the store and is not initialized yet requests the state of the seeds without following
 //! them. On a connection, a request is answered by one or more updates, each message in a
-//! length-delimited frame; a request that carries strikes gets no update. While a service is
+//! length-delimited frame; a request that reports crashes gets no update. While a service is
 //! being moved, a follower also sends reports with its counts. What a follower gets of the list
 //! of replicas is decided by [`winch_roster`].
 //!
@@ -26,6 +26,7 @@
 };
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 use winch_roster::interest::Interest;
+use winch_route::quarantine::Part;
 
 use self::message::{CrashStrike, Request};
 pub use self::{
@@ -84,8 +85,14 @@
     }
 }
 
-fn apply_strikes<P: Protocol>(node: &Node<P>, strikes: Vec<CrashStrike>) {
+/// Applies what a peer has told about crashes.
+fn apply_notices<P: Protocol>(node: &Node<P>, cleared: Vec<u64>, strikes: Vec<CrashStrike>) {
+    if cleared.is_empty() && strikes.is_empty() {
+        return;
+    }
     let now = Instant::now();
+    let cleared: Vec<Part> = cleared.into_iter().map(Part).collect();
+    node.strikes().clear(&cleared, now);
     for strike in strikes {
         if node.strikes().apply(strike.into(), now) {
             counter::strike_added("peer");
@@ -98,9 +105,18 @@
 ///
 /// The report is not repeated for an unreachable seed, which then lacks this strike.
 pub async fn report_strike<P: Protocol>(node: &Node<P>, strike: Strike) {
+    report(node, Request { strikes: vec![strike.into()], ..Request::default() }).await;
+}
+
+/// Reports parts of prompts that were cleared to all seeds, as [`report_strike`] does.
+pub async fn report_cleared<P: Protocol>(node: &Node<P>, parts: &[Part]) {
+    let cleared = parts.iter().map(|part| part.0).collect();
+    report(node, Request { cleared, ..Request::default() }).await;
+}
+
+async fn report<P: Protocol>(node: &Node<P>, request: Request) {
     let tuning = node.tuning();
     let seeds = tuning.seeds.iter().filter(|seed| **seed != node.settings.peers);
-    let request = Request { strikes: vec![strike.into()], ..Request::default() };
     let reports = seeds.map(|seed| connect(*seed, request.clone()));
     for reported in futures_util::future::join_all(reports).await {
         if let Err(error) = reported {
--- a/crates/winch-relay/src/peer/follow.rs
+++ b/crates/winch-relay/src/peer/follow.rs
@@ -9,7 +9,7 @@
 use winch_roster::{frame, source::End};
 
 use super::{
-    FramedStream, SEED_TIMEOUT, apply_strikes, connect, interest,
+    FramedStream, SEED_TIMEOUT, apply_notices, connect, interest,
     message::{Report, Request, Update},
     receive, send,
 };
@@ -124,7 +124,7 @@
             follow: true,
             list_version: resume.unwrap_or(0),
             interest: Some((&interest(node, limits.serves)).into()),
-            strikes: Vec::new(),
+            ..Request::default()
         };
         let connected = timeout(CONNECT_TIMEOUT, connect(seed, request)).await;
         let mut framed = connected.map_err(io::Error::from)??;
@@ -200,9 +200,8 @@
         for topic in Topic::ALL {
             node.confirm(topic, Some(self.confirmed_at));
         }
-        if !update.strikes.is_empty() {
-            apply_strikes(node, std::mem::take(&mut update.strikes));
-        }
+        let cleared = std::mem::take(&mut update.cleared);
+        apply_notices(node, cleared, std::mem::take(&mut update.strikes));
         for moving in std::mem::take(&mut update.moving) {
             node.apply_progress(moving.decode_at(self.received_at));
         }
--- a/crates/winch-relay/src/peer/message.rs
+++ b/crates/winch-relay/src/peer/message.rs
@@ -9,7 +9,10 @@
     cursor::{Delta, Listed},
     frame,
 };
-use winch_route::suspect::{Crash, Fingerprint};
+use winch_route::{
+    quarantine::Part,
+    suspect::{Crash, Fingerprint},
+};
 use winch_wire::message::Tally;
 
 use crate::{
@@ -36,6 +39,9 @@
     /// in the form of before the compact list.
     #[prost(message, optional, tag = "4")]
     pub interest: Option<frame::Interest>,
+    /// Parts of prompts whose strikes are removed, as for `strikes`.
+    #[prost(fixed64, repeated, tag = "5")]
+    pub cleared: Vec<u64>,
 }
 
 /// The state of a daemon, or its changes since the last update.
@@ -79,6 +85,10 @@
     /// Whether the sender reads the store itself, and does not follow another daemon.
     #[prost(bool, tag = "12")]
     pub reads_store: bool,
+    /// Parts of prompts that were cleared since the last update on the connection. They are
+    /// applied before `strikes`.
+    #[prost(fixed64, repeated, tag = "13")]
+    pub cleared: Vec<u64>,
 }
 
 impl Update {
@@ -115,7 +125,7 @@
 }
 
 /// A [`Strike`] on the wire.
-#[derive(Clone, Copy, PartialEq, Message)]
+#[derive(Clone, PartialEq, Message)]
 pub(super) struct CrashStrike {
     /// See [`Strike::request`].
     #[prost(fixed64, tag = "1")]
@@ -123,17 +133,22 @@
     /// See [`Strike::crash`].
     #[prost(fixed64, tag = "2")]
     pub crash: u64,
+    /// See [`Strike::parts`].
+    #[prost(fixed64, repeated, tag = "3")]
+    pub parts: Vec<u64>,
 }
 
 impl From<Strike> for CrashStrike {
     fn from(strike: Strike) -> Self {
-        Self { request: strike.request.0, crash: strike.crash.0 }
+        let parts = strike.parts.iter().map(|part| part.0).collect();
+        Self { request: strike.request.0, crash: strike.crash.0, parts }
     }
 }
 
 impl From<CrashStrike> for Strike {
     fn from(strike: CrashStrike) -> Self {
-        Self { request: Fingerprint(strike.request), crash: Crash(strike.crash) }
+        let parts = strike.parts.into_iter().map(Part).collect();
+        Self { request: Fingerprint(strike.request), crash: Crash(strike.crash), parts }
     }
 }
 
--- a/crates/winch-relay/src/peer/serve.rs
+++ b/crates/winch-relay/src/peer/serve.rs
@@ -12,11 +12,11 @@
 use winch_roster::{cursor::Cursor, frame, interest::Interest, pace::Pace};
 
 use super::{
-    FramedStream, REQUEST_TIMEOUT, SEED_TIMEOUT, apply_strikes, frame_stream,
+    FramedStream, REQUEST_TIMEOUT, SEED_TIMEOUT, apply_notices, frame_stream,
     message::{MoveProgress, Report, Request, Update},
     send,
 };
-use crate::{node::Node, prelude::*};
+use crate::{node::Node, prelude::*, strikes::Notice};
 
 /// Largest number of connections that are served at once; further ones are closed.
 const MAX_CONNECTIONS: usize = 512;
@@ -37,8 +37,8 @@
     cursor: Cursor,
     /// Whether the peer understands the compact list.
     is_compact: bool,
-    /// Number of strikes that were sent or skipped.
-    strikes: usize,
+    /// Number of notices of strikes that were sent or skipped.
+    notices: usize,
 }
 
 impl Sent {
@@ -46,7 +46,7 @@
         let interest = request.interest.clone().map(Interest::from);
         let is_compact = interest.is_some();
         let interest = interest.unwrap_or_else(|| Interest::whole(node.settings.dc.clone()));
-        Self { config_version: 0, cursor: Cursor::new(interest), is_compact, strikes: 0 }
+        Self { config_version: 0, cursor: Cursor::new(interest), is_compact, notices: 0 }
     }
 
     /// Builds the next update: the changes since the last one, with a configuration of at
@@ -76,9 +76,14 @@
         let rollouts = node.rollouts();
         update.moving =
             rollouts.iter().map(|r| MoveProgress::encode_at(r.progress(), now)).collect();
-        let (strikes, count) = node.strikes().after(self.strikes);
-        update.strikes = strikes.into_iter().map(Into::into).collect();
-        self.strikes = count;
+        let (notices, count) = node.strikes().after(self.notices);
+        for notice in notices {
+            match notice {
+                Notice::Struck(strike) => update.strikes.push(strike.into()),
+                Notice::Cleared(part) => update.cleared.push(part.0),
+            }
+        }
+        self.notices = count;
     }
 
     fn add_listing<P: Protocol>(&mut self, node: &Node<P>, update: &mut Update) {
@@ -115,8 +120,9 @@
     let received = timeout(REQUEST_TIMEOUT, framed.next()).await?.transpose()?;
     let Some(request) = received else { return Ok(()) };
     let mut request = Request::decode(request).map_err(io::Error::other)?;
-    if !request.strikes.is_empty() {
-        apply_strikes(node, std::mem::take(&mut request.strikes));
+    if !request.strikes.is_empty() || !request.cleared.is_empty() {
+        let cleared = std::mem::take(&mut request.cleared);
+        apply_notices(node, cleared, std::mem::take(&mut request.strikes));
         return Ok(());
     }
     let mut sent = Sent::new(node, &request);
--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -76,8 +76,10 @@
     broken_dc: Option<Name>,
     /// Whether an event has been forwarded to the caller.
     has_forwarded: bool,
-    /// Whether the current attempt has yielded an event.
-    attempt_has_event: bool,
+    /// When the current attempt yielded its first event; `None` until then.
+    first_event_at: Option<Instant>,
+    /// Whether the current attempt has lasted so long that a crash is not attributed to it.
+    has_survived: bool,
     /// Whether a replica may have run the request.
     may_have_run: bool,
     connect_failures: u32,
@@ -113,7 +115,8 @@
         refresher: None,
         broken_dc: None,
         has_forwarded: false,
-        attempt_has_event: false,
+        first_event_at: None,
+        has_survived: false,
         may_have_run: false,
         connect_failures: 0,
         stall: Detector::new(max_gap, now),
@@ -133,6 +136,9 @@
                 return self.give_up(Code::TimedOut);
             }
             let Some(target) = self.choose_target().await else { break };
+            if self.is_quarantined() {
+                return self.give_up(Code::SuspectPart);
+            }
             if self.trace.sends > 0 && !self.node.spend_retry(&self.job.service) {
                 code = Code::NoBudget;
                 break;
@@ -200,7 +206,12 @@
                     self.may_have_run = true;
                     counter::retried("lost");
                     if !self.job.route.semantics.may_repeat() {
-                        strikes::attribute_crash_later(self.node, self.job, &replica);
+                        strikes::attribute_crash_later(
+                            self.node,
+                            self.job,
+                            &replica,
+                            self.has_survived,
+                        );
                         return self.give_up(Code::Broken);
                     }
                     if self.attribute_crash(&replica).await {
@@ -212,11 +223,18 @@
         self.give_up(code)
     }
 
-    /// Attributes the crash of `replica` to the request if the replica is dead and has
-    /// yielded no event in this attempt. Returns whether the strikes against the request
-    /// now forbid further attempts.
+    /// Whether a part of the prompt was quarantined since the request was admitted.
+    fn is_quarantined(&self) -> bool {
+        let is_trial = self.job.is_trial && self.trace.sends == 0;
+        let parts = &self.job.shared_parts;
+        !is_trial && self.node.strikes().quarantined_part(parts, Instant::now()).is_some()
+    }
+
+    /// Attributes the crash of `replica` to the request if the replica is dead and this attempt
+    /// has not survived. Returns whether the strikes against the request now forbid further
+    /// attempts.
     async fn attribute_crash(&self, replica: &Replica) -> bool {
-        if self.attempt_has_event {
+        if self.has_survived {
             return false;
         }
         strikes::attribute_crash(self.node, self.job, replica).await == Disposition::Refused
--- a/crates/winch-relay/src/stream/attempt.rs
+++ b/crates/winch-relay/src/stream/attempt.rs
@@ -19,6 +19,7 @@
     protocol::{Dispatch, KvCopy},
     respond::Progress,
     sse::{Event as StreamEvent, Splitter},
+    strikes::{self, SURVIVAL_TIME},
 };
 
 /// Interval of liveness probes while the stream waits for its first event.
@@ -39,7 +40,8 @@
             Err(error) => return Attempt::NotSent(error.to_string()),
         };
         self.trace.sends += 1;
-        self.attempt_has_event = false;
+        self.first_event_at = None;
+        self.has_survived = false;
         let node = self.node;
         let _in_flight = InFlightGuard::new(node, target.key);
         let result = self.exchange(target, &mut connection).await;
@@ -159,6 +161,7 @@
                 None => {}
                 Some(End::Complete) => {
                     record_answer(self.node, target.key);
+                    self.record_survival();
                     return match self.out.end_stream().await {
                         Ok(()) => Attempt::Complete,
                         Err(_) => Attempt::CallerGone,
@@ -194,12 +197,22 @@
             }
         }
         self.has_forwarded = true;
-        self.attempt_has_event = true;
+        let first_event_at = *self.first_event_at.get_or_insert(now);
+        if now - first_event_at >= SURVIVAL_TIME {
+            self.record_survival();
+        }
         self.stall.record_event(now);
         self.last_event_at = now;
         self.ensure_copy(target);
     }
 
+    /// Records once that this attempt has survived.
+    fn record_survival(&mut self) {
+        if !std::mem::replace(&mut self.has_survived, true) {
+            strikes::record_survival(self.node, self.job);
+        }
+    }
+
     /// Starts to make snapshots if the holder of the run's copy is no longer in the catalog.
     fn ensure_copy(&mut self, target: &Target) {
         let Some(copy) = &self.copy else { return };
--- a/crates/winch-relay/src/strikes.rs
+++ b/crates/winch-relay/src/strikes.rs
@@ -1,37 +1,56 @@
 //! Detects requests that crash the replicas that run them.
 //!
-//! When a replica crashes before it has answered anything, the request that was sent to it
-//! gets a strike. A stream that must not be repeated gets one even if the replica crashes
-//! after it has yielded events. Daemons share their strikes; a request with several strikes
-//! is refused before it is sent to a replica.
+//! When a replica crashes before it has answered anything, or soon after its first event, the
+//! request that was sent to it gets a strike, as do the parts that its prompt shares with others.
+//! A stream that must not be repeated gets one even if the replica crashes later. Daemons share
+//! their strikes; a request with several strikes, or with a part that has several, is refused
+//! before it is sent to a replica.
 
 use std::collections::VecDeque;
 
-use winch_route::suspect::{self, Crash, Disposition, Fingerprint, Options, Tracker};
+use winch_route::{
+    quarantine::{self, Ledger, Part},
+    suspect::{self, Crash, Disposition, Fingerprint, Options, Tracker},
+};
 
 use crate::{counter, job::Job, node::Node, peer, prelude::*, probe};
 
-/// Number of recent strikes that are kept for sending to other daemons.
-const MAX_RECENT_STRIKES: usize = 256;
+/// Number of recent notices that are kept for sending to other daemons.
+const MAX_RECENT_NOTICES: usize = 256;
+/// Time from the first event of an attempt after which it has survived: a crash that follows is
+/// not attributed to its request.
+pub const SURVIVAL_TIME: Duration = Duration::from_secs(1);
 
 /// Evidence that a request crashed a replica.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Strike {
     /// Fingerprint of the request.
     pub request: Fingerprint,
     /// The crash that is attributed to it.
     pub crash: Crash,
+    /// The parts that its prompt may share with other requests, in their order.
+    pub parts: Arc<[Part]>,
+}
+
+/// What daemons tell each other about crashes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Notice {
+    /// A request got a strike.
+    Struck(Strike),
+    /// A request with this part survived, which removes the strikes against the part.
+    Cleared(Part),
 }
 
 /// All strikes known to this daemon.
 #[derive(Debug)]
 pub struct Strikes {
     tracker: Tracker,
-    /// Start of the time that `tracker` uses.
+    parts: Ledger,
+    /// Start of the time that `tracker` and `parts` use.
     origin: Instant,
-    /// The newest strikes, oldest first.
-    recent: VecDeque<Strike>,
-    /// Number of strikes that were removed from `recent`.
+    /// The newest notices, oldest first. Their strikes name no part that was cleared.
+    recent: VecDeque<Notice>,
+    /// Number of notices that were removed from `recent`.
     dropped: usize,
 }
 
@@ -39,7 +58,8 @@
     /// Creates an empty set of strikes; times are measured from `origin`.
     pub fn new(origin: Instant) -> Self {
         let tracker = Tracker::new(Options::default());
-        Self { tracker, origin, recent: VecDeque::new(), dropped: 0 }
+        let parts = Ledger::new(quarantine::Options::default());
+        Self { tracker, parts, origin, recent: VecDeque::new(), dropped: 0 }
     }
 
     fn since_origin(&self, now: Instant) -> Duration {
@@ -50,54 +70,139 @@
     /// may still run.
     pub fn record_crash(&mut self, strike: Strike, now: Instant) -> Disposition {
         let at = self.since_origin(now);
-        if !self.tracker.record_crash(strike.crash, &[strike.request], at).is_empty() {
-            self.push_recent(strike);
+        self.record_parts(&strike, at);
+        let (request, crash, parts) = (strike.request, strike.crash, strike.parts.clone());
+        let is_new = self.parts.explains(crash)
+            || !self.tracker.record_crash(crash, &[request], at).is_empty();
+        if is_new {
+            self.push_strike(strike, at);
         }
-        self.tracker.disposition(strike.request, at)
+        self.disposition(request, &parts, now)
     }
 
     /// Applies a strike received from another daemon, and returns whether it was new.
     pub fn apply(&mut self, strike: Strike, now: Instant) -> bool {
         let at = self.since_origin(now);
-        let is_new = self.tracker.record_strike(strike.request, strike.crash, at);
+        let is_same = |notice: &Notice| {
+            let Notice::Struck(known) = notice else { return false };
+            known.request == strike.request && known.crash == strike.crash
+        };
+        if self.recent.iter().any(is_same) {
+            return false;
+        }
+        self.record_parts(&strike, at);
+        let is_new = self.parts.explains(strike.crash)
+            || self.tracker.record_strike(strike.request, strike.crash, at);
         if is_new {
-            self.push_recent(strike);
+            self.push_strike(strike, at);
         }
         is_new
     }
 
-    fn push_recent(&mut self, strike: Strike) {
-        self.recent.push_back(strike);
-        if self.recent.len() > MAX_RECENT_STRIKES {
+    /// Records a strike against the parts of its request. Crashes that a quarantined part
+    /// explains no longer count against whole requests.
+    fn record_parts(&mut self, strike: &Strike, at: Duration) {
+        let Strike { request, crash, parts } = strike;
+        let finding = self.parts.record_strike(*request, *crash, parts, at);
+        for crash in &finding.explained {
+            self.tracker.retract(*crash);
+        }
+        if let Some(part) = finding.quarantined {
+            let crashes = finding.explained.len();
+            emit!(Event::PartQuarantined, part = format!("{:016x}", part.0), crashes = crashes);
+            counter::part_quarantined();
+        }
+    }
+
+    fn push_strike(&mut self, mut strike: Strike, at: Duration) {
+        let is_suspect = |part: &Part| !self.parts.is_cleared(*part, at);
+        strike.parts = strike.parts.iter().copied().filter(is_suspect).collect();
+        self.push_recent(Notice::Struck(strike));
+    }
+
+    fn push_recent(&mut self, notice: Notice) {
+        self.recent.push_back(notice);
+        if self.recent.len() > MAX_RECENT_NOTICES {
             self.recent.pop_front();
             self.dropped += 1;
         }
     }
 
-    /// Whether no request has a strike.
+    /// Records that a request with these parts survived, here or at another daemon. Returns the
+    /// parts that had strikes, which are removed.
+    pub fn clear(&mut self, parts: &[Part], now: Instant) -> Vec<Part> {
+        let cleared = self.parts.clear(parts, self.since_origin(now));
+        for part in &cleared {
+            for notice in &mut self.recent {
+                let Notice::Struck(strike) = notice else { continue };
+                if strike.parts.contains(part) {
+                    strike.parts = strike.parts.iter().copied().filter(|p| p != part).collect();
+                }
+            }
+            emit!(Event::PartCleared, part = format!("{:016x}", part.0));
+            self.push_recent(Notice::Cleared(*part));
+        }
+        cleared
+    }
+
+    /// Whether neither a request nor a part has a strike.
     pub fn is_empty(&self) -> bool {
-        self.tracker.is_empty()
+        self.tracker.is_empty() && self.parts.is_empty()
     }
 
-    /// Whether and how a request may run at `now`.
-    pub fn disposition(&self, request: Fingerprint, now: Instant) -> Disposition {
+    /// Whether and how a request whose prompt has these shared parts may run at `now`.
+    pub fn disposition(&self, request: Fingerprint, parts: &[Part], now: Instant) -> Disposition {
+        if self.quarantined_part(parts, now).is_some() {
+            return Disposition::Refused;
+        }
         self.tracker.disposition(request, self.since_origin(now))
     }
 
+    /// The first of these parts that is quarantined at `now`; `None` if none is.
+    pub fn quarantined_part(&self, parts: &[Part], now: Instant) -> Option<Part> {
+        let at = self.since_origin(now);
+        parts.iter().copied().find(|part| self.parts.is_quarantined(*part, at))
+    }
+
+    /// Takes the right to run one request with a quarantined part; false if no trial is due.
+    pub fn start_trial(&mut self, part: Part, now: Instant) -> bool {
+        let at = self.since_origin(now);
+        self.parts.start_trial(part, at)
+    }
+
     /// Records that a request ran to its end, which removes its strikes.
     pub fn record_completion(&mut self, request: Fingerprint) {
         self.tracker.record_completion(request);
     }
 
-    /// The strikes that followed the first `count` ones, as far as they are kept, and the
-    /// number of all strikes so far; the next call takes this number as its `count`.
-    pub fn after(&self, count: usize) -> (Vec<Strike>, usize) {
+    /// The notices that followed the first `count` ones, as far as they are kept, and the
+    /// number of all notices so far; the next call takes this number as its `count`.
+    pub fn after(&self, count: usize) -> (Vec<Notice>, usize) {
         let skipped = count.saturating_sub(self.dropped);
-        let strikes = self.recent.iter().skip(skipped).copied().collect();
-        (strikes, self.dropped + self.recent.len())
+        let notices = self.recent.iter().skip(skipped).cloned().collect();
+        (notices, self.dropped + self.recent.len())
     }
 }
 
+/// The parts that the prompt of a request for `service` may share with other requests: all but
+/// the last one, which is the request's own.
+pub fn shared_parts(call: &Call, service: &str) -> Arc<[Part]> {
+    let shared = call.prompt.split_last().map_or(&[][..], |(_, shared)| shared);
+    shared.iter().map(|part| Part::new(service, &part.id)).collect()
+}
+
+/// Records that a run of the request has survived, and tells the other daemons if parts of its
+/// prompt had strikes.
+pub fn record_survival<P: Protocol>(node: &Arc<Node<P>>, job: &Job) {
+    let cleared = node.strikes().clear(&job.shared_parts, Instant::now());
+    if cleared.is_empty() {
+        return;
+    }
+    node.announce_strike();
+    let reporter = node.clone();
+    node.tasks.spawn(async move { peer::report_cleared(&reporter, &cleared).await });
+}
+
 /// The fingerprint of a request, which is the same when its caller sends it again.
 pub fn fingerprint(call: &Call, team: Option<&Name>) -> Fingerprint {
     let body = String::from_utf8_lossy(&call.body);
@@ -107,41 +212,48 @@
 /// Attributes the crash of `replica` to a request, if a probe finds the replica dead.
 ///
 /// Called when an attempt failed before the replica sent a complete usable reply or, for a
-/// stream, an event. Returns whether and how the request may still run.
+/// stream, before the attempt had survived. Returns whether and how the request may still run.
 pub async fn attribute_crash<P: Protocol>(
     node: &Arc<Node<P>>,
     job: &Job,
     replica: &Replica,
 ) -> Disposition {
-    attribute_crash_to(node, job, replica).await
+    attribute_crash_to(node, job, replica, job.shared_parts.clone()).await
 }
 
 /// Like [`attribute_crash`], in a separate task that does not delay the caller's answer.
 ///
 /// Called for requests that must not be repeated; for a stream, even after the attempt has
-/// yielded events.
-pub fn attribute_crash_later<P: Protocol>(node: &Arc<Node<P>>, job: &Job, replica: &Arc<Replica>) {
+/// survived. The parts of its prompt get no strikes then.
+pub fn attribute_crash_later<P: Protocol>(
+    node: &Arc<Node<P>>,
+    job: &Job,
+    replica: &Arc<Replica>,
+    has_survived: bool,
+) {
+    let parts = if has_survived { Arc::default() } else { job.shared_parts.clone() };
     let (node, job, replica) = (node.clone(), job.clone(), replica.clone());
     let tasks = node.tasks.clone();
-    tasks.spawn(async move { attribute_crash_to(&node, &job, &replica).await });
+    tasks.spawn(async move { attribute_crash_to(&node, &job, &replica, parts).await });
 }
 
 async fn attribute_crash_to<P: Protocol>(
     node: &Arc<Node<P>>,
     job: &Job,
     replica: &Replica,
+    parts: Arc<[Part]>,
 ) -> Disposition {
     let request = job.fingerprint();
     if probe::is_alive(node, replica).await {
-        return node.strikes().disposition(request, Instant::now());
+        return node.strikes().disposition(request, &parts, Instant::now());
     }
     let incarnation = format!("{}/{}", replica.id, replica.started_at_ms.unwrap_or_default());
-    let strike = Strike { request, crash: Crash(winch_route::hash::name(&incarnation)) };
-    let disposition = node.strikes().record_crash(strike, Instant::now());
+    let strike = Strike { request, crash: Crash(winch_route::hash::name(&incarnation)), parts };
+    let disposition = node.strikes().record_crash(strike.clone(), Instant::now());
     emit!(
         Event::RequestSuspected,
         request = job.call.label(),
-        parts = job.call.prompt.iter().map(|part| &*part.id).collect::<Vec<_>>().join(","),
+        parts = label_parts(job),
         replica = replica.id,
         dc = replica.dc,
         standing = format!("{disposition:?}")
@@ -152,3 +264,10 @@
     node.tasks.spawn(async move { peer::report_strike(&reporter, strike).await });
     disposition
 }
+
+/// The shared parts of a request's prompt for the log, as `ID=HASH`; events about a part name its
+/// hash.
+fn label_parts(job: &Job) -> String {
+    let pairs = job.call.prompt.iter().zip(&*job.shared_parts);
+    pairs.map(|(part, hash)| format!("{}={:016x}", part.id, hash.0)).collect::<Vec<_>>().join(",")
+}
--- a/crates/winch-relay/src/unary.rs
+++ b/crates/winch-relay/src/unary.rs
@@ -117,7 +117,7 @@
                 may_have_run = true;
                 counter::retried("broken");
                 if !may_repeat {
-                    strikes::attribute_crash_later(node, job, &replica);
+                    strikes::attribute_crash_later(node, job, &replica, false);
                     return Outcome::Error(Code::Broken);
                 }
                 if strikes::attribute_crash(node, job, &replica).await == Disposition::Refused {
--- a/crates/winch-route/src/lib.rs
+++ b/crates/winch-route/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! [`router::Router`] holds the routing state of one daemon. A daemon combines it with
 //! [`urgency`], which sets the longest wait of a call, and [`suspect`], which restricts
-//! requests that may have crashed engines.
+//! requests that may have crashed engines, and [`quarantine`], which finds the parts of prompts
+//! on which engines crash.
 //!
 //! All types are plain state machines without I/O. Times are [`Duration`]s since
 //! an origin that the user of the crate chooses, and random numbers are passed in.
@@ -17,6 +18,7 @@
 pub mod hash;
 pub mod pace;
 pub mod pool;
+pub mod quarantine;
 pub mod router;
 pub mod suspect;
 pub mod urgency;
