winch-relay: tell a restarted seed for which strikes requests are refused

Callers would see: a request, or a class of requests, that the fleet refuses crashes replicas again after the restart of the seed that reads the store.

Cause: strikes flowed from seeds to followers only, and of those only the 256 newest. A seed that restarts has nobody to learn from, and daemons that restart with it learn nothing from it. Each finds the culprit anew, with three crashes. The same held for requests that are refused as a whole, before parts were counted.

Change: a follower tells each seed that it begins to follow the strikes for which something is refused; a seed sends these to each new follower. Strikes and clearances carry their ages, so that telling them again does not prolong them.

--- a/crates/winch-relay/src/peer.rs
+++ b/crates/winch-relay/src/peer.rs
@@ -28,7 +28,7 @@
 use winch_roster::interest::Interest;
 use winch_route::quarantine::Part;
 
-use self::message::{CrashStrike, Request};
+use self::message::{ClearedPart, CrashStrike, Request};
 pub use self::{
     follow::{Error, Limits, Subscription, fetch_from_seeds},
     serve::serve,
@@ -86,15 +86,21 @@
 }
 
 /// Applies what a peer has told about crashes.
-fn apply_notices<P: Protocol>(node: &Node<P>, cleared: Vec<u64>, strikes: Vec<CrashStrike>) {
+fn apply_notices<P: Protocol>(
+    node: &Node<P>,
+    cleared: Vec<ClearedPart>,
+    strikes: Vec<CrashStrike>,
+) {
     if cleared.is_empty() && strikes.is_empty() {
         return;
     }
     let now = Instant::now();
-    let cleared: Vec<Part> = cleared.into_iter().map(Part).collect();
-    node.strikes().clear(&cleared, now);
+    for cleared in cleared {
+        let (part, at) = cleared.decode_at(now);
+        node.strikes().clear(&[part], at);
+    }
     for strike in strikes {
-        if node.strikes().apply(strike.into(), now) {
+        if node.strikes().apply(strike.decode_at(now)) {
             counter::strike_added("peer");
         }
     }
@@ -105,15 +111,31 @@
 ///
 /// The report is not repeated for an unreachable seed, which then lacks this strike.
 pub async fn report_strike<P: Protocol>(node: &Node<P>, strike: Strike) {
-    report(node, Request { strikes: vec![strike.into()], ..Request::default() }).await;
+    let strikes = vec![CrashStrike::encode_at(&strike, Instant::now())];
+    report(node, Request { strikes, ..Request::default() }).await;
 }
 
 /// Reports parts of prompts that were cleared to all seeds, as [`report_strike`] does.
 pub async fn report_cleared<P: Protocol>(node: &Node<P>, parts: &[Part]) {
-    let cleared = parts.iter().map(|part| part.0).collect();
+    let now = Instant::now();
+    let cleared = parts.iter().map(|part| ClearedPart::encode_at(*part, now, now)).collect();
     report(node, Request { cleared, ..Request::default() }).await;
 }
 
+/// Tells a seed for which strikes requests are refused; it may have been restarted and know none.
+///
+/// # Errors
+/// The system's error if the seed is unreachable.
+async fn report_decisive<P: Protocol>(node: &Node<P>, seed: SocketAddr) -> io::Result<()> {
+    let now = Instant::now();
+    let strikes = node.strikes().decisive(now);
+    if strikes.is_empty() {
+        return Ok(());
+    }
+    let strikes = strikes.iter().map(|strike| CrashStrike::encode_at(strike, now)).collect();
+    connect(seed, Request { strikes, ..Request::default() }).await.map(drop)
+}
+
 async fn report<P: Protocol>(node: &Node<P>, request: Request) {
     let tuning = node.tuning();
     let seeds = tuning.seeds.iter().filter(|seed| **seed != node.settings.peers);
--- a/crates/winch-relay/src/peer/follow.rs
+++ b/crates/winch-relay/src/peer/follow.rs
@@ -11,7 +11,7 @@
 use super::{
     FramedStream, SEED_TIMEOUT, apply_notices, connect, interest,
     message::{Report, Request, Update},
-    receive, send,
+    receive, report_decisive, send,
 };
 use crate::{
     node::Node,
@@ -165,6 +165,7 @@
     ) -> Result<Infallible, Error> {
         let version = self.pending.last().map_or(0, |update| update.config_version);
         emit!(Event::SeedFollowed, seed = self.seed, version = version);
+        report_decisive(node, self.seed).await?;
         for update in std::mem::take(&mut self.pending) {
             self.apply(node, store, update).await?;
         }
--- a/crates/winch-relay/src/peer/message.rs
+++ b/crates/winch-relay/src/peer/message.rs
@@ -40,8 +40,8 @@
     #[prost(message, optional, tag = "4")]
     pub interest: Option<frame::Interest>,
     /// Parts of prompts whose strikes are removed, as for `strikes`.
-    #[prost(fixed64, repeated, tag = "5")]
-    pub cleared: Vec<u64>,
+    #[prost(message, repeated, tag = "5")]
+    pub cleared: Vec<ClearedPart>,
 }
 
 /// The state of a daemon, or its changes since the last update.
@@ -87,8 +87,8 @@
     pub reads_store: bool,
     /// Parts of prompts that were cleared since the last update on the connection. They are
     /// applied before `strikes`.
-    #[prost(fixed64, repeated, tag = "13")]
-    pub cleared: Vec<u64>,
+    #[prost(message, repeated, tag = "13")]
+    pub cleared: Vec<ClearedPart>,
 }
 
 impl Update {
@@ -136,19 +136,53 @@
     /// See [`Strike::parts`].
     #[prost(fixed64, repeated, tag = "3")]
     pub parts: Vec<u64>,
+    /// Time since the crash was observed, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub age_ms: u64,
 }
 
-impl From<Strike> for CrashStrike {
-    fn from(strike: Strike) -> Self {
-        let parts = strike.parts.iter().map(|part| part.0).collect();
-        Self { request: strike.request.0, crash: strike.crash.0, parts }
+impl CrashStrike {
+    /// Encodes the strike, with its age at `now`.
+    pub(super) fn encode_at(strike: &Strike, now: Instant) -> Self {
+        Self {
+            request: strike.request.0,
+            crash: strike.crash.0,
+            parts: strike.parts.iter().map(|part| part.0).collect(),
+            age_ms: millis(now.saturating_duration_since(strike.at)),
+        }
     }
+
+    /// Decodes a strike that was received at `now`.
+    pub(super) fn decode_at(self, now: Instant) -> Strike {
+        Strike {
+            request: Fingerprint(self.request),
+            crash: Crash(self.crash),
+            parts: self.parts.into_iter().map(Part).collect(),
+            at: time_before(now, self.age_ms),
+        }
+    }
+}
+
+/// A part of prompts that was cleared.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub(super) struct ClearedPart {
+    /// The part.
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// Time since a request with the part survived, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
 }
 
-impl From<CrashStrike> for Strike {
-    fn from(strike: CrashStrike) -> Self {
-        let parts = strike.parts.into_iter().map(Part).collect();
-        Self { request: Fingerprint(strike.request), crash: Crash(strike.crash), parts }
+impl ClearedPart {
+    /// Encodes the clearance of `part` at `at`, with its age at `now`.
+    pub(super) fn encode_at(part: Part, at: Instant, now: Instant) -> Self {
+        Self { part: part.0, age_ms: millis(now.saturating_duration_since(at)) }
+    }
+
+    /// Decodes a clearance that was received at `now`.
+    pub(super) fn decode_at(self, now: Instant) -> (Part, Instant) {
+        (Part(self.part), time_before(now, self.age_ms))
     }
 }
 
@@ -252,6 +286,11 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// The time `age_ms` milliseconds before `now`.
+fn time_before(now: Instant, age_ms: u64) -> Instant {
+    now.checked_sub(Duration::from_millis(age_ms)).unwrap_or(now)
+}
+
 impl MoveProgress {
     /// Encodes the progress, with its age at `now`.
     pub(super) fn encode_at(progress: &Progress, now: Instant) -> Self {
--- a/crates/winch-relay/src/peer/serve.rs
+++ b/crates/winch-relay/src/peer/serve.rs
@@ -13,7 +13,7 @@
 
 use super::{
     FramedStream, REQUEST_TIMEOUT, SEED_TIMEOUT, apply_notices, frame_stream,
-    message::{MoveProgress, Report, Request, Update},
+    message::{ClearedPart, CrashStrike, MoveProgress, Report, Request, Update},
     send,
 };
 use crate::{node::Node, prelude::*, strikes::Notice};
@@ -67,22 +67,36 @@
             self.config_version = update.config_version;
         }
         self.add_moves(node, &mut update);
+        self.add_notices(node, &mut update);
         self.add_listing(node, &mut update);
         update
     }
 
-    fn add_moves<P: Protocol>(&mut self, node: &Node<P>, update: &mut Update) {
+    fn add_moves<P: Protocol>(&self, node: &Node<P>, update: &mut Update) {
         let now = Instant::now();
         let rollouts = node.rollouts();
         update.moving =
             rollouts.iter().map(|r| MoveProgress::encode_at(r.progress(), now)).collect();
-        let (notices, count) = node.strikes().after(self.notices);
+    }
+
+    fn add_notices<P: Protocol>(&mut self, node: &Node<P>, update: &mut Update) {
+        let now = Instant::now();
+        let strikes = node.strikes();
+        let mut struck = Vec::new();
+        if self.notices == 0 {
+            // Older notices are not kept.
+            struck = strikes.decisive(now);
+        }
+        let (notices, count) = strikes.after(self.notices);
         for notice in notices {
             match notice {
-                Notice::Struck(strike) => update.strikes.push(strike.into()),
-                Notice::Cleared(part) => update.cleared.push(part.0),
+                Notice::Struck(strike) => struck.push(strike),
+                Notice::Cleared(part, at) => {
+                    update.cleared.push(ClearedPart::encode_at(part, at, now));
+                }
             }
         }
+        update.strikes = struck.iter().map(|strike| CrashStrike::encode_at(strike, now)).collect();
         self.notices = count;
     }
 
--- a/crates/winch-relay/src/strikes.rs
+++ b/crates/winch-relay/src/strikes.rs
@@ -17,6 +17,8 @@
 
 /// Number of recent notices that are kept for sending to other daemons.
 const MAX_RECENT_NOTICES: usize = 256;
+/// Age of the oldest strikes of other daemons that are told apart by their age.
+const MAX_AGE: Duration = Duration::from_secs(600);
 /// Time from the first event of an attempt after which it has survived: a crash that follows is
 /// not attributed to its request.
 pub const SURVIVAL_TIME: Duration = Duration::from_secs(1);
@@ -30,6 +32,8 @@
     pub crash: Crash,
     /// The parts that its prompt may share with other requests, in their order.
     pub parts: Arc<[Part]>,
+    /// When the crash was observed.
+    pub at: Instant,
 }
 
 /// What daemons tell each other about crashes.
@@ -37,8 +41,9 @@
 pub enum Notice {
     /// A request got a strike.
     Struck(Strike),
-    /// A request with this part survived, which removes the strikes against the part.
-    Cleared(Part),
+    /// A request with this part survived at this time, which removes the strikes against the
+    /// part.
+    Cleared(Part, Instant),
 }
 
 /// All strikes known to this daemon.
@@ -46,7 +51,7 @@
 pub struct Strikes {
     tracker: Tracker,
     parts: Ledger,
-    /// Start of the time that `tracker` and `parts` use.
+    /// When the daemon started.
     origin: Instant,
     /// The newest notices, oldest first. Their strikes name no part that was cleared.
     recent: VecDeque<Notice>,
@@ -55,21 +60,24 @@
 }
 
 impl Strikes {
-    /// Creates an empty set of strikes; times are measured from `origin`.
+    /// Creates an empty set of strikes for a daemon that starts at `origin`.
     pub fn new(origin: Instant) -> Self {
         let tracker = Tracker::new(Options::default());
         let parts = Ledger::new(quarantine::Options::default());
         Self { tracker, parts, origin, recent: VecDeque::new(), dropped: 0 }
     }
 
-    fn since_origin(&self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.origin)
+    /// The time that the tracker and the ledger use; strikes from before the start of this daemon
+    /// have one, too.
+    fn since_origin(&self, at: Instant) -> Duration {
+        let uptime = at.saturating_duration_since(self.origin);
+        (MAX_AGE + uptime).saturating_sub(self.origin.saturating_duration_since(at))
     }
 
     /// Records a crash that this daemon has observed, and returns whether and how the request
     /// may still run.
-    pub fn record_crash(&mut self, strike: Strike, now: Instant) -> Disposition {
-        let at = self.since_origin(now);
+    pub fn record_crash(&mut self, strike: Strike) -> Disposition {
+        let (now, at) = (strike.at, self.since_origin(strike.at));
         self.record_parts(&strike, at);
         let (request, crash, parts) = (strike.request, strike.crash, strike.parts.clone());
         let is_new = self.parts.explains(crash)
@@ -81,8 +89,8 @@
     }
 
     /// Applies a strike received from another daemon, and returns whether it was new.
-    pub fn apply(&mut self, strike: Strike, now: Instant) -> bool {
-        let at = self.since_origin(now);
+    pub fn apply(&mut self, strike: Strike) -> bool {
+        let at = self.since_origin(strike.at);
         let is_same = |notice: &Notice| {
             let Notice::Struck(known) = notice else { return false };
             known.request == strike.request && known.crash == strike.crash
@@ -102,7 +110,7 @@
     /// Records a strike against the parts of its request. Crashes that a quarantined part
     /// explains no longer count against whole requests.
     fn record_parts(&mut self, strike: &Strike, at: Duration) {
-        let Strike { request, crash, parts } = strike;
+        let Strike { request, crash, parts, .. } = strike;
         let finding = self.parts.record_strike(*request, *crash, parts, at);
         for crash in &finding.explained {
             self.tracker.retract(*crash);
@@ -128,10 +136,10 @@
         }
     }
 
-    /// Records that a request with these parts survived, here or at another daemon. Returns the
-    /// parts that had strikes, which are removed.
-    pub fn clear(&mut self, parts: &[Part], now: Instant) -> Vec<Part> {
-        let cleared = self.parts.clear(parts, self.since_origin(now));
+    /// Records that a request with these parts survived at `at`, here or at another daemon.
+    /// Returns the parts that had strikes, which are removed.
+    pub fn clear(&mut self, parts: &[Part], at: Instant) -> Vec<Part> {
+        let cleared = self.parts.clear(parts, self.since_origin(at));
         for part in &cleared {
             for notice in &mut self.recent {
                 let Notice::Struck(strike) = notice else { continue };
@@ -140,7 +148,7 @@
                 }
             }
             emit!(Event::PartCleared, part = format!("{:016x}", part.0));
-            self.push_recent(Notice::Cleared(*part));
+            self.push_recent(Notice::Cleared(*part, at));
         }
         cleared
     }
@@ -175,6 +183,26 @@
         self.tracker.record_completion(request);
     }
 
+    /// The strikes for which requests and parts are refused at `now`.
+    pub fn decisive(&self, now: Instant) -> Vec<Strike> {
+        let since_origin = self.since_origin(now);
+        let strike = |request, crash, parts: Arc<[Part]>, at: Duration| {
+            let at = now.checked_sub(since_origin.saturating_sub(at)).unwrap_or(now);
+            Strike { request, crash, parts, at }
+        };
+        let mut decisive = Vec::new();
+        for (request, strikes) in self.tracker.refused(since_origin) {
+            decisive.extend(
+                strikes.iter().map(|(crash, at)| strike(request, *crash, Arc::default(), *at)),
+            );
+        }
+        for (part, strikes) in self.parts.quarantined(since_origin) {
+            decisive
+                .extend(strikes.iter().map(|s| strike(s.request, s.crash, [part].into(), s.at)));
+        }
+        decisive
+    }
+
     /// The notices that followed the first `count` ones, as far as they are kept, and the
     /// number of all notices so far; the next call takes this number as its `count`.
     pub fn after(&self, count: usize) -> (Vec<Notice>, usize) {
@@ -248,8 +276,9 @@
         return node.strikes().disposition(request, &parts, Instant::now());
     }
     let incarnation = format!("{}/{}", replica.id, replica.started_at_ms.unwrap_or_default());
-    let strike = Strike { request, crash: Crash(winch_route::hash::name(&incarnation)), parts };
-    let disposition = node.strikes().record_crash(strike.clone(), Instant::now());
+    let crash = Crash(winch_route::hash::name(&incarnation));
+    let strike = Strike { request, crash, parts, at: Instant::now() };
+    let disposition = node.strikes().record_crash(strike.clone());
     emit!(
         Event::RequestSuspected,
         request = job.call.label(),
--- a/crates/winch-route/src/quarantine.rs
+++ b/crates/winch-route/src/quarantine.rs
@@ -62,12 +62,15 @@
     }
 }
 
-/// One crash while a request that holds a part was about to be answered.
-#[derive(Clone, Copy, Debug)]
-struct Strike {
-    request: Fingerprint,
-    crash: Crash,
-    at: Duration,
+/// One crash of an upstream before a request that holds a part had survived there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Strike {
+    /// The request.
+    pub request: Fingerprint,
+    /// The crash.
+    pub crash: Crash,
+    /// When it was observed.
+    pub at: Duration,
 }
 
 /// The strikes against one part.
@@ -146,14 +149,14 @@
         now: Duration,
     ) -> Finding {
         self.expire(now);
+        if self.explained.contains_key(&crash) {
+            return Finding::default();
+        }
         if let Some(part) = parts.iter().find(|part| self.is_quarantined(**part, now)) {
             let case = self.cases.entry(*part).or_default();
-            case.last_crash_at = Some(now);
+            case.last_crash_at = case.last_crash_at.max(Some(now));
             return Finding { quarantined: None, explained: self.explain(vec![crash], now) };
         }
-        if self.explained.contains_key(&crash) {
-            return Finding::default();
-        }
         let strike = Strike { request, crash, at: now };
         let suspects: Vec<Part> =
             parts.iter().copied().filter(|part| !self.is_cleared(*part, now)).collect();
@@ -167,7 +170,7 @@
             return Finding::default();
         };
         let case = self.cases.entry(culprit).or_default();
-        case.last_crash_at = Some(now);
+        case.last_crash_at = case.strikes.iter().map(|strike| strike.at).max();
         let crashes = case.strikes.iter().map(|strike| strike.crash).collect();
         Finding { quarantined: Some(culprit), explained: self.explain(crashes, now) }
     }
@@ -198,7 +201,8 @@
     pub fn clear(&mut self, parts: &[Part], now: Duration) -> Vec<Part> {
         self.make_room(now);
         for part in parts {
-            self.cleared.insert(*part, now);
+            let cleared_at = self.cleared.entry(*part).or_default();
+            *cleared_at = now.max(*cleared_at);
         }
         parts.iter().copied().filter(|part| self.cases.remove(part).is_some()).collect()
     }
@@ -215,6 +219,13 @@
         last_crash_at.is_some_and(|at| now.saturating_sub(at) < self.options.lifetime)
     }
 
+    /// The quarantined parts and the strikes for which they are.
+    pub fn quarantined(&self, now: Duration) -> impl Iterator<Item = (Part, &[Strike])> {
+        let quarantined =
+            self.cases.iter().filter(move |(part, _)| self.is_quarantined(**part, now));
+        quarantined.map(|(part, case)| (*part, &*case.strikes))
+    }
+
     /// Takes the right to run one request with this quarantined part, which clears the part if
     /// it survives. False if no trial is due.
     pub fn start_trial(&mut self, part: Part, now: Duration) -> bool {
--- a/crates/winch-route/src/suspect.rs
+++ b/crates/winch-route/src/suspect.rs
@@ -182,6 +182,17 @@
         }
     }
 
+    /// The requests that are refused at `now`, and their strikes with the time of each.
+    pub fn refused(
+        &self,
+        now: Duration,
+    ) -> impl Iterator<Item = (Fingerprint, &[(Crash, Duration)])> {
+        let is_refused =
+            move |request: Fingerprint| self.disposition(request, now) == Disposition::Refused;
+        let strikes = self.strikes.iter().filter(move |(request, _)| is_refused(**request));
+        strikes.map(|(request, strikes)| (*request, &**strikes))
+    }
+
     /// Number of fingerprints kept.
     pub fn len(&self) -> usize {
         self.strikes.len()
