winch-route: keep the strikes of the culprit while another part is held for it

Callers would see: sound requests with a part that the first crashing requests happen to share are refused until one survives, and then three more replicas crash before the culprit is found. Cause: crashes that a quarantined part explains were deleted from all other parts, for good. Change: they are kept and do not count while the part is quarantined; once it is cleared they count again. true_culprit_found failed before (no part quarantined by the fourth crash) and passes now. survivor_clears expected that the first part has no strikes left to clear; it has them now, so it lists both.

--- a/crates/winch-route/src/quarantine.rs
+++ b/crates/winch-route/src/quarantine.rs
@@ -4,7 +4,7 @@
 //! are never repeated can crash one replica after the other. A part is quarantined once several
 //! crashes have struck several requests that hold it, and no request that holds it has survived
 //! meanwhile. Parts that sound requests hold, too, are cleared by those that survive. A crash
-//! that a quarantined part explains counts against nothing else.
+//! that a quarantined part explains counts against nothing else, unless the part is cleared.
 
 use std::{
     collections::{HashMap, HashSet},
@@ -95,11 +95,12 @@
         self.strikes.push(strike);
     }
 
-    /// Number of crashes that count: each one once, and only some of each request.
-    fn evidence(&self, crashes_per_request: usize) -> usize {
+    /// Number of crashes that count: those that are not `explained`, each one once, and only some
+    /// of each request.
+    fn evidence(&self, explained: &HashMap<Crash, Cause>, crashes_per_request: usize) -> usize {
         let mut crashes = HashSet::new();
         let mut requests = HashMap::<Fingerprint, usize>::new();
-        for strike in &self.strikes {
+        for strike in self.strikes.iter().filter(|strike| !explained.contains_key(&strike.crash)) {
             let count = requests.entry(strike.request).or_default();
             if *count < crashes_per_request && crashes.insert(strike.crash) {
                 *count += 1;
@@ -109,6 +110,13 @@
     }
 }
 
+/// The quarantined part that explains a crash.
+#[derive(Clone, Copy, Debug)]
+struct Cause {
+    part: Part,
+    at: Duration,
+}
+
 /// The strikes against all parts.
 #[derive(Debug)]
 pub struct Ledger {
@@ -116,8 +124,8 @@
     cases: HashMap<Part, Case>,
     /// When a request that holds the part last survived.
     cleared: HashMap<Part, Duration>,
-    /// Crashes of quarantined parts, and when they became known.
-    explained: HashMap<Crash, Duration>,
+    /// Crashes that quarantined parts explain.
+    explained: HashMap<Crash, Cause>,
 }
 
 /// What a strike changed.
@@ -149,46 +157,42 @@
         now: Duration,
     ) -> Finding {
         self.expire(now);
-        if self.explained.contains_key(&crash) {
-            return Finding::default();
-        }
-        if let Some(part) = parts.iter().find(|part| self.is_quarantined(**part, now)) {
-            let case = self.cases.entry(*part).or_default();
-            case.last_crash_at = case.last_crash_at.max(Some(now));
-            return Finding { quarantined: None, explained: self.explain(vec![crash], now) };
-        }
         let strike = Strike { request, crash, at: now };
         let suspects: Vec<Part> =
             parts.iter().copied().filter(|part| !self.is_cleared(*part, now)).collect();
         for part in &suspects {
             self.cases.entry(*part).or_default().add(strike);
         }
+        if self.explained.contains_key(&crash) {
+            return Finding::default();
+        }
+        if let Some(part) = parts.iter().find(|part| self.is_quarantined(**part, now)).copied() {
+            let case = self.cases.entry(part).or_default();
+            case.last_crash_at = case.last_crash_at.max(Some(now));
+            return Finding { quarantined: None, explained: self.explain(part, vec![crash], now) };
+        }
         let Options { crash_threshold, crashes_per_request, .. } = self.options;
-        let is_culprit =
-            |part: &&Part| self.cases[part].evidence(crashes_per_request) >= crash_threshold;
+        let is_culprit = |part: &&Part| {
+            let evidence = self.cases[part].evidence(&self.explained, crashes_per_request);
+            evidence >= crash_threshold
+        };
         let Some(culprit) = suspects.iter().rev().find(is_culprit).copied() else {
             return Finding::default();
         };
         let case = self.cases.entry(culprit).or_default();
         case.last_crash_at = case.strikes.iter().map(|strike| strike.at).max();
         let crashes = case.strikes.iter().map(|strike| strike.crash).collect();
-        Finding { quarantined: Some(culprit), explained: self.explain(crashes, now) }
+        Finding { quarantined: Some(culprit), explained: self.explain(culprit, crashes, now) }
     }
 
-    /// Marks crashes as explained and removes their strikes from all parts that are not
-    /// quarantined; returns those that were not explained before.
-    fn explain(&mut self, crashes: Vec<Crash>, now: Duration) -> Vec<Crash> {
-        let new: Vec<Crash> = crashes
-            .into_iter()
-            .filter(|crash| self.explained.insert(*crash, now).is_none())
-            .collect();
-        self.cases.retain(|_, case| {
-            if case.last_crash_at.is_none() {
-                case.strikes.retain(|strike| !new.contains(&strike.crash));
-            }
-            case.last_crash_at.is_some() || !case.strikes.is_empty()
-        });
-        new
+    /// Marks crashes as explained by `part`; returns those that were not explained before.
+    fn explain(&mut self, part: Part, crashes: Vec<Crash>, at: Duration) -> Vec<Crash> {
+        let mut is_new = |crash: &Crash| {
+            let known = self.explained.contains_key(crash);
+            self.explained.entry(*crash).or_insert(Cause { part, at });
+            !known
+        };
+        crashes.into_iter().filter(|crash| is_new(crash)).collect()
     }
 
     /// Whether a quarantined part explains a crash.
@@ -204,7 +208,10 @@
             let cleared_at = self.cleared.entry(*part).or_default();
             *cleared_at = now.max(*cleared_at);
         }
-        parts.iter().copied().filter(|part| self.cases.remove(part).is_some()).collect()
+        let struck: Vec<Part> =
+            parts.iter().copied().filter(|part| self.cases.remove(part).is_some()).collect();
+        self.explained.retain(|_, cause| !struck.contains(&cause.part));
+        struck
     }
 
     /// Whether a request with this part has survived lately.
@@ -258,7 +265,7 @@
     fn expire(&mut self, now: Duration) {
         let Options { lifetime, max_parts, .. } = self.options;
         let is_current = |at: Duration| now.saturating_sub(at) < lifetime;
-        self.explained.retain(|_, at| is_current(*at));
+        self.explained.retain(|_, cause| is_current(cause.at));
         for case in self.cases.values_mut().filter(|case| case.last_crash_at.is_none()) {
             case.strikes.retain(|strike| is_current(strike.at));
         }
