winch-route, winch-relay: share the limits that replicas name

Callers would see: a replica in need gets far more requests than it can take, and those fail or wait.

Cause: the header that names the limit was not read, and nothing divided a rate between daemons. That engines mostly stayed within it is due to streams being placed by load, and to the load itself. Class: a common limit that each daemon would have to know and divide.

Change: replies and load reports carry the limit into the catalog; each daemon takes limit x 0.7 / daemons in slots of its own (winch_route::throttle); the reading daemon counts the fleet and tells it. A replica without a slot is not chosen; without any the request is refused (614) with Retry-After. Limits end with the first reply that names none. Ruled out: refusing above the limit at each daemon alone (twelve daemons send twelve times as much).

--- a/crates/winch-event/src/lib.rs
+++ b/crates/winch-event/src/lib.rs
@@ -119,6 +119,9 @@
     /// A new KV cache copy of a run replaces a lost one; logged again at each refresh of
     /// the new copy.
     CopyReplaced = 1119, Info, "lost KV cache copy of a run replaced";
+    /// A replica has begun or ceased to name a limit of the requests that it takes from all
+    /// daemons together.
+    ReplicaLimited = 1120, Warn, "limit of a replica changed";
     /// An order was sent, but its response was lost or did not arrive in time; the order
     /// may have taken effect.
     OrderOutcomeUnknown = 1201, Error, "outcome of an order is unknown";
--- a/crates/winch-relay/src/catalog.rs
+++ b/crates/winch-relay/src/catalog.rs
@@ -10,6 +10,7 @@
 };
 
 use slotmap::{SlotMap, new_key_type};
+use winch_route::throttle::Throttle;
 
 use crate::{prelude::*, store::Change};
 
@@ -52,6 +53,8 @@
     removed_in_outage: bool,
     /// Whether the daemon that this one follows holds the removal of the replica back.
     held_by_source: bool,
+    /// This daemon's share of the limit that the replica names; `None` if it names none.
+    throttle: Option<Throttle>,
     /// When the replica was inserted before it was listed; `None` if it is listed.
     unlisted_since: Option<Instant>,
 }
@@ -68,6 +71,7 @@
             consecutive_failures: 0,
             removed_in_outage: false,
             held_by_source: false,
+            throttle: None,
             unlisted_since: None,
         }
     }
@@ -76,6 +80,11 @@
     pub fn is_ejected(&self, now: Instant) -> bool {
         self.ejected_until.is_some_and(|until| now < until)
     }
+
+    /// Whether the replica names a limit of the requests that it takes.
+    pub fn is_limited(&self) -> bool {
+        self.throttle.is_some()
+    }
 }
 
 /// A change of the catalog.
@@ -113,6 +122,8 @@
     entries: SlotMap<Key, Entry>,
     by_id: HashMap<Name, Key>,
     by_address: HashMap<SocketAddr, Key>,
+    /// Start of the time that throttles use; set with the first one.
+    origin: Option<Instant>,
     /// Whether the store is unreachable.
     in_outage: bool,
     /// Set from the end of an outage until the first read after it is applied.
@@ -335,6 +346,45 @@
         Some(length)
     }
 
+    fn since_origin(&self, now: Instant) -> Duration {
+        self.origin.map_or(Duration::ZERO, |origin| now.saturating_duration_since(origin))
+    }
+
+    /// Sets or removes the limit of a replica, in requests a second, which `sharers` daemons obey
+    /// together; returns whether it had one. `phase` is a random number from 0 to 1.
+    pub fn set_limit(
+        &mut self,
+        key: Key,
+        limit: Option<f64>,
+        sharers: f64,
+        now: Instant,
+        phase: f64,
+    ) -> bool {
+        self.origin.get_or_insert(now);
+        let at = self.since_origin(now);
+        let Some(entry) = self.entries.get_mut(key) else { return limit.is_some() };
+        let was_limited = entry.is_limited();
+        match (limit, &mut entry.throttle) {
+            (None, throttle) => *throttle = None,
+            (Some(limit), Some(throttle)) => throttle.adjust(limit, sharers, at, phase),
+            (Some(limit), throttle) => *throttle = Some(Throttle::new(limit, sharers, at, phase)),
+        }
+        was_limited
+    }
+
+    /// Whether the replica may get a request at `now` under the limit that it names.
+    pub fn has_slot(&self, entry: &Entry, now: Instant) -> bool {
+        entry.throttle.is_none_or(|throttle| throttle.is_open(self.since_origin(now)))
+    }
+
+    /// Takes the right to send one request to a replica under the limit that it names; false if
+    /// there is none at `now`, or if the replica was removed.
+    pub fn take_slot(&mut self, key: Key, now: Instant) -> bool {
+        let at = self.since_origin(now);
+        let Some(entry) = self.entries.get_mut(key) else { return false };
+        entry.throttle.as_mut().is_none_or(|throttle| throttle.take(at))
+    }
+
     /// Records an answer, which ends an ejection even if the answer is a failure.
     ///
     /// `latency` is the time to the complete answer; `None` leaves the average as it is.
--- a/crates/winch-relay/src/code.rs
+++ b/crates/winch-relay/src/code.rs
@@ -63,6 +63,8 @@
     Suspect = 612, "suspect", SERVICE_UNAVAILABLE, false;
     /// The prompt has a part on which several replicas crashed.
     SuspectPart = 613, "suspect_part", SERVICE_UNAVAILABLE, false;
+    /// The replicas of the service name limits, and this daemon's shares of them are used up.
+    Limited = 614, "limited", SERVICE_UNAVAILABLE, false;
     /// The connection to the replica broke; the request may have run.
     Broken = 620, "broken", BAD_GATEWAY, true;
     /// The reply of the replica is invalid; the request may have run.
--- a/crates/winch-relay/src/lib.rs
+++ b/crates/winch-relay/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod daemon;
 pub mod edge;
 pub mod exposition;
+pub mod fleet;
 pub mod job;
 pub mod kv_snapshot;
 pub mod moves;
--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -28,8 +28,9 @@
 use winch_route::budget::{self, Budget};
 
 use crate::{
-    catalog::{Catalog, Key},
+    catalog::{Catalog, Entry, Key},
     config::Config,
+    fleet::Fleet,
     moves::{Progress, Rollouts, Rule, Spec},
     pool::Pool,
     prelude::*,
@@ -77,6 +78,7 @@
     roster: Mutex<Roster>,
     rollouts: Mutex<Rollouts>,
     strikes: Mutex<Strikes>,
+    fleet: Mutex<Fleet>,
     reads_store: AtomicBool,
     serves: AtomicBool,
     /// When the store last confirmed each topic.
@@ -109,6 +111,7 @@
             roster: Mutex::default(),
             rollouts: Mutex::default(),
             strikes: Strikes::new(started_at).into(),
+            fleet: Mutex::default(),
             reads_store: AtomicBool::new(false),
             serves: AtomicBool::new(false),
             confirmed: Mutex::default(),
@@ -212,6 +215,50 @@
         self.changed.send_replace(());
     }
 
+    /// The known size of the fleet.
+    pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        lock(&self.fleet)
+    }
+
+    /// Number of daemons in the fleet.
+    pub fn daemons(&self) -> u32 {
+        self.fleet().daemons(self.serves() && self.reads_store(), Instant::now())
+    }
+
+    /// Expected number of daemons that use a replica of `service`: those that know it.
+    fn sharers(&self, service: &str, known: usize) -> f64 {
+        let daemons = f64::from(self.daemons());
+        let total = self.fleet().replicas(service).map_or(known as f64, f64::from);
+        daemons * (known as f64 / total.max(1.0)).min(1.0)
+    }
+
+    /// Records the limit that a replica has named, in requests a second from all daemons together;
+    /// `None` if it names none.
+    pub fn apply_limit(&self, replica: &Replica, limit: Option<f64>) {
+        let key = {
+            let catalog = self.catalog();
+            let Some(key) = catalog.key(&replica.id) else { return };
+            let is_limited = catalog.get(key).is_some_and(Entry::is_limited);
+            if limit.is_none() && !is_limited {
+                return;
+            }
+            key
+        };
+        let known = self.catalog().serving(&replica.service).count();
+        let sharers = self.sharers(&replica.service, known);
+        let (now, phase) = (Instant::now(), self.rng().random());
+        let was_limited = self.catalog().set_limit(key, limit, sharers, now, phase);
+        if was_limited != limit.is_some() {
+            let limit = limit.map_or("-".to_owned(), |limit| limit.to_string());
+            emit!(Event::ReplicaLimited, replica = replica.id, limit = limit, sharers = sharers);
+        }
+    }
+
+    /// Whether replicas of `service` are limited, so that a request may find none to use.
+    pub fn is_limited(&self, service: &str) -> bool {
+        self.catalog().serving(service).any(|(_, entry)| entry.is_limited())
+    }
+
     /// Draws whether the old or the new version serves a new request while its service is
     /// being moved; [`Cohort::Old`] if it is not.
     pub fn draw_cohort(&self, service: &str) -> Cohort {
--- a/crates/winch-relay/src/peer/follow.rs
+++ b/crates/winch-relay/src/peer/follow.rs
@@ -177,7 +177,7 @@
             let update = tokio::select! {
                 update = receive::<Update>(&mut self.framed, timeout_at) => update?,
                 _ = report_ticks.tick() => {
-                    if node.rollouts().any_open() {
+                    if self.limits.serves || node.rollouts().any_open() {
                         let report = send(&mut self.framed, build_report(node));
                         timeout(SEED_TIMEOUT, report).await.map_err(io::Error::from)??;
                     }
@@ -201,6 +201,9 @@
         for topic in Topic::ALL {
             node.confirm(topic, Some(self.confirmed_at));
         }
+        let services = std::mem::take(&mut update.services).into_iter();
+        let sizes = services.map(|size| (size.service.into(), size.replicas));
+        node.fleet().apply(update.daemons, sizes);
         let cleared = std::mem::take(&mut update.cleared);
         apply_notices(node, cleared, std::mem::take(&mut update.strikes));
         for moving in std::mem::take(&mut update.moving) {
@@ -233,6 +236,7 @@
     Report {
         daemon: node.settings.name.to_string(),
         counted: evidence.into_iter().map(Into::into).collect(),
+        followers: node.fleet().followers(),
     }
 }
 
--- a/crates/winch-relay/src/peer/message.rs
+++ b/crates/winch-relay/src/peer/message.rs
@@ -89,6 +89,30 @@
     /// applied before `strikes`.
     #[prost(message, repeated, tag = "13")]
     pub cleared: Vec<ClearedPart>,
+    /// Number of daemons in the fleet; zero if the sender does not know it.
+    #[prost(uint32, tag = "14")]
+    pub daemons: u32,
+    /// Services whose size has changed since the last update on the connection.
+    #[prost(message, repeated, tag = "15")]
+    pub services: Vec<ServiceSize>,
+}
+
+/// The number of replicas of a service.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(super) struct ServiceSize {
+    /// Name of the service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Number of replicas in the whole list.
+    #[prost(uint32, tag = "2")]
+    pub replicas: u32,
+}
+
+impl From<(&Name, usize)> for ServiceSize {
+    fn from((service, replicas): (&Name, usize)) -> Self {
+        let replicas = u32::try_from(replicas).unwrap_or(u32::MAX);
+        Self { service: service.to_string(), replicas }
+    }
 }
 
 impl Update {
@@ -346,6 +370,9 @@
     /// Its counts for each open move.
     #[prost(message, repeated, tag = "2")]
     pub counted: Vec<MoveCounts>,
+    /// Number of daemons that follow this follower.
+    #[prost(uint32, tag = "3")]
+    pub followers: u32,
 }
 
 /// The [`Evidence`] for one move on the wire.
--- a/crates/winch-relay/src/peer/serve.rs
+++ b/crates/winch-relay/src/peer/serve.rs
@@ -13,10 +13,10 @@
 
 use super::{
     FramedStream, REQUEST_TIMEOUT, SEED_TIMEOUT, apply_notices, frame_stream,
-    message::{ClearedPart, CrashStrike, MoveProgress, Report, Request, Update},
+    message::{ClearedPart, CrashStrike, MoveProgress, Report, Request, ServiceSize, Update},
     send,
 };
-use crate::{node::Node, prelude::*, strikes::Notice};
+use crate::{fleet::FollowerKey, node::Node, prelude::*, strikes::Notice};
 
 /// Largest number of connections that are served at once; further ones are closed.
 const MAX_CONNECTIONS: usize = 512;
@@ -39,6 +39,7 @@
     is_compact: bool,
     /// Number of notices of strikes that were sent or skipped.
     notices: usize,
+    services: Vec<ServiceSize>,
 }
 
 impl Sent {
@@ -46,7 +47,13 @@
         let interest = request.interest.clone().map(Interest::from);
         let is_compact = interest.is_some();
         let interest = interest.unwrap_or_else(|| Interest::whole(node.settings.dc.clone()));
-        Self { config_version: 0, cursor: Cursor::new(interest), is_compact, notices: 0 }
+        Self {
+            config_version: 0,
+            cursor: Cursor::new(interest),
+            is_compact,
+            notices: 0,
+            services: Vec::new(),
+        }
     }
 
     /// Builds the next update: the changes since the last one, with a configuration of at
@@ -55,6 +62,7 @@
         let mut update = Update {
             age_ms: node.state_age_ms(),
             reads_store: node.reads_store(),
+            daemons: node.daemons(),
             ..Update::default()
         };
         if let Some(published) = node.published() {
@@ -103,6 +111,10 @@
     fn add_listing<P: Protocol>(&mut self, node: &Node<P>, update: &mut Update) {
         let moving = node.rollouts().moving_services();
         let roster = node.roster();
+        let services: Vec<ServiceSize> = roster.services().map(ServiceSize::from).collect();
+        let changed = services.iter().filter(|size| !self.services.contains(size));
+        update.services = changed.cloned().collect();
+        self.services = services;
         update.list_version = roster.version();
         let delta = self.cursor.advance(&roster, &moving);
         if self.is_compact {
@@ -153,6 +165,7 @@
     framed: &mut FramedStream,
     mut sent: Sent,
 ) -> io::Result<()> {
+    let follower = Follower::new(node);
     let mut changes = node.subscribe();
     while node.serves() {
         let update = sent.next_update(node, MAX_PUSHED_CONFIG_BYTES);
@@ -169,6 +182,7 @@
                 frame = framed.next() => {
                     let Some(frame) = frame.transpose()? else { return Ok(()) };
                     let report = Report::decode(frame).map_err(io::Error::other)?;
+                    node.fleet().report(follower.key, report.followers);
                     apply_report(node, report);
                 }
             }
@@ -177,6 +191,24 @@
     Ok(())
 }
 
+/// Guard that counts a follower while it is connected.
+struct Follower<'a, P: Protocol> {
+    node: &'a Node<P>,
+    key: FollowerKey,
+}
+
+impl<'a, P: Protocol> Follower<'a, P> {
+    fn new(node: &'a Node<P>) -> Self {
+        Self { node, key: node.fleet().add_follower() }
+    }
+}
+
+impl<P: Protocol> Drop for Follower<'_, P> {
+    fn drop(&mut self) {
+        self.node.fleet().remove_follower(self.key);
+    }
+}
+
 fn apply_report<P: Protocol>(node: &Node<P>, report: Report) {
     let (name, now) = (Name::from(report.daemon), Instant::now());
     let mut rollouts = node.rollouts();
--- a/crates/winch-relay/src/placement.rs
+++ b/crates/winch-relay/src/placement.rs
@@ -61,7 +61,8 @@
 /// Only replicas that satisfy `is_eligible` are drawn. Most candidates follow from the key by
 /// rendezvous hashing: after a restart of all daemons, which then know nothing of earlier runs,
 /// a repeated request is offered to replicas that may have read its prompt before. Remote
-/// replicas replace missing local ones. Ejected replicas are drawn only if no other one is
+/// replicas replace missing local ones. Replicas without a slot under the limit that they name are
+/// drawn at random only. Ejected replicas are drawn only if no other one is
 /// eligible.
 pub fn draw_candidates<R: Rng>(
     catalog: &Catalog,
@@ -73,13 +74,19 @@
     let Draw { service, dc, affinity, round } = draw;
     let is_eligible = |(_, entry): &(Key, &Entry)| is_eligible(&entry.replica);
     let to_pair = |(key, entry): (Key, &Entry)| (key, entry.replica.clone());
-    let usable = catalog.usable(service, now).filter(is_eligible).map(to_pair);
+    let usable = catalog.usable(service, now).filter(is_eligible);
+    let (open, closed): (Vec<_>, Vec<_>) =
+        usable.partition(|(_, entry)| catalog.has_slot(entry, now));
+    let usable = open.into_iter().map(to_pair);
     let (local, remote): (Vec<_>, Vec<_>) = usable.partition(|(_, replica)| *replica.dc == *dc);
     let total = (LOCAL_CANDIDATES + REMOTE_CANDIDATES) << round;
     let mut drawn = rank(local, affinity, LOCAL_CANDIDATES << round);
     let remote_count = total - drawn.len();
     let mut remote = rank(remote, affinity, usize::MAX);
-    let others = remote.split_off(remote.len().min(remote_count.saturating_sub(RANDOM_CANDIDATES)));
+    let mut others =
+        remote.split_off(remote.len().min(remote_count.saturating_sub(RANDOM_CANDIDATES)));
+    // The report of a replica without a slot may show that its limit has ended.
+    others.extend(closed.into_iter().map(to_pair));
     drawn.extend(remote);
     let missing = total - drawn.len();
     drawn.extend(others.into_iter().choose_multiple(rng, missing.min(RANDOM_CANDIDATES)));
@@ -159,7 +166,8 @@
 /// those that satisfy `is_eligible`.
 ///
 /// The cost of a replica also grows with its failure rate, and an ejected replica is normally
-/// chosen only if there is no other one. `None` if no replica is eligible.
+/// chosen only if there is no other one. `None` if no replica is eligible, or if none has a slot
+/// under the limit that it names.
 pub fn choose_replica<R: Rng>(
     catalog: &Catalog,
     service: &str,
@@ -176,7 +184,9 @@
         let jitter = rng.random_range(0.95..1.05);
         latency * load * remote * ejected * (1.0 + FAILURE_WEIGHT * entry.failure_rate) * jitter
     };
-    let entries = catalog.serving(service).filter(|(_, entry)| is_eligible(&entry.replica));
+    let entries = catalog
+        .serving(service)
+        .filter(|(_, entry)| is_eligible(&entry.replica) && catalog.has_slot(entry, now));
     let costs: Vec<_> = entries.map(|(key, e)| (cost(e, rng), key, &e.replica)).collect();
     let best = costs.into_iter().min_by(|a, b| a.0.total_cmp(&b.0));
     best.map(|(_, key, replica)| (key, replica.clone()))
--- a/crates/winch-relay/src/probe.rs
+++ b/crates/winch-relay/src/probe.rs
@@ -87,8 +87,13 @@
     node: &Node<P>,
     replica: &Replica,
 ) -> Result<Option<Report>, Error> {
-    let (_, body) = exchange(node, replica, node.protocol.encode_report_request(replica)).await?;
-    Ok(node.protocol.decode_report(&body))
+    let exchanged = exchange(node, replica, node.protocol.encode_report_request(replica)).await?;
+    let (reply, body) = exchanged;
+    let report = node.protocol.decode_report(&body);
+    if report.is_some_and(|report| !report.is_from_other_incarnation(replica)) {
+        node.apply_limit(replica, node.protocol.decode_reply_meta(&reply).limit);
+    }
+    Ok(report)
 }
 
 /// Inserts a restarted replica into the catalog before the list contains it.
--- a/crates/winch-relay/src/protocol.rs
+++ b/crates/winch-relay/src/protocol.rs
@@ -43,7 +43,7 @@
 }
 
 /// Metadata read from the head of a replica's reply.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ReplyMeta {
     /// Id of the request that the reply answers; `None` if the reply does not state it.
     pub id: Option<Name>,
@@ -53,6 +53,9 @@
     pub not_run: bool,
     /// Whether the body has a content encoding other than `identity`.
     pub encoded: bool,
+    /// Requests a second that the replica takes from all daemons together; `None` if it names
+    /// no limit.
+    pub limit: Option<f64>,
 }
 
 /// A row of the store that shows operators the state of a version move.
--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -135,7 +135,12 @@
             if Instant::now() >= deadline {
                 return self.give_up(Code::TimedOut);
             }
-            let Some(target) = self.choose_target().await else { break };
+            let Some(target) = self.choose_target().await else {
+                if self.trace.sends == 0 && self.node.is_limited(&self.job.service) {
+                    code = Code::Limited;
+                }
+                break;
+            };
             if self.is_quarantined() {
                 return self.give_up(Code::SuspectPart);
             }
--- a/crates/winch-relay/src/stream/attempt.rs
+++ b/crates/winch-relay/src/stream/attempt.rs
@@ -76,6 +76,7 @@
             }
         };
         let meta = self.node.protocol.decode_reply_meta(&reply);
+        self.node.apply_limit(&target.replica, meta.limit);
         if meta.not_run {
             // The connection can be reused only after the body of the reply has been read.
             let read = connection.body(MAX_BODY_BYTES).await;
--- a/crates/winch-relay/src/stream/target.rs
+++ b/crates/winch-relay/src/stream/target.rs
@@ -65,13 +65,16 @@
             return None;
         }
         let now = Instant::now();
-        let catalog = self.node.catalog();
+        let mut catalog = self.node.catalog();
         let key = catalog.key(&copy.replica.id)?;
         let entry = catalog.get(key)?;
         if entry.replica.draining || entry.is_ejected(now) {
             return None;
         }
         let replica = entry.replica.clone();
+        if !catalog.take_slot(key, now) {
+            return None;
+        }
         let broken_dc = self.broken_dc.as_deref().unwrap_or_default();
         let rng = &mut self.node.rng();
         let copy_to = placement::draw_copy_holder(&catalog, &replica, broken_dc, now, rng);
@@ -119,16 +122,18 @@
             let is_local = answer.replica.dc == *dc;
             placement::stream_cost(&answer.report, starting, is_local, tokens, answer.cached)
         };
-        let best = answers
-            .iter()
-            .filter(|answer| !answer.report.draining)
-            .min_by(|a, b| cost(a).total_cmp(&cost(b)));
+        let mut ranked: Vec<_> = answers.iter().filter(|a| !a.report.draining).collect();
+        ranked.sort_by(|a, b| cost(a).total_cmp(&cost(b)));
+        let now = Instant::now();
+        let best = ranked.into_iter().find(|answer| node.catalog().take_slot(answer.key, now));
         let Some(best) = best else {
             // A single candidate may still serve without a report in time or while it
             // drains, unless it has left the catalog, for example because another
             // incarnation has replaced it.
             let (key, replica) = only_candidate?;
-            node.catalog().get(key)?;
+            if !node.catalog().take_slot(key, now) {
+                return None;
+            }
             return Some(Target { key, replica, copy_from: None, copy_to: None });
         };
         let copy_to = if self.keeps_copy() {
--- a/crates/winch-relay/src/unary.rs
+++ b/crates/winch-relay/src/unary.rs
@@ -79,10 +79,17 @@
             let excluded = &trace.excluded;
             let is_eligible =
                 |replica: &Replica| rule.allows(replica) && !excluded.contains(&replica.id);
-            let catalog = node.catalog();
-            placement::choose_replica(&catalog, service, dc, is_eligible, now, &mut node.rng())
+            let mut catalog = node.catalog();
+            let rng = &mut node.rng();
+            let choice = placement::choose_replica(&catalog, service, dc, is_eligible, now, rng);
+            choice.filter(|(key, _)| catalog.take_slot(*key, now))
+        };
+        let Some((key, replica)) = choice else {
+            if trace.sends == 0 && node.is_limited(service) {
+                code = Code::Limited;
+            }
+            break;
         };
-        let Some((key, replica)) = choice else { break };
         if trace.sends > 0 && !node.spend_retry(&job.service) {
             code = Code::NoBudget;
             break;
@@ -181,6 +188,7 @@
         }
         Ok(Ok((reply, body))) => {
             let meta = node.protocol.decode_reply_meta(&reply);
+            node.apply_limit(replica, meta.limit);
             let latency = sent_at.elapsed();
             node.pool.put(replica.address, connection);
             if meta.not_run {
@@ -258,7 +266,7 @@
     match code {
         Code::NoConfig | Code::NoReplica => Some(Duration::from_secs(1)),
         Code::Stopping => Some(Duration::from_millis(20)),
-        Code::Refused | Code::NoBudget => Some(Duration::from_millis(200)),
+        Code::Refused | Code::NoBudget | Code::Limited => Some(Duration::from_millis(200)),
         _ => None,
     }
 }
--- a/crates/winch-roster/src/roster.rs
+++ b/crates/winch-roster/src/roster.rs
@@ -93,6 +93,12 @@
         self.locations.is_empty()
     }
 
+    /// The services with their number of replicas.
+    pub fn services(&self) -> impl Iterator<Item = (&Name, usize)> {
+        let size = |rings: &Rings| rings.values().map(Ring::len).sum();
+        self.services.iter().map(move |(service, rings)| (service, size(rings)))
+    }
+
     fn put(&mut self, replica: Arc<Replica>) {
         self.remove(&replica.id);
         let address = replica.address;
--- a/crates/winch-route/src/lib.rs
+++ b/crates/winch-route/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod quarantine;
 pub mod router;
 pub mod suspect;
+pub mod throttle;
 pub mod urgency;
