winch-move: end a move without enough evidence before its deadline

Cause: Expired was decided at the deadline, and the controller looks once a second and then writes. Change: the decision falls a tenth of the time before the deadline, at most 2 s. Evidence: no_evidence_expires now asks for the verdict at 298 s of 300, and short_move_expires_in_time at 13.5 s of 15; both failed on the code before. The first test is as strict as before, about another moment: until then it must hold.

--- a/crates/winch-move/src/machine.rs
+++ b/crates/winch-move/src/machine.rs
@@ -59,6 +59,11 @@
 
 /// Minimum time in one stage, in seconds.
 const MIN_STAGE_SECS: f64 = 3.0;
+/// Longest time before the deadline at which a move without enough evidence ends, in seconds, so
+/// that its verdict is stored in time.
+const MAX_MARGIN_SECS: f64 = 2.0;
+/// The same as a share of the time from start to deadline.
+const MARGIN_SHARE: f64 = 0.1;
 
 impl Machine {
     /// Creates the state of a move that is in `stage` when this daemon takes it
@@ -98,8 +103,11 @@
         if input.cancelled {
             return Decision::End(Verdict::Cancelled, "an operator called it off");
         }
-        if input.now >= self.window.deadline {
-            return Decision::End(Verdict::Expired, "the deadline passed without enough evidence");
+        if input.now >= self.last_decision() {
+            return Decision::End(
+                Verdict::Expired,
+                "there was not enough evidence before the deadline",
+            );
         }
         // Stage 0 sends no requests to the new version, so it yields no evidence to wait for.
         if self.stage == 0 && input.now >= self.window.start {
@@ -108,6 +116,12 @@
         Decision::Hold
     }
 
+    /// When a move without enough evidence ends, in seconds.
+    fn last_decision(&self) -> f64 {
+        let Window { start, deadline } = self.window;
+        deadline - ((deadline - start) * MARGIN_SHARE).clamp(0.0, MAX_MARGIN_SECS)
+    }
+
     /// Whether the current stage has lasted long enough and the schedule allows the next one.
     fn may_advance(&self, now: f64) -> bool {
         let next = self.stage + 1;
--- a/crates/winch-move/src/verdict.rs
+++ b/crates/winch-move/src/verdict.rs
@@ -10,8 +10,8 @@
     Completed,
     /// The new version showed a fault; all traffic is back on the old version.
     TakenBack,
-    /// The deadline passed before there was enough evidence; all traffic is
-    /// back on the old version.
+    /// There was not enough evidence before the deadline; all traffic is back on the old
+    /// version.
     Expired,
     /// An operator cancelled the move; all traffic is back on the old version.
     Cancelled,
--- a/crates/winch-move/tests/one_verdict.rs
+++ b/crates/winch-move/tests/one_verdict.rs
@@ -109,15 +109,25 @@
 fn no_evidence_expires() {
     let mut machine = Machine::new(WINDOW, Options::default(), 0, 0.0);
     assert_matches!(machine.step(&input(1.0, Tally::default())), Decision::Advance(1));
-    for now in 2..300 {
+    for now in 2..298 {
         assert_matches!(machine.step(&input(f64::from(now), Tally::default())), Decision::Hold);
     }
     assert_matches!(
-        machine.step(&input(300.0, Tally::default())),
-        Decision::End(Verdict::Expired, _)
+        machine.step(&input(298.0, Tally::default())),
+        Decision::End(Verdict::Expired, _),
+        "the verdict must be stored before the deadline"
     );
 }
 
+#[test]
+fn short_move_expires_in_time() {
+    let window = Window { start: 0.0, deadline: 15.0 };
+    let mut machine = Machine::new(window, Options::default(), 1, 0.0);
+    assert_matches!(machine.step(&input(13.4, Tally::default())), Decision::Hold);
+    let step = machine.step(&input(13.5, Tally::default()));
+    assert_matches!(step, Decision::End(Verdict::Expired, _));
+}
+
 #[test]
 fn late_move_detected() {
     let machine = Machine::new(WINDOW, Options::default(), 1, 0.0);
