--- a/crates/winch-relay/src/controller.rs
+++ b/crates/winch-relay/src/controller.rs
@@ -6,12 +6,13 @@
 //! may end a move whose new version shows a fault. The record changes by compare-and-set, so
 //! that it gets a single verdict.
 
+mod rows;
+
 use std::collections::HashMap;
 
-use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 use winch_move::{
-    evidence::{self, Tally},
+    evidence,
     machine::{Decision, Input, Machine, Window},
     verdict::{Record, Verdict},
 };
@@ -20,6 +21,9 @@
     table::{Commit, Error, Row, Table, Transaction},
 };
 
+use self::rows::{
+    CountsRow, RecordRow, counts_key, counts_prefix, decode, encode, prefix, record_key,
+};
 use crate::{
     counter,
     moves::{Counts, Progress, Spec},
@@ -62,24 +66,6 @@
     }
 }
 
-/// The row with the record of a move.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-struct RecordRow {
-    revision: u64,
-    /// Age of the move when the row was written, in seconds.
-    age_s: f64,
-    record: Record,
-}
-
-/// The row with the counts of one daemon and its followers.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct CountsRow {
-    revision: u64,
-    stage: u32,
-    new: Tally,
-    old: Tally,
-}
-
 /// The controller's state of one open move.
 struct ActiveMove {
     spec: Spec,
@@ -126,15 +112,6 @@
     }
 }
 
-/// Prefix of the keys of all rows of a service's moves.
-fn prefix(service: &str) -> String {
-    format!("moves/{service}/")
-}
-
-fn record_key(service: &str) -> String {
-    format!("{}record", prefix(service))
-}
-
 /// Drives all open moves for as long as the daemon runs.
 pub async fn run<P: Protocol, T: Table>(node: Arc<Node<P>>, table: T) {
     let mut changes = node.subscribe();
@@ -406,22 +383,3 @@
         Ok(())
     }
 }
-
-/// Prefix of the keys of rows with counts, before the name of the daemon. The lease and the
-/// record sort before it, so that a scan reads them however many daemons have written counts.
-fn counts_prefix(service: &str) -> String {
-    format!("{}tally/", prefix(service))
-}
-
-fn counts_key(service: &str, daemon: &str) -> String {
-    format!("{}{daemon}", counts_prefix(service))
-}
-
-fn decode<V: for<'a> Deserialize<'a>>(row: &Row) -> Option<V> {
-    // The scan also returns rows of other types, which do not decode.
-    serde_json::from_str(&row.value).ok()
-}
-
-fn encode<V: Serialize>(value: &V) -> String {
-    serde_json::to_string(value).expect("rows contain no type that JSON cannot encode")
-}
--- a/crates/winch-relay/src/peer.rs
+++ b/crates/winch-relay/src/peer.rs
@@ -13,6 +13,7 @@
 
 mod follow;
 mod message;
+mod notice;
 mod serve;
 
 use std::{io, net::SocketAddr};
@@ -28,11 +29,14 @@
 use winch_roster::interest::Interest;
 use winch_route::quarantine::Part;
 
-use self::message::{ClearedPart, CrashStrike, Request};
 pub use self::{
     follow::{Error, Limits, Subscription, fetch_from_seeds},
     serve::serve,
 };
+use self::{
+    message::Request,
+    notice::{ClearedPart, CrashStrike},
+};
 use crate::{counter, node::Node, prelude::*, strikes::Strike};
 
 /// Timeout for connecting to a peer, and for receiving the request of a peer.
--- a/crates/winch-relay/src/peer/serve.rs
+++ b/crates/winch-relay/src/peer/serve.rs
@@ -13,7 +13,8 @@
 
 use super::{
     FramedStream, REQUEST_TIMEOUT, SEED_TIMEOUT, apply_notices, frame_stream,
-    message::{ClearedPart, CrashStrike, MoveProgress, Report, Request, ServiceSize, Update},
+    message::{MoveProgress, Report, Request, ServiceSize, Update},
+    notice::{ClearedPart, CrashStrike},
     send,
 };
 use crate::{fleet::FollowerKey, node::Node, prelude::*, strikes::Notice};
