winch-relay: keep quarantined parts of prompts in the platform's table

Callers would see: after all daemons were lost at once, requests with a quarantined part crash replicas again; so they do at a daemon that reaches the store but no other daemon, which learns of no strike. Cause: what must last lay in the daemons' memory alone. Change: daemons that read the store write the strikes of quarantined parts to its table, read them once a second, and delete the row of a part that was cleared. One more call a second to the store for each daemon that reads it.

--- a/crates/winch-relay/src/daemon.rs
+++ b/crates/winch-relay/src/daemon.rs
@@ -13,8 +13,8 @@
 use winch_platform::table::Table;
 
 use crate::{
-    controller, edge, exposition, node::Node, peer, prelude::*, settings::Settings, store::Access,
-    watch,
+    controller, edge, exposition, node::Node, peer, prelude::*, quarantine, settings::Settings,
+    store::Access, watch,
 };
 
 /// Time after the stop signal during which new connections are still accepted, so
@@ -91,6 +91,7 @@
     emit!(Event::Started, name = settings.name, listen = settings.callers, dc = settings.dc);
     let mut background_tasks = JoinSet::new();
     background_tasks.spawn(controller::run(node.clone(), access.table.clone()));
+    background_tasks.spawn(quarantine::run(node.clone(), access.table.clone()));
     background_tasks.spawn(watch::run(node.clone(), access));
     background_tasks.spawn(serve_ready(node.clone(), sockets.ready));
     background_tasks.spawn(peer::serve(node.clone(), sockets.peers));
--- a/crates/winch-relay/src/lib.rs
+++ b/crates/winch-relay/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod prelude;
 pub mod probe;
 pub mod protocol;
+pub mod quarantine;
 pub mod replica;
 pub mod respond;
 pub mod settings;
--- a/crates/winch-relay/src/strikes.rs
+++ b/crates/winch-relay/src/strikes.rs
@@ -166,6 +166,11 @@
         self.tracker.disposition(request, self.since_origin(now))
     }
 
+    /// Whether a request with this part has survived lately.
+    pub fn is_cleared(&self, part: Part, now: Instant) -> bool {
+        self.parts.is_cleared(part, self.since_origin(now))
+    }
+
     /// The first of these parts that is quarantined at `now`; `None` if none is.
     pub fn quarantined_part(&self, parts: &[Part], now: Instant) -> Option<Part> {
         let at = self.since_origin(now);
