winch-relay: clear no part because more rows than are read pushed its row out of sight

A scan reads at most 500 rows; a part whose row is beyond them was taken for one whose row another daemon had deleted. Found when the change was read again; no test holds 500 rows.

--- a/crates/winch-relay/src/quarantine.rs
+++ b/crates/winch-relay/src/quarantine.rs
@@ -70,7 +70,10 @@
     let rows = table.scan(PREFIX, "", MAX_ROWS).await?;
     let found: HashMap<Part, &Row> =
         rows.iter().filter_map(|row| Some((decode_key(&row.key)?, row))).collect();
-    let gone: Vec<Part> = stored.iter().copied().filter(|part| !found.contains_key(part)).collect();
+    // With more rows than are read, a missing one may only have moved out of sight.
+    let sees_all = rows.len() < MAX_ROWS;
+    let gone: Vec<Part> =
+        stored.iter().copied().filter(|part| sees_all && !found.contains_key(part)).collect();
     *stored = found.keys().copied().collect();
     if apply_rows(node, &found, &gone) {
         node.announce_strike();
--- a/crates/winch-relay/src/strikes.rs
+++ b/crates/winch-relay/src/strikes.rs
@@ -17,7 +17,7 @@
 
 /// Number of recent notices that are kept for sending to other daemons.
 const MAX_RECENT_NOTICES: usize = 256;
-/// Age of the oldest strikes of other daemons that are told apart by their age.
+/// Strikes of other daemons that are older count as of this age.
 const MAX_AGE: Duration = Duration::from_secs(600);
 /// Time from the first event of an attempt after which it has survived: a crash that follows is
 /// not attributed to its request.
