winch-relay: offer streams first to limited replicas with an open slot

Cause: replicas that name a limit were drawn as candidates like all others. With 132 daemons a daemon seldom has a slot at one of them, and then drew four others; the slot was lost and the replica idle. Change: up to two of the first round's candidates are limited replicas with an open slot.

--- a/crates/winch-relay/src/placement.rs
+++ b/crates/winch-relay/src/placement.rs
@@ -22,6 +22,9 @@
 /// Number of candidates that the first round takes from other data centres, in addition to
 /// those that replace missing local ones.
 const REMOTE_CANDIDATES: usize = 2;
+/// Number of candidates that the first round takes from replicas that name a limit and for which
+/// this daemon has a slot, before all others: the slot would soon be lost.
+const SLOT_CANDIDATES: usize = 2;
 /// Number of candidates of a round that are drawn at random, so that requests with the same key
 /// do not all compete for the same replicas.
 const RANDOM_CANDIDATES: usize = 1;
@@ -61,7 +64,8 @@
 /// Only replicas that satisfy `is_eligible` are drawn. Most candidates follow from the key by
 /// rendezvous hashing: after a restart of all daemons, which then know nothing of earlier runs,
 /// a repeated request is offered to replicas that may have read its prompt before. Remote
-/// replicas replace missing local ones. Replicas without a slot under the limit that they name are
+/// replicas replace missing local ones. Replicas that name a limit come first while this daemon has a
+/// slot. Replicas without a slot under the limit that they name are
 /// drawn at random only. Ejected replicas are drawn only if no other one is
 /// eligible.
 pub fn draw_candidates<R: Rng>(
@@ -77,10 +81,14 @@
     let usable = catalog.usable(service, now).filter(is_eligible);
     let (open, closed): (Vec<_>, Vec<_>) =
         usable.partition(|(_, entry)| catalog.has_slot(entry, now));
-    let usable = open.into_iter().map(to_pair);
+    let (limited, free): (Vec<_>, Vec<_>) =
+        open.into_iter().partition(|(_, entry)| entry.is_limited());
+    let limited = limited.into_iter().map(to_pair).collect();
+    let usable = free.into_iter().map(to_pair);
     let (local, remote): (Vec<_>, Vec<_>) = usable.partition(|(_, replica)| *replica.dc == *dc);
     let total = (LOCAL_CANDIDATES + REMOTE_CANDIDATES) << round;
-    let mut drawn = rank(local, affinity, LOCAL_CANDIDATES << round);
+    let mut drawn = rank(limited, affinity, SLOT_CANDIDATES << round);
+    drawn.extend(rank(local, affinity, LOCAL_CANDIDATES << round));
     let remote_count = total - drawn.len();
     let mut remote = rank(remote, affinity, usize::MAX);
     let mut others =
--- a/crates/winch-relay/tests/place_choice.rs
+++ b/crates/winch-relay/tests/place_choice.rs
@@ -194,3 +194,26 @@
     assert_eq!(share(&[("shared", 100), ("own", 600)]), 0.125);
     assert_eq!(call::cached_share(&[], &HashMap::new()), 0.0);
 }
+
+#[test]
+fn open_slot_offered() {
+    let mut catalog = catalog(&["a", "b", "c"].repeat(20));
+    let now = Instant::now();
+    let key = catalog.key("i-41").expect("listed");
+    // The only daemon has a slot each second, the first one now.
+    catalog.set_limit(key, Some(1.0 / 0.7), 1.0, now, 0.0);
+    for affinity in 0..20 {
+        let mut rng = SmallRng::seed_from_u64(affinity);
+        let drawn = placement::draw_candidates(&catalog, draw(affinity, 0), any, now, &mut rng);
+        assert!(drawn.iter().any(|(drawn, _)| *drawn == key), "a slot is lost if it is not used");
+        assert_eq!(drawn.len(), 4);
+    }
+    assert!(catalog.take_slot(key, now));
+    let is_drawn = |affinity| {
+        let mut rng = SmallRng::seed_from_u64(affinity);
+        let drawn = placement::draw_candidates(&catalog, draw(affinity, 0), any, now, &mut rng);
+        drawn.iter().any(|(drawn, _)| *drawn == key)
+    };
+    let times = (0..200).filter(|affinity| is_drawn(*affinity)).count();
+    assert!((1..20).contains(&times), "without a slot it is drawn at random only: {times} of 200");
+}
