winch-route, winch-relay: shares of a limit bind only under demand

Cause: a daemon of many needs a slot for each request to a limited replica, even while the fleet sends it a quarter of its limit; seven tenths of the replicas lay nearly idle. Change: each daemon averages its own demand over 5 s. While that, spread over the service's replicas and times the daemons that share them, is below half of the limit, no slot is needed. Streams are placed by load, which keeps replicas near the mean.

--- a/crates/winch-relay/src/catalog.rs
+++ b/crates/winch-relay/src/catalog.rs
@@ -12,7 +12,7 @@
 };
 
 use slotmap::{SlotMap, new_key_type};
-use winch_route::throttle::Throttle;
+use winch_route::throttle::{Demand, Throttle};
 
 use crate::{prelude::*, store::Change};
 
@@ -124,8 +124,10 @@
     entries: SlotMap<Key, Entry>,
     by_id: HashMap<Name, Key>,
     by_address: HashMap<SocketAddr, Key>,
-    /// Start of the time that throttles use; set with the first one.
+    /// Start of the time that throttles and demands use; set with the first of them.
     origin: Option<Instant>,
+    /// This daemon's demand for each service.
+    demands: HashMap<Name, Demand>,
     /// Whether the store is unreachable.
     in_outage: bool,
     /// Set from the end of an outage until the first read after it is applied.
--- a/crates/winch-relay/src/catalog/limits.rs
+++ b/crates/winch-relay/src/catalog/limits.rs
@@ -32,16 +32,45 @@
         was_limited
     }
 
-    /// Whether the replica may get a request at `now` under the limit that it names.
-    pub fn has_slot(&self, entry: &Entry, now: Instant) -> bool {
-        entry.throttle.is_none_or(|throttle| throttle.is_open(self.since_origin(now)))
+    /// Counts a request for a service.
+    pub fn record_demand(&mut self, service: &Name, now: Instant) {
+        self.origin.get_or_insert(now);
+        let at = self.since_origin(now);
+        self.demands.entry(service.clone()).or_default().record(at);
+    }
+
+    /// This daemon's demand for one replica of `service`, if the requests are spread evenly, in
+    /// requests a second.
+    pub fn demand_per_replica(&self, service: &str, now: Instant) -> f64 {
+        let at = self.since_origin(now);
+        let rate = self.demands.get(service).map_or(0.0, |demand| demand.rate(at));
+        rate / self.serving(service).count().max(1) as f64
+    }
+
+    /// Whether a limit binds this daemon now, so that it needs a slot; `demand` is that for one
+    /// replica.
+    pub fn is_bound(&self, entry: &Entry, demand: f64) -> bool {
+        entry.throttle.is_some_and(|throttle| throttle.binds(demand))
+    }
+
+    /// Whether the replica may get a request at `now` under the limit that it names; `demand` is
+    /// that for one replica.
+    pub fn has_slot(&self, entry: &Entry, demand: f64, now: Instant) -> bool {
+        let is_open = |throttle: Throttle| throttle.is_open(self.since_origin(now));
+        !self.is_bound(entry, demand) || entry.throttle.is_none_or(is_open)
     }
 
     /// Takes the right to send one request to a replica under the limit that it names; false if
     /// there is none at `now`, or if the replica was removed.
     pub fn take_slot(&mut self, key: Key, now: Instant) -> bool {
         let at = self.since_origin(now);
-        let Some(entry) = self.entries.get_mut(key) else { return false };
-        entry.throttle.as_mut().is_none_or(|throttle| throttle.take(at))
+        let Some(entry) = self.entries.get(key) else { return false };
+        if !entry.is_limited() {
+            return true;
+        }
+        let demand = self.demand_per_replica(&entry.replica.service, now);
+        let is_bound = self.is_bound(entry, demand);
+        let throttle = self.entries.get_mut(key).and_then(|entry| entry.throttle.as_mut());
+        throttle.is_none_or(|throttle| throttle.take(at) || !is_bound)
     }
 }
--- a/crates/winch-relay/src/edge.rs
+++ b/crates/winch-relay/src/edge.rs
@@ -215,6 +215,7 @@
     let shared_parts = strikes::shared_parts(call, &service);
     let is_trial = check_parts(node, &shared_parts)?;
     node.earn_retry(&service);
+    node.catalog().record_demand(&service, Instant::now());
     let cohort = node.draw_cohort(&service);
     Ok(Admitted { route, service, team, cohort, shared_parts, is_trial })
 }
--- a/crates/winch-relay/src/placement.rs
+++ b/crates/winch-relay/src/placement.rs
@@ -64,7 +64,7 @@
 /// Only replicas that satisfy `is_eligible` are drawn. Most candidates follow from the key by
 /// rendezvous hashing: after a restart of all daemons, which then know nothing of earlier runs,
 /// a repeated request is offered to replicas that may have read its prompt before. Remote
-/// replicas replace missing local ones. Replicas that name a limit come first while this daemon has a
+/// replicas replace missing local ones. Replicas whose limit binds come first while this daemon has a
 /// slot. Replicas without a slot under the limit that they name are
 /// drawn at random only. Ejected replicas are drawn only if no other one is
 /// eligible.
@@ -78,11 +78,12 @@
     let Draw { service, dc, affinity, round } = draw;
     let is_eligible = |(_, entry): &(Key, &Entry)| is_eligible(&entry.replica);
     let to_pair = |(key, entry): (Key, &Entry)| (key, entry.replica.clone());
+    let demand = catalog.demand_per_replica(service, now);
     let usable = catalog.usable(service, now).filter(is_eligible);
     let (open, closed): (Vec<_>, Vec<_>) =
-        usable.partition(|(_, entry)| catalog.has_slot(entry, now));
+        usable.partition(|(_, entry)| catalog.has_slot(entry, demand, now));
     let (limited, free): (Vec<_>, Vec<_>) =
-        open.into_iter().partition(|(_, entry)| entry.is_limited());
+        open.into_iter().partition(|(_, entry)| catalog.is_bound(entry, demand));
     let limited = limited.into_iter().map(to_pair).collect();
     let usable = free.into_iter().map(to_pair);
     let (local, remote): (Vec<_>, Vec<_>) = usable.partition(|(_, replica)| *replica.dc == *dc);
@@ -192,9 +193,10 @@
         let jitter = rng.random_range(0.95..1.05);
         latency * load * remote * ejected * (1.0 + FAILURE_WEIGHT * entry.failure_rate) * jitter
     };
+    let demand = catalog.demand_per_replica(service, now);
     let entries = catalog
         .serving(service)
-        .filter(|(_, entry)| is_eligible(&entry.replica) && catalog.has_slot(entry, now));
+        .filter(|(_, entry)| is_eligible(&entry.replica) && catalog.has_slot(entry, demand, now));
     let costs: Vec<_> = entries.map(|(key, e)| (cost(e, rng), key, &e.replica)).collect();
     let best = costs.into_iter().min_by(|a, b| a.0.total_cmp(&b.0));
     best.map(|(_, key, replica)| (key, replica.clone()))
--- a/crates/winch-relay/tests/place_choice.rs
+++ b/crates/winch-relay/tests/place_choice.rs
@@ -202,6 +202,7 @@
     let key = catalog.key("i-41").expect("listed");
     // The only daemon has a slot each second, the first one now.
     catalog.set_limit(key, Some(1.0 / 0.7), 1.0, now, 0.0);
+    (0..300).for_each(|_| catalog.record_demand(&"s".into(), now));
     for affinity in 0..20 {
         let mut rng = SmallRng::seed_from_u64(affinity);
         let drawn = placement::draw_candidates(&catalog, draw(affinity, 0), any, now, &mut rng);
@@ -217,3 +218,17 @@
     let times = (0..200).filter(|affinity| is_drawn(*affinity)).count();
     assert!((1..20).contains(&times), "without a slot it is drawn at random only: {times} of 200");
 }
+
+#[test]
+fn light_demand_needs_no_slot() {
+    let mut catalog = catalog(&["a"; 4]);
+    let now = Instant::now();
+    let key = catalog.key("i-1").expect("listed");
+    // Ten daemons share the limit; the first slot of this one is seconds away.
+    catalog.set_limit(key, Some(1.0), 10.0, now, 0.9);
+    assert!(catalog.take_slot(key, now));
+    assert!(catalog.take_slot(key, now), "nobody presses");
+    (0..10).for_each(|_| catalog.record_demand(&"s".into(), now));
+    assert!(!catalog.take_slot(key, now), "ten such daemons send more than half of the limit");
+    assert!(catalog.take_slot(key, now + Duration::from_secs(30)), "the demand is over");
+}
--- a/crates/winch-route/tests/limit_shares.rs
+++ b/crates/winch-route/tests/limit_shares.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use winch_route::{hash, throttle::Throttle};
+use winch_route::{
+    hash,
+    throttle::{Demand, Throttle},
+};
 
 const STEP: Duration = Duration::from_millis(50);
 const WINDOW: Duration = Duration::from_secs(4);
@@ -77,6 +80,51 @@
     assert!(!throttle.take(Duration::from_millis(14_300)));
 }
 
+/// Requests that reach the busiest upstream in a window if `daemons` daemons send `rate` requests a
+/// second in all, six times as many from 20 s to 30 s, each to a random upstream that has a slot or
+/// whose limit does not bind.
+fn busiest_upstream(limit: f64, daemons: u64, upstreams: u64, rate: f64, seed: u64) -> usize {
+    let random = |number: u64| phase(seed.wrapping_mul(31).wrapping_add(number));
+    let new = |number| Throttle::new(limit, daemons as f64, Duration::ZERO, random(number));
+    let mut throttles: Vec<Throttle> = (0..daemons * upstreams).map(new).collect();
+    let mut demands = vec![Demand::default(); daemons as usize];
+    let mut sent = vec![Vec::new(); upstreams as usize];
+    let mut number = 1_000_000;
+    for step in 0..600_u32 {
+        let now = STEP * step;
+        let burst = if now >= Duration::from_secs(20) { 6.0 } else { 1.0 };
+        for daemon in 0..daemons {
+            number += 2;
+            if random(number) >= rate * burst * STEP.as_secs_f64() / daemons as f64 {
+                continue;
+            }
+            let demand = &mut demands[daemon as usize];
+            demand.record(now);
+            let demand = demand.rate(now) / upstreams as f64;
+            let first = (random(number + 1) * upstreams as f64) as u64;
+            let is_sent = |upstream: &u64| {
+                let throttle = &mut throttles[(daemon * upstreams + upstream) as usize];
+                throttle.take(now) || !throttle.binds(demand)
+            };
+            if let Some(upstream) = (0..upstreams).map(|n| (first + n) % upstreams).find(is_sent) {
+                sent[upstream as usize].push(now);
+            }
+        }
+    }
+    sent.iter().map(|sent| busiest_window(sent)).max().unwrap_or_default()
+}
+
+#[test]
+fn burst_after_light_load() {
+    for (limit, daemons, upstreams) in [(1.0, 12, 25), (1.0, 130, 130), (4.0, 60, 40)] {
+        let rate = 0.25 * limit * upstreams as f64;
+        for seed in 0..8 {
+            let most = busiest_upstream(limit, daemons, upstreams, rate, seed);
+            assert!(most as f64 <= allowed(limit), "{most} under {limit}/s, {daemons} daemons");
+        }
+    }
+}
+
 fn config() -> ProptestConfig {
     let rng_seed = proptest::test_runner::RngSeed::Fixed(24);
     ProptestConfig { rng_seed, cases: 64, ..Default::default() }
