winch-roster, winch-relay, platform: compare versions of the store within their era

Cause: daemons took a version of the store for a place in one history. After the store has come back from a copy it gives versions out again; a reader that was away until it had passed its old version continued the feed across the gap and missed what lies below. Followers refused a seed that knew only the new history, as older. A configuration version with a second content was not taken. The class: an identity that holds only within one history, compared outside it.

Ruled out: relying on the 410 for a version that the store does not have yet; it comes only while the store is behind. A configuration is identified by version, era and digest: a lower version is never taken, the same one only with another content of a later era. Events 1020 and 1305.

--- a/crates/winch-event/src/lib.rs
+++ b/crates/winch-event/src/lib.rs
@@ -79,6 +79,8 @@
     /// This daemon no longer reads the store for others: a seed is up to date again, or the
     /// lease was lost.
     ReaderRetired = 1019, Info, "no longer reading the store for other daemons";
+    /// The store has come back from an older copy; everything is read again.
+    StoreRestored = 1020, Warn, "store restored from an older copy, reading everything again";
     /// An attempt on an engine failed or was given up as stalled.
     AttemptFailed = 1101, Warn, "attempt failed";
     /// A hedged attempt was started beside one that may have stalled.
@@ -136,6 +138,8 @@
     ChangeCommitted = 1303, Info, "configuration change committed";
     /// An operator's change was refused.
     ChangeRefused = 1304, Warn, "configuration change refused";
+    /// The store has an older configuration than the one in force, which stays in force.
+    ConfigOutdated = 1305, Warn, "configuration in the store older than the one in force";
     /// A peer joined, left, died or became suspected.
     PeerStateChanged = 1401, Info, "peer changed state";
     /// The daemon is cut off from the fleet: its peers send no messages or, if it knows no live
--- a/crates/winch-hash/src/lib.rs
+++ b/crates/winch-hash/src/lib.rs
@@ -23,5 +23,10 @@
 
 /// Hashes a name with FNV-1a and mixes the result.
 pub fn name(text: &str) -> u64 {
-    mix(fnv(FNV_OFFSET, text.bytes()))
+    bytes(text.as_bytes())
+}
+
+/// Hashes bytes with FNV-1a and mixes the result.
+pub fn bytes(bytes: &[u8]) -> u64 {
+    mix(fnv(FNV_OFFSET, bytes.iter().copied()))
 }
--- a/crates/winch-relay/src/lib.rs
+++ b/crates/winch-relay/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod counter;
 pub mod daemon;
 pub mod edge;
+pub mod edition;
 pub mod exposition;
 pub mod fleet;
 pub mod job;
--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -30,6 +30,7 @@
 use crate::{
     catalog::{Catalog, Entry, Key},
     config::Config,
+    edition::Edition,
     fleet::Fleet,
     moves::{Progress, Rollouts, Rule, Spec},
     pool::Pool,
@@ -54,6 +55,8 @@
     pub config: Arc<Config>,
     /// The document as it was published.
     pub document: Bytes,
+    /// Identifies the document.
+    pub edition: Edition,
 }
 
 /// Shared state of one daemon.
@@ -153,20 +156,26 @@
         lock(&self.config).clone()
     }
 
-    /// Installs a configuration if it is newer than the one in force, and returns whether
-    /// it is.
-    pub fn install_config(&self, config: Config, document: Bytes) -> bool {
+    /// The edition of the configuration in force; version zero before the first one.
+    pub fn edition(&self) -> Edition {
+        lock(&self.config).as_ref().map(|published| published.edition).unwrap_or_default()
+    }
+
+    /// Installs a configuration if it replaces the one in force; see
+    /// [`Edition::is_replaced_by()`].
+    pub fn install_config(&self, config: Config, document: Bytes, edition: Edition) {
         let mut current = lock(&self.config);
-        let is_newer =
-            current.as_ref().is_none_or(|installed| installed.config.version < config.version);
-        if is_newer {
-            let routes = config.len();
-            emit!(Event::RevisionInForce, version = config.version, routes = routes);
-            *current = Some(Published { config: config.into(), document });
-            drop(current);
-            self.changed.send_replace(());
+        if let Some(installed) = current.as_mut()
+            && !installed.edition.is_replaced_by(&edition)
+        {
+            installed.edition.confirm(&edition);
+            return;
         }
-        is_newer
+        let routes = config.len();
+        emit!(Event::RevisionInForce, version = config.version, routes = routes);
+        *current = Some(Published { config: config.into(), document, edition });
+        drop(current);
+        self.changed.send_replace(());
     }
 
     /// The known replicas, as they are passed on to followers.
--- a/crates/winch-relay/src/node/listing.rs
+++ b/crates/winch-relay/src/node/listing.rs
@@ -15,7 +15,7 @@
     /// [`Catalog::replace`](crate::catalog::Catalog::replace). `is_whole` tells whether this daemon then knows all replicas, and
     /// not only a subset.
     pub fn apply_listing(&self, listing: Listing, is_whole: bool) {
-        let Listing { mut changes, version, is_complete } = listing;
+        let Listing { mut changes, position, is_complete } = listing;
         for change in &changes {
             if let Change::Unreadable { id, fault } = change {
                 emit!(Event::ReplicaEntryInvalid, replica = id, fault = fault);
@@ -35,8 +35,8 @@
         catalog.finish_read();
         drop(catalog);
         self.record(transitions);
-        if version > 0 {
-            self.roster().confirm(version, is_whole);
+        if position.version > 0 {
+            self.roster().confirm(position, is_whole);
         }
     }
 
--- a/crates/winch-relay/src/peer/follow.rs
+++ b/crates/winch-relay/src/peer/follow.rs
@@ -14,6 +14,7 @@
     receive, report_decisive, send,
 };
 use crate::{
+    edition::Edition,
     node::Node,
     prelude::*,
     store::{Listing, Store},
@@ -118,11 +119,11 @@
     ) -> Result<Self, Error> {
         let (known, resume) = {
             let roster = node.roster();
-            (roster.version(), roster.resume_version())
+            (roster.position(), roster.resume_position())
         };
         let request = Request {
             follow: true,
-            list_version: resume.unwrap_or(0),
+            list_version: resume.map_or(0, |position| position.version),
             interest: Some((&interest(node, limits.serves)).into()),
             ..Request::default()
         };
@@ -136,10 +137,10 @@
                 Err(_) if !pending.is_empty() => return OlderSnafu.fail(),
                 received => received?,
             };
-            let (received_at, list_version) = (Instant::now(), update.list_version);
+            let (received_at, position) = (Instant::now(), update.list_position(known.era));
             let age = limits.check(&update)?;
             pending.push(update);
-            if list_version >= known {
+            if position >= known {
                 let confirmed_at = received_at.checked_sub(age).unwrap_or(received_at);
                 return Ok(Self { seed, limits, framed, pending, received_at, confirmed_at });
             }
@@ -209,28 +210,28 @@
         for moving in std::mem::take(&mut update.moving) {
             node.apply_progress(moving.decode_at(self.received_at));
         }
-        install_config(node, std::mem::take(&mut update.config));
-        if installed_version(node) < update.config_version {
-            let document = match store.config().await {
-                Ok(read) => read.document.unwrap_or_default(),
-                // The store may be reachable for the seed although not for this daemon.
-                Err(_) => fetch(node, self.seed).await?.config,
-            };
-            install_config(node, document);
+        let edition = update.edition();
+        install_config(node, std::mem::take(&mut update.config), edition.era);
+        if node.edition().is_replaced_by(&edition) {
+            // The store may be reachable for the seed although not for this daemon.
+            if let Ok(read) = store.config().await {
+                install_config(node, read.document.unwrap_or_default(), read.position.era);
+            }
+        }
+        if node.edition().is_replaced_by(&edition) {
+            let fetched = fetch(node, self.seed).await?;
+            install_config(node, fetched.config, fetched.config_era);
         }
         if self.confirmed_at + self.limits.max_age >= self.received_at {
             node.catalog().mark_store_reachable(Instant::now());
         }
-        let (listing, is_whole) = update.take_listing()?;
+        let era = node.roster().position().era;
+        let (listing, is_whole) = update.take_listing(era)?;
         node.apply_listing(listing, is_whole);
         Ok(())
     }
 }
 
-fn installed_version<P: Protocol>(node: &Node<P>) -> u64 {
-    node.published().map_or(0, |published| published.config.version)
-}
-
 fn build_report<P: Protocol>(node: &Node<P>) -> Report {
     let evidence = node.rollouts().evidence(Instant::now());
     Report {
@@ -240,12 +241,16 @@
     }
 }
 
-fn install_config<P: Protocol>(node: &Node<P>, document: Bytes) {
+/// Installs a configuration that was read from the store in `era`; see [`Node::install_config()`].
+fn install_config<P: Protocol>(node: &Node<P>, document: Bytes, era: u64) {
     if document.is_empty() {
         return;
     }
     match node.protocol.decode_config(&document) {
-        Ok(config) => drop(node.install_config(config, document)),
+        Ok(config) => {
+            let edition = Edition::new(config.version, era, &document);
+            node.install_config(config, document, edition);
+        }
         Err(fault) => emit!(Event::ConfigUnreadable, fault = fault, version = "from a peer"),
     }
 }
@@ -262,8 +267,8 @@
     while let Some(fetched) = fetches.next().await {
         // Other seeds may answer.
         let Ok(mut update) = fetched else { continue };
-        install_config(node, std::mem::take(&mut update.config));
-        let changes = match update.take_listing() {
+        install_config(node, std::mem::take(&mut update.config), update.config_era);
+        let changes = match update.take_listing(0) {
             Ok((listing, _)) => listing.changes,
             Err(fault) => {
                 emit!(Event::SeedLost, seed = "while requesting its state", reason = fault);
@@ -273,7 +278,7 @@
         let (version, replicas) = (update.config_version, changes.len());
         emit!(Event::PeerSynced, version = version, replicas = replicas);
         if node.catalog().is_empty() {
-            let listing = Listing { changes, version: 0, is_complete: false };
+            let listing = Listing { changes, ..Listing::default() };
             node.apply_listing(listing, false);
         }
     }
--- a/crates/winch-relay/src/peer/message.rs
+++ b/crates/winch-relay/src/peer/message.rs
@@ -8,11 +8,13 @@
 use winch_roster::{
     cursor::{Delta, Listed},
     frame,
+    position::Position,
 };
 use winch_wire::message::Tally;
 
 use super::notice::{ClearedPart, CrashStrike, millis};
 use crate::{
+    edition::Edition,
     moves::{Counts, Evidence, Progress, Spec},
     prelude::*,
     store::{Change, Listing},
@@ -91,6 +93,15 @@
     /// Services whose size has changed since the last update on the connection.
     #[prost(message, repeated, tag = "15")]
     pub services: Vec<ServiceSize>,
+    /// Era of the store in which `list_version` was read; unset by earlier releases.
+    #[prost(uint64, optional, tag = "16")]
+    pub list_era: Option<u64>,
+    /// See [`Edition::era`].
+    #[prost(uint64, tag = "17")]
+    pub config_era: u64,
+    /// See [`Edition::digest`].
+    #[prost(fixed64, tag = "18")]
+    pub config_digest: u64,
 }
 
 /// The number of replicas of a service.
@@ -112,6 +123,18 @@
 }
 
 impl Update {
+    /// Position of the store up to which the receiver has its part of the list after the update.
+    /// An earlier release does not state the era, which is then assumed to be `era`.
+    pub(super) fn list_position(&self, era: u64) -> Position {
+        Position { era: self.list_era.unwrap_or(era), version: self.list_version }
+    }
+
+    /// Edition of the configuration in force.
+    pub(super) fn edition(&self) -> Edition {
+        let (era, digest) = (self.config_era, self.config_digest);
+        Edition { version: self.config_version, era, digest }
+    }
+
     /// Adds changes of the list in the form of before the compact list.
     pub(super) fn put_uncompacted(&mut self, delta: &Delta) {
         self.replicas =
@@ -121,18 +144,18 @@
     }
 
     /// Takes the changes of the list out of the update, and whether the receiver has the whole
-    /// list after them.
+    /// list after them. `era` is as for [`Self::list_position()`].
     ///
     /// # Errors
     /// Why the compact list cannot be decoded.
-    pub(super) fn take_listing(&mut self) -> Result<(Listing, bool), frame::Error> {
-        let version = self.list_version;
+    pub(super) fn take_listing(&mut self, era: u64) -> Result<(Listing, bool), frame::Error> {
+        let position = self.list_position(era);
         let Some(list) = self.list.take() else {
             let put = std::mem::take(&mut self.replicas).into_iter();
             let removed = std::mem::take(&mut self.removed).into_iter();
             let removed = removed.map(|id| Change::Removed(id.into()));
             let changes = put.map(ListedReplica::into_change).chain(removed).collect();
-            return Ok((Listing { changes, version, is_complete: self.whole }, true));
+            return Ok((Listing { changes, position, is_complete: self.whole }, true));
         };
         let delta = list.decode_delta()?;
         let put = delta.put.into_iter().map(|Listed { replica, is_held }| {
@@ -140,7 +163,7 @@
             if is_held { Change::Held(replica) } else { Change::Put(replica) }
         });
         let changes = put.chain(delta.removed.into_iter().map(Change::Removed)).collect();
-        Ok((Listing { changes, version, is_complete: delta.complete }, delta.whole))
+        Ok((Listing { changes, position, is_complete: delta.complete }, delta.whole))
     }
 }
 
--- a/crates/winch-relay/src/peer/serve.rs
+++ b/crates/winch-relay/src/peer/serve.rs
@@ -17,7 +17,7 @@
     notice::{ClearedPart, CrashStrike},
     send,
 };
-use crate::{fleet::FollowerKey, node::Node, prelude::*, strikes::Notice};
+use crate::{edition::Edition, fleet::FollowerKey, node::Node, prelude::*, strikes::Notice};
 
 /// Largest number of connections that are served at once; further ones are closed.
 const MAX_CONNECTIONS: usize = 512;
@@ -33,8 +33,8 @@
 /// What was already sent on a connection.
 #[derive(Debug)]
 struct Sent {
-    /// Version of the configuration in force at the last update.
-    config_version: u64,
+    /// Edition of the configuration in force at the last update.
+    edition: Edition,
     cursor: Cursor,
     /// Whether the peer understands the compact list.
     is_compact: bool,
@@ -49,7 +49,7 @@
         let is_compact = interest.is_some();
         let interest = interest.unwrap_or_else(|| Interest::whole(node.settings.dc.clone()));
         Self {
-            config_version: 0,
+            edition: Edition::default(),
             cursor: Cursor::new(interest),
             is_compact,
             notices: 0,
@@ -67,13 +67,15 @@
             ..Update::default()
         };
         if let Some(published) = node.published() {
-            update.config_version = published.config.version;
-            if published.config.version > self.config_version
-                && published.document.len() <= max_config_bytes
+            let edition = published.edition;
+            update.config_version = edition.version;
+            update.config_era = edition.era;
+            update.config_digest = edition.digest;
+            if self.edition.is_replaced_by(&edition) && published.document.len() <= max_config_bytes
             {
                 update.config = published.document;
             }
-            self.config_version = update.config_version;
+            self.edition = edition;
         }
         self.add_moves(node, &mut update);
         self.add_notices(node, &mut update);
@@ -116,7 +118,8 @@
         let changed = services.iter().filter(|size| !self.services.contains(size));
         update.services = changed.cloned().collect();
         self.services = services;
-        update.list_version = roster.version();
+        update.list_version = roster.position().version;
+        update.list_era = Some(roster.position().era);
         let delta = self.cursor.advance(&roster, &moving);
         if self.is_compact {
             update.list = Some(frame::Delta::from(&delta));
--- a/crates/winch-relay/src/store.rs
+++ b/crates/winch-relay/src/store.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use snafu::Snafu;
+use winch_roster::position::Position;
 
 use crate::{moves::Spec, prelude::*};
 
@@ -13,6 +14,10 @@
     /// The requested history is no longer kept; everything has to be read again.
     #[snafu(display("the store no longer keeps the requested history"))]
     Compacted,
+    /// The store has come back from an older copy, so that versions of the era that was read
+    /// before mean nothing; everything has to be read again.
+    #[snafu(display("the store has come back from an older copy"))]
+    Restored,
     /// The store refused the read or is unreachable.
     #[snafu(display("the store is unavailable: {reason}"))]
     Unavailable {
@@ -45,8 +50,8 @@
 pub struct Listing {
     /// Changes in the order of their versions.
     pub changes: Vec<Change>,
-    /// Version of the store up to which the changes were read.
-    pub version: u64,
+    /// Position of the store up to which the changes were read.
+    pub position: Position,
     /// Whether the changes are the complete list, so that all other replicas are removed.
     pub is_complete: bool,
 }
@@ -58,8 +63,8 @@
     pub moves: Vec<Result<Spec, String>>,
     /// The newest configuration as it was published; `None` if there is no new one.
     pub document: Option<Bytes>,
-    /// Version up to which the publication is complete.
-    pub version: u64,
+    /// Position up to which the publication is complete.
+    pub position: Position,
 }
 
 /// Access of one daemon to the store; each field uses its own connection.
@@ -81,23 +86,24 @@
     /// Reads the current configuration.
     fn config(&mut self) -> impl Future<Output = Result<Publication, Error>> + Send;
 
-    /// Waits up to `wait` for a configuration that is newer than `version`.
+    /// Waits up to `wait` for a configuration that is newer than `position`.
     ///
-    /// Fails with [`Error::Compacted`] if `version` is too old.
+    /// Fails with [`Error::Compacted`] if `position` is too old, and with [`Error::Restored`] if
+    /// its era has ended.
     fn next_config(
         &mut self,
-        version: u64,
+        position: Position,
         wait: Duration,
     ) -> impl Future<Output = Result<Publication, Error>> + Send;
 
     /// Reads the complete list of replicas.
     fn replicas(&mut self) -> impl Future<Output = Result<Listing, Error>> + Send;
 
-    /// Reads the changes of the list of replicas after `version`.
+    /// Reads the changes of the list of replicas after `position`.
     ///
-    /// Fails with [`Error::Compacted`] if `version` is too old.
+    /// Fails as [`Self::next_config()`] does.
     fn replica_changes(
         &mut self,
-        version: u64,
+        position: Position,
     ) -> impl Future<Output = Result<Listing, Error>> + Send;
 }
--- a/crates/winch-relay/src/watch.rs
+++ b/crates/winch-relay/src/watch.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     counter,
+    edition::Edition,
     node::Node,
     peer,
     prelude::*,
@@ -81,9 +82,13 @@
         let outcome = match result {
             Ok(_) => "ok",
             Err(Error::Compacted) => "compacted",
+            Err(Error::Restored) => "restored",
             Err(Error::Unavailable { .. }) => "unavailable",
         };
         counter::store_called(topic, outcome, taken);
+        if let Err(Error::Restored) = result {
+            emit!(Event::StoreRestored, topic = topic);
+        }
         match result {
             Err(Error::Unavailable { reason }) => {
                 if self.failures == 0 {
@@ -219,25 +224,25 @@
 async fn follow_config<P: Protocol, S: Store>(node: &Node<P>, store: &mut S, serves: bool) {
     let mut monitor = StoreMonitor::new(Topic::Config);
     let wait = if serves { pace(node).read_interval } else { CONFIG_WAIT };
-    let mut version = None;
+    let mut position = None;
     loop {
         let started_at = Instant::now();
-        let read = match version {
+        let read = match position {
             None => store.config().await,
-            Some(version) => store.next_config(version, wait).await,
+            Some(position) => store.next_config(position, wait).await,
         };
         monitor.record(&read, started_at);
         match read {
             Ok(publication) => {
-                let none_published = version.is_none() && publication.document.is_none();
-                version = Some(publication.version);
+                let none_published = position.is_none() && publication.document.is_none();
+                position = Some(publication.position);
                 apply_publication(node, publication);
                 node.confirm(Topic::Config, Some(started_at));
                 if none_published {
                     sleep(jittered(BACKOFF_MIN)).await;
                 }
             }
-            Err(Error::Compacted) => version = None,
+            Err(Error::Compacted | Error::Restored) => position = None,
             Err(Error::Unavailable { .. }) => {
                 if !node.is_initialized() {
                     peer::fetch_from_seeds(node).await;
@@ -255,15 +260,24 @@
         match decoded {
             Ok(spec) => node.start_move(spec),
             Err(fault) => {
-                emit!(Event::ConfigUnreadable, fault = fault, version = publication.version);
+                let position = publication.position;
+                emit!(Event::ConfigUnreadable, fault = fault, version = position);
             }
         }
     }
     let Some(document) = publication.document else { return };
     match node.protocol.decode_config(&document) {
-        Ok(config) => drop(node.install_config(config, document)),
+        Ok(config) => {
+            let (version, era) = (config.version, publication.position.era);
+            let edition = Edition::new(version, era, &document);
+            let in_force = node.edition().version;
+            if version < in_force {
+                emit!(Event::ConfigOutdated, version = version, in_force = in_force);
+            }
+            node.install_config(config, document, edition);
+        }
         Err(fault) => {
-            emit!(Event::ConfigUnreadable, fault = fault, version = publication.version);
+            emit!(Event::ConfigUnreadable, fault = fault, version = publication.position);
         }
     }
 }
@@ -274,23 +288,23 @@
     let mut monitor = StoreMonitor::new(Topic::Replicas);
     let longest = if serves { pace(node).read_interval } else { Duration::MAX };
     let interval = node.tuning().list_interval.min(longest);
-    let mut version = node.roster().resume_version();
+    let mut position = node.roster().resume_position();
     loop {
         let started_at = Instant::now();
-        let read = match version {
+        let read = match position {
             None => store.replicas().await,
-            Some(version) => store.replica_changes(version).await,
+            Some(position) => store.replica_changes(position).await,
         };
         monitor.record(&read, started_at);
         match read {
             Ok(listing) => {
                 node.catalog().mark_store_reachable(Instant::now());
-                version = Some(listing.version);
+                position = Some(listing.position);
                 node.apply_listing(listing, true);
                 node.confirm(Topic::Replicas, Some(started_at));
                 sleep(jittered(interval)).await;
             }
-            Err(Error::Compacted) => version = None,
+            Err(Error::Compacted | Error::Restored) => position = None,
             Err(Error::Unavailable { .. }) => {
                 if monitor.is_outage(started_at) {
                     node.catalog().mark_store_unreachable();
--- a/crates/winch-roster/examples/fan_out.rs
+++ b/crates/winch-roster/examples/fan_out.rs
@@ -7,6 +7,7 @@
     cursor::Cursor,
     frame,
     interest::Interest,
+    position::Position,
     replica::Replica,
     roster::{Change, Roster},
 };
@@ -28,7 +29,7 @@
         };
         roster.apply(Change::Put(replica.into()));
     }
-    roster.confirm(1, true);
+    roster.confirm(Position { era: 0, version: 1 }, true);
     let mut inner = Cursor::new(Interest::whole("north".into()));
     let mut leaf = Cursor::new(Interest::subset("daemon-7", "south".into()));
     for step in ["first update", "a replica left"] {
--- a/crates/winch-roster/src/lib.rs
+++ b/crates/winch-roster/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod frame;
 pub mod interest;
 pub mod pace;
+pub mod position;
 pub mod replica;
 mod ring;
 pub mod roster;
--- a/crates/winch-roster/src/roster.rs
+++ b/crates/winch-roster/src/roster.rs
@@ -9,8 +9,9 @@
 use crate::{
     Name,
     interest::Interest,
+    position::Position,
     replica::Replica,
-    ring::{self, Entry, Position, Ring},
+    ring::{self, Entry, Ring},
 };
 
 /// One change of the list.
@@ -31,7 +32,7 @@
     address: SocketAddr,
     service: Name,
     dc: Name,
-    position: Position,
+    position: ring::Position,
 }
 
 /// The replicas of one service, by data centre.
@@ -45,7 +46,7 @@
     by_address: HashMap<SocketAddr, Name>,
     services: BTreeMap<Name, Rings>,
     revision: u64,
-    version: u64,
+    position: Position,
     is_whole: bool,
 }
 
@@ -60,22 +61,22 @@
         }
     }
 
-    /// Records that the list was read up to `version` of the store; `is_whole` tells whether
-    /// it is the whole list or a subset. Versions only rise.
-    pub fn confirm(&mut self, version: u64, is_whole: bool) {
-        self.version = self.version.max(version);
+    /// Records that the list was read up to `position` of the store; `is_whole` tells whether
+    /// it is the whole list or a subset. Positions only rise.
+    pub fn confirm(&mut self, position: Position, is_whole: bool) {
+        self.position = self.position.max(position);
         self.is_whole = is_whole;
     }
 
-    /// Version from which the changes of the store continue the list; `None` if the list has to
+    /// Position from which the changes of the store continue the list; `None` if the list has to
     /// be read whole.
-    pub fn resume_version(&self) -> Option<u64> {
-        (self.is_whole && self.version > 0).then_some(self.version)
+    pub fn resume_position(&self) -> Option<Position> {
+        (self.is_whole && self.position.version > 0).then_some(self.position)
     }
 
-    /// Version of the store up to which the list was read; zero if it was never read.
-    pub fn version(&self) -> u64 {
-        self.version
+    /// Position of the store up to which the list was read; version zero if it was never read.
+    pub fn position(&self) -> Position {
+        self.position
     }
 
     /// Number of changes so far.
--- a/crates/winch-roster/tests/common/mod.rs
+++ b/crates/winch-roster/tests/common/mod.rs
@@ -12,6 +12,7 @@
     Name,
     cursor::{Cursor, Delta},
     interest::Interest,
+    position::Position,
     replica::Replica,
     roster::{Change, Roster},
 };
@@ -39,7 +40,7 @@
             roster.apply(Change::Put(replica(number, dc)));
         }
     }
-    roster.confirm(1, true);
+    roster.confirm(Position { era: 0, version: 1 }, true);
     roster
 }
 
--- a/crates/winch-route/src/hash.rs
+++ b/crates/winch-route/src/hash.rs
@@ -1,6 +1,6 @@
 //! Rendezvous hashing, which gives all daemons the same order without communication.
 
-pub use winch_hash::{mix, name};
+pub use winch_hash::{bytes, mix, name};
 
 /// Rendezvous score of `node` for `key`; the node with the highest score ranks first.
 pub fn score(key: u64, node: u64) -> u64 {
