winch-relay: keep what the list said in the seconds that a restored store has lost

Callers would have seen requests refused for want of replicas (recent_replica_kept) and requests at replicas that had left (departed_replica_refused). Cause: the first list after a restore is an older copy, and was taken for news: what it lacks was removed at once unless calls had failed before, what it has again was added, an earlier incarnation in place of a later one too.

Now a new era starts the grace period of an outage for missing entries, whether calls failed or not; entries of replicas that left in an earlier era, or of an incarnation before the known one, wait 8 s, longer than the store keeps the entry of a silent replica, and go if it is removed before.

--- a/crates/winch-relay/src/catalog.rs
+++ b/crates/winch-relay/src/catalog.rs
@@ -4,6 +4,7 @@
 //! of this daemon's own requests. It returns the [`Transition`]s that follow, and
 //! the replicas of a service that may be used.
 
+mod departed;
 mod limits;
 
 use std::{
@@ -14,11 +15,15 @@
 use slotmap::{SlotMap, new_key_type};
 use winch_route::throttle::{Demand, Throttle};
 
+use self::departed::Departed;
 use crate::{prelude::*, store::Change};
 
 /// Time after an outage of the store within which removed entries of the list may be written
 /// again.
 pub const REMOVAL_GRACE: Duration = Duration::from_millis(2_500);
+/// Time after the beginning of an era of the store for which entries of replicas that had left before
+/// are not believed. Longer than the store keeps the entry of a replica that is silent.
+pub const RETURN_DELAY: Duration = Duration::from_secs(8);
 /// Longest time for which an unlisted replica is used while the store is reachable.
 const UNLISTED_TTL: Duration = Duration::from_secs(5);
 /// Shortest ejection of a replica, after its first failure.
@@ -134,6 +139,13 @@
     first_read_pending: bool,
     /// End of the grace period of the last outage.
     grace_until: Option<Instant>,
+    /// Era of the store in which the list was last read; `None` before the first read.
+    era: Option<u64>,
+    departed: Departed,
+    /// Entries that the store may only have from an older copy, by the ids of their replicas.
+    returning: HashMap<Name, Replica>,
+    /// When entries in `returning` are believed; `None` if no era has begun recently.
+    returns_at: Option<Instant>,
 }
 
 impl Catalog {
@@ -152,6 +164,19 @@
         }
     }
 
+    /// Records the era of the store in which a listing was read, before the listing is applied.
+    ///
+    /// A new era begins with an older copy of the list. Entries that it lacks may be written again,
+    /// as after an outage, and those of replicas that have left are not believed for a while.
+    pub fn enter_era(&mut self, era: u64, now: Instant) {
+        if self.era.is_some_and(|last| last < era) {
+            self.first_read_pending = true;
+            self.grace_until = Some(now + REMOVAL_GRACE);
+            self.returns_at = Some(now + RETURN_DELAY);
+        }
+        self.era = self.era.max(Some(era));
+    }
+
     /// Marks a read of the list as completely applied.
     ///
     /// While the store is reachable, later removals then take effect immediately.
@@ -169,6 +194,7 @@
     /// Replicas that were inserted before they are listed stay until they expire.
     pub fn replace(&mut self, changes: Vec<Change>) -> Vec<Transition> {
         let listed: HashSet<Name> = changes.iter().map(|change| change.id().clone()).collect();
+        self.returning.retain(|id, _| listed.contains(id));
         let known = self.entries.values().filter(|entry| entry.unlisted_since.is_none());
         let known = known.map(|entry| entry.replica.id.clone());
         let missing: Vec<Name> = known.filter(|id| !listed.contains(id)).collect();
@@ -178,12 +204,19 @@
 
     /// Applies one change of the list and returns the transition that follows, if any.
     pub fn apply(&mut self, change: Change) -> Option<Transition> {
+        if let Change::Removed(id) = &change {
+            self.returning.remove(id);
+        }
         match change {
+            Change::Put(replica) if self.is_outdated(&replica) => {
+                self.returning.insert(replica.id.clone(), replica);
+                None
+            }
             Change::Put(replica) => self.put(replica),
             // Replicas cannot renew their entries during an outage, so entries of live
             // replicas expire and are written again soon after it. A removal takes effect
             // immediately unless an outage can have caused it.
-            Change::Removed(id) if !self.in_outage && !self.first_read_pending => self.remove(&id),
+            Change::Removed(id) if !self.in_outage && !self.first_read_pending => self.depart(&id),
             Change::Removed(id) => {
                 let entry = &mut self.entries[*self.by_id.get(&id)?];
                 let was_held = std::mem::replace(&mut entry.removed_in_outage, true);
@@ -201,10 +234,12 @@
     }
 
     /// Removes replicas whose entries are still missing after the grace period, and
-    /// replicas that were unlisted for too long.
+    /// replicas that were unlisted for too long. Adds those that were listed in spite of an earlier
+    /// departure until now.
     ///
-    /// Removes nothing during an outage of the store and during the grace period.
+    /// Changes nothing during an outage of the store and during the grace period.
     pub fn expire(&mut self, now: Instant) -> Vec<Transition> {
+        self.departed.expire(now);
         if !self.is_settled(now) {
             return Vec::new();
         }
@@ -214,7 +249,35 @@
             .values()
             .filter(|entry| entry.removed_in_outage || entry.unlisted_since.is_some_and(overdue));
         let ids: Vec<Name> = expired.map(|entry| entry.replica.id.clone()).collect();
-        ids.iter().filter_map(|id| self.remove(id)).collect()
+        let removed: Vec<_> = ids.iter().filter_map(|id| self.depart(id)).collect();
+        removed.into_iter().chain(self.admit_returning(now)).collect()
+    }
+
+    /// Whether the entry says less than what is known: the store may have it from an older copy.
+    fn is_outdated(&self, replica: &Replica) -> bool {
+        if self.returns_at.is_none() {
+            return false;
+        }
+        let known = self.by_id.get(&replica.id).map(|key| &self.entries[*key].replica);
+        let is_superseded = known.is_some_and(|known| known.started_at_ms > replica.started_at_ms);
+        is_superseded || self.departed.has_left_before(replica, self.era.unwrap_or(0))
+    }
+
+    /// Applies the entries in `returning` if the store has kept them long enough.
+    fn admit_returning(&mut self, now: Instant) -> Vec<Transition> {
+        if self.returns_at.is_none_or(|at| now < at) {
+            return Vec::new();
+        }
+        self.returns_at = None;
+        let returning = std::mem::take(&mut self.returning);
+        returning.into_values().filter_map(|replica| self.put(replica)).collect()
+    }
+
+    /// Removes a replica that has left.
+    fn depart(&mut self, id: &Name) -> Option<Transition> {
+        let transition = self.remove(id)?;
+        self.departed.insert(transition.replica(), self.era.unwrap_or(0));
+        Some(transition)
     }
 
     /// Inserts a replica that answers at a known address but is not listed yet.
--- a/crates/winch-relay/src/node/listing.rs
+++ b/crates/winch-relay/src/node/listing.rs
@@ -23,6 +23,9 @@
         }
         let now = Instant::now();
         let mut catalog = self.catalog();
+        if position.version > 0 {
+            catalog.enter_era(position.era, now);
+        }
         if catalog.is_empty() {
             changes = changes.into_iter().map(Change::assume_alive).collect();
         }
--- a/crates/winch-relay/tests/catalog_outage.rs
+++ b/crates/winch-relay/tests/catalog_outage.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::Instant;
 use winch_relay::{
-    catalog::{Catalog, REMOVAL_GRACE, Transition},
+    catalog::{Catalog, REMOVAL_GRACE, RETURN_DELAY, Transition},
     replica::Replica,
     store::Change,
 };
@@ -147,3 +147,56 @@
     catalog.record_answer(key, None, false);
     assert_eq!(catalog.usable("model", now + first).count(), 1);
 }
+
+/// A catalog that reads the list in its first era.
+fn first_era(start: Instant) -> Catalog {
+    let mut catalog = Catalog::default();
+    catalog.enter_era(1, start);
+    catalog
+}
+
+#[test]
+fn departed_returns_late() {
+    let start = Instant::now();
+    let mut catalog = first_era(start);
+    put(&mut catalog, replica("i-1", 1, 5));
+    catalog.apply(Change::Removed("i-1".into()));
+    catalog.enter_era(2, start);
+    assert_eq!(catalog.replace(vec![Change::Put(replica("i-1", 1, 5))]), []);
+    catalog.finish_read();
+    assert_eq!(catalog.expire(start + RETURN_DELAY / 2), []);
+    let added = catalog.expire(start + RETURN_DELAY);
+    assert!(matches!(&added[..], [Transition::Added(added)] if &*added.id == "i-1"));
+}
+
+#[test]
+fn departed_removed_again() {
+    let start = Instant::now();
+    let mut catalog = first_era(start);
+    put(&mut catalog, replica("i-1", 1, 5));
+    catalog.apply(Change::Removed("i-1".into()));
+    catalog.enter_era(2, start);
+    put(&mut catalog, replica("i-1", 1, 5));
+    catalog.finish_read();
+    catalog.apply(Change::Removed("i-1".into()));
+    assert_eq!(catalog.expire(start + RETURN_DELAY), [], "the store has removed it again");
+}
+
+#[test]
+fn departed_returns_in_era() {
+    let mut catalog = first_era(Instant::now());
+    put(&mut catalog, replica("i-1", 1, 5));
+    catalog.apply(Change::Removed("i-1".into()));
+    assert!(put(&mut catalog, replica("i-1", 1, 5)).is_some(), "it was written again");
+}
+
+#[test]
+fn former_incarnation_ignored() {
+    let start = Instant::now();
+    let mut catalog = first_era(start);
+    put(&mut catalog, replica("i-1", 1, 9));
+    catalog.enter_era(2, start);
+    assert_eq!(put(&mut catalog, replica("i-1", 1, 5)), None);
+    let known = catalog.replicas().next().expect("known");
+    assert_eq!(known.started_at_ms, Some(9));
+}
