winch-relay, winch-platform: do not release a quarantined part because a restored store lost its row

Callers would have seen replicas crash again on a part of prompts that was refused. Cause: a row that is missing counts as deleted by a daemon whose request with the part survived; a store that comes back from an older copy lacks it as well. Ruled out: the daemon's own clearing, which the test does not cause. The table now names the era of its replies (zero for tables that cannot go back), and what is missing since another era was not deleted: the daemon writes the row again.

--- a/crates/winch-platform/src/table.rs
+++ b/crates/winch-platform/src/table.rs
@@ -96,6 +96,14 @@
 
 /// A transactional table.
 pub trait Table: Clone + Send + Sync + 'static {
+    /// Era of the history to which the latest reply belongs.
+    ///
+    /// It rises when the table comes back from an older copy: what was written since the copy is
+    /// gone, and versions are given out again. Tables that cannot go back stay in era zero.
+    fn era(&self) -> u64 {
+        0
+    }
+
     /// Commits a transaction.
     ///
     /// # Errors
--- a/crates/winch-relay/src/quarantine.rs
+++ b/crates/winch-relay/src/quarantine.rs
@@ -44,9 +44,28 @@
     u64::from_str_radix(key.strip_prefix(PREFIX)?, 16).ok().map(Part)
 }
 
+/// The parts that had a row when the rows were last read.
+#[derive(Debug, Default)]
+struct Stored {
+    parts: HashSet<Part>,
+    /// Era of the table in which they were read.
+    era: u64,
+}
+
+impl Stored {
+    /// Replaces the parts by those that have a row in `era`, and returns those whose rows have been
+    /// deleted. A table that came back from an older copy has lost rows that nobody deleted.
+    fn replace(&mut self, parts: HashSet<Part>, era: u64) -> Vec<Part> {
+        let is_same_era = std::mem::replace(&mut self.era, era) == era;
+        let former = std::mem::replace(&mut self.parts, parts);
+        let deleted = former.difference(&self.parts);
+        if is_same_era { deleted.copied().collect() } else { Vec::new() }
+    }
+}
+
 /// Keeps the rows and this daemon's strikes in sync for as long as the daemon runs.
 pub async fn run<P: Protocol, T: Table>(node: Arc<Node<P>>, table: T) {
-    let mut stored = HashSet::new();
+    let mut stored = Stored::default();
     loop {
         sleep(SYNC_INTERVAL).await;
         let is_current = node.state_age_ms().is_some_and(|age| age <= MAX_AGE_MS);
@@ -61,20 +80,19 @@
     }
 }
 
-/// Applies the rows, and writes what they lack. `stored` holds the parts that had a row.
+/// Applies the rows, and writes what they lack.
 async fn sync<P: Protocol, T: Table>(
     node: &Node<P>,
     table: &T,
-    stored: &mut HashSet<Part>,
+    stored: &mut Stored,
 ) -> Result<(), Error> {
     let rows = table.scan(PREFIX, "", MAX_ROWS).await?;
     let found: HashMap<Part, &Row> =
         rows.iter().filter_map(|row| Some((decode_key(&row.key)?, row))).collect();
     // With more rows than are read, a missing one may only have moved out of sight.
     let sees_all = rows.len() < MAX_ROWS;
-    let gone: Vec<Part> =
-        stored.iter().copied().filter(|part| sees_all && !found.contains_key(part)).collect();
-    *stored = found.keys().copied().collect();
+    let mut gone = stored.replace(found.keys().copied().collect(), table.era());
+    gone.retain(|_| sees_all);
     if apply_rows(node, &found, &gone) {
         node.announce_strike();
     }
