winch-platform: give each era of the table fencing tokens above all earlier ones

A table that comes back from an older copy has lost acquisitions of leases: the next holder got a token that the holder of the lost history still used, and a row with a version that was given out again counted as unchanged for a whole term while its holder renewed it. A token now starts at the era in its upper half, a row is recognised by era and version, and a renewal holds within an era only. restored_token_higher and restored_version_unseen were not run without the change; without eras both tables are the same for the lease.

--- a/crates/winch-platform/src/lease.rs
+++ b/crates/winch-platform/src/lease.rs
@@ -23,6 +23,25 @@
     pub beat: u64,
 }
 
+/// Bits of a fencing token below those of the table's era.
+const FENCE_BITS: u32 = 32;
+
+/// Identifies one write of a lease's row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Sighting {
+    era: u64,
+    version: u64,
+}
+
+/// A lease that this contender holds.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    fence: u64,
+    /// Era of the table in which it was acquired or renewed.
+    era: u64,
+    expires: Instant,
+}
+
 /// Parameters of a contender.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -38,10 +57,9 @@
 #[derive(Debug)]
 pub struct Lease {
     options: Options,
-    /// Version of another holder's row, and when it was first seen.
-    seen: Option<(u64, Instant)>,
-    /// Fencing token of the held lease, and when the lease expires.
-    held: Option<(u64, Instant)>,
+    /// Another holder's row, and when it was first seen.
+    seen: Option<(Sighting, Instant)>,
+    held: Option<Held>,
 }
 
 impl Lease {
@@ -52,7 +70,7 @@
 
     /// Returns the fencing token if the lease is certainly held at `now`.
     pub fn fencing_token(&self, now: Instant) -> Option<u64> {
-        self.held.filter(|(_, expires)| now < *expires).map(|(fence, _)| fence)
+        self.held.filter(|held| now < held.expires).map(|held| held.fence)
     }
 
     /// Renews the lease, or acquires it if it is free. Returns the fencing token if the
@@ -64,7 +82,8 @@
     pub async fn acquire<T: Table>(&mut self, table: &T) -> Result<Option<u64>, Error> {
         let started = Instant::now();
         let row = table.read(&self.options.key).await?;
-        let Some(next) = self.next_record(row.as_ref(), started) else {
+        let era = table.era();
+        let Some(next) = self.next_record(row.as_ref(), era, started) else {
             self.held = None;
             return Ok(None);
         };
@@ -74,7 +93,8 @@
             .put(self.options.key.clone(), value);
         match table.commit(txn).await? {
             Commit::Committed => {
-                self.held = Some((next.fence, started + self.options.term));
+                let expires = started + self.options.term;
+                self.held = Some(Held { fence: next.fence, era, expires });
                 Ok(Some(next.fence))
             }
             Commit::Conflict { .. } => {
@@ -85,29 +105,34 @@
     }
 
     /// Returns the record to write; `None` while another holder's lease may be valid.
-    fn next_record(&mut self, row: Option<&Row>, now: Instant) -> Option<Record> {
+    fn next_record(&mut self, row: Option<&Row>, era: u64, now: Instant) -> Option<Record> {
         let holder = self.options.holder.clone();
+        // A table that came back from an older copy may have lost acquisitions, so that tokens of
+        // a later era are above all of the earlier ones.
+        let acquired = |fence: u64| fence.max((era << FENCE_BITS) + 1);
         let Some(row) = row else {
-            return Some(Record { holder, fence: 1, beat: 1 });
+            return Some(Record { holder, fence: acquired(1), beat: 1 });
         };
         let Ok(current) = serde_json::from_str::<Record>(&row.value) else {
             // Every acquisition writes the row, so its version is above all earlier tokens.
-            return Some(Record { holder, fence: row.version, beat: 1 });
+            return Some(Record { holder, fence: acquired(row.version), beat: 1 });
         };
         if current.holder == holder {
             // A restarted VM of the same name must not reuse its old fencing token.
-            let is_renewal = self.held.is_some_and(|(fence, _)| fence == current.fence);
-            let fence = if is_renewal { current.fence } else { current.fence + 1 };
+            let is_renewal =
+                self.held.is_some_and(|held| (held.fence, held.era) == (current.fence, era));
+            let fence = if is_renewal { current.fence } else { acquired(current.fence + 1) };
             return Some(Record { holder, fence, beat: current.beat + 1 });
         }
+        let sighting = Sighting { era, version: row.version };
         let since = match self.seen {
-            Some((version, since)) if version == row.version => since,
+            Some((seen, since)) if seen == sighting => since,
             _ => {
-                self.seen = Some((row.version, now));
+                self.seen = Some((sighting, now));
                 now
             }
         };
         let expired = now.duration_since(since) >= self.options.term;
-        expired.then(|| Record { holder, fence: current.fence + 1, beat: 1 })
+        expired.then(|| Record { holder, fence: acquired(current.fence + 1), beat: 1 })
     }
 }
