winch-relay: keep the verdict of a version move that a restored store has lost

Operators would have seen a move without a state, or one that had ended decided a second time. Cause: an instruction was known by the version of its row. Written again after a restore it has a lower one and was ignored for good, or by chance a higher one and began anew, while record and status were lost. Now its revision is a position; the same instruction in a later era goes on with what is known of it, and the daemons that read the store write a verdict again that its record lacks.

--- a/crates/winch-relay/src/controller.rs
+++ b/crates/winch-relay/src/controller.rs
@@ -21,6 +21,8 @@
     table::{Commit, Error, Row, Table, Transaction},
 };
 
+use winch_roster::position::Position;
+
 use self::rows::{
     CountsRow, RecordRow, counts_key, counts_prefix, decode, encode, prefix, record_key,
 };
@@ -43,6 +45,8 @@
 const TOPIC: &str = "moves";
 /// Largest number of rows that the commit of a verdict deletes.
 const MAX_DELETES: usize = 80;
+/// Reason in the record of a verdict that was written again.
+const LOST_RECORD_REASON: &str = "the store had lost the record";
 /// Largest number of rows that a scan of a move reads.
 const MAX_ROWS: usize = 500;
 
@@ -118,7 +122,7 @@
     let mut controller =
         Controller { node: node.clone(), table, active: HashMap::new(), unreachable_since: None };
     loop {
-        if node.rollouts().any_open() {
+        if !node.rollouts().unfinished().is_empty() {
             controller.tick().await;
             sleep(TICK_INTERVAL).await;
         } else {
@@ -144,11 +148,7 @@
         if !self.node.reads_store() {
             return;
         }
-        let specs: Vec<Spec> = {
-            let rollouts = self.node.rollouts();
-            let open = rollouts.iter().filter(|rollout| rollout.is_open());
-            open.map(|rollout| rollout.progress().spec.clone()).collect()
-        };
+        let specs = self.node.rollouts().unfinished();
         for spec in specs {
             match (self.advance(spec).await, self.unreachable_since) {
                 (Err(error), None) => {
@@ -170,7 +170,9 @@
     fn active_move(&mut self, spec: &Spec) -> &mut ActiveMove {
         let is_current = |active: &ActiveMove| active.spec.revision == spec.revision;
         if !self.active.get(&spec.service).is_some_and(is_current) {
-            let active = ActiveMove::new(spec.clone(), self.node.settings.name.clone());
+            let mut active = ActiveMove::new(spec.clone(), self.node.settings.name.clone());
+            let former = self.active.get(&spec.service).filter(|a| spec.repeats(&a.spec));
+            active.started_at = former.map_or(active.started_at, |former| former.started_at);
             self.active.insert(spec.service.clone(), active);
         }
         self.active.get_mut(&spec.service).expect("inserted above if it was missing")
@@ -183,13 +185,16 @@
         let key = record_key(&spec.service);
         let row = rows.iter().find(|row| *row.key == *key);
         let stored: RecordRow = row.and_then(decode).unwrap_or_default();
-        if stored.revision > spec.revision {
+        if stored.position() > spec.revision {
             // A later move of the service has replaced this one; its spec has not arrived yet.
             return Ok(());
         }
-        let stored = Some(stored).filter(|stored| stored.revision == spec.revision);
+        let stored = Some(stored).filter(|stored| stored.position() == spec.revision);
         let stored = stored.unwrap_or_default();
         self.active_move(&spec).apply_age(stored.age_s);
+        if let Some(verdict) = self.lost_verdict(&spec) {
+            return self.record_again(&spec, &stored.record, verdict, &rows).await;
+        }
         self.apply_record(&spec, &stored.record);
         if stored.record.verdict.is_some() {
             return Ok(());
@@ -215,6 +220,31 @@
         self.write_record(&spec, &stored.record, next, &rows).await
     }
 
+    /// The verdict of the move if the store may have lost it.
+    fn lost_verdict(&self, spec: &Spec) -> Option<Verdict> {
+        let rollouts = self.node.rollouts();
+        let rollout = rollouts.get(&spec.service).filter(|rollout| rollout.is_unrecorded())?;
+        rollout.progress().verdict
+    }
+
+    /// Writes a verdict that the store has lost, unless another daemon has done so.
+    async fn record_again(
+        &mut self,
+        spec: &Spec,
+        stored: &Record,
+        verdict: Verdict,
+        rows: &[Row],
+    ) -> Result<(), Error> {
+        if stored.verdict.is_none() {
+            let reason = LOST_RECORD_REASON.to_owned();
+            let next = Record { verdict: Some(verdict), reason, ..stored.clone() };
+            // The next tick reads what was written.
+            return self.write_record(spec, stored, next, rows).await;
+        }
+        self.node.rollouts().mark_recorded(spec);
+        Ok(())
+    }
+
     /// Applies the record of a move to the progress that this daemon keeps.
     fn apply_record(&self, spec: &Spec, record: &Record) {
         self.node.apply_progress(Progress {
@@ -238,7 +268,7 @@
                 *seen = (row.version, now);
             }
             let is_current =
-                (counts_row.revision, counts_row.stage) == (spec.revision, record.stage);
+                (counts_row.position(), counts_row.stage) == (spec.revision, record.stage);
             if is_current && now < seen.1 + COUNTS_TTL {
                 sum.new = sum.new.plus(counts_row.new);
                 sum.old = sum.old.plus(counts_row.old);
@@ -255,8 +285,8 @@
             let rollouts = self.node.rollouts();
             let Some(rollout) = rollouts.get(&spec.service) else { return Ok(()) };
             let counts = rollout.counts(Instant::now());
-            let (revision, stage) = (spec.revision, rollout.progress().stage);
-            CountsRow { revision, stage, new: counts.new, old: counts.old }
+            let (Position { era, version }, stage) = (spec.revision, rollout.progress().stage);
+            CountsRow { era, revision: version, stage, new: counts.new, old: counts.old }
         };
         let active = self.active_move(spec);
         if active.written.as_ref() == Some(&counts_row) || counts_row.stage == 0 {
@@ -346,7 +376,8 @@
     ) -> Result<(), Error> {
         let Some(next) = current.updated_with(&next) else { return Ok(()) };
         let row = RecordRow {
-            revision: spec.revision,
+            era: spec.revision.era,
+            revision: spec.revision.version,
             age_s: self.active_move(spec).age(),
             record: next.clone(),
         };
--- a/crates/winch-relay/src/controller/rows.rs
+++ b/crates/winch-relay/src/controller/rows.rs
@@ -3,25 +3,48 @@
 use serde::{Deserialize, Serialize};
 use winch_move::{evidence::Tally, verdict::Record};
 use winch_platform::table::Row;
+use winch_roster::position::Position;
 
 /// The row with the record of a move.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(super) struct RecordRow {
+    /// Era of the instruction's revision; rows of earlier releases state none.
+    #[serde(default)]
+    pub(super) era: u64,
+    /// Version of the instruction's revision.
     pub(super) revision: u64,
     /// Age of the move when the row was written, in seconds.
     pub(super) age_s: f64,
     pub(super) record: Record,
 }
 
+impl RecordRow {
+    /// Revision of the instruction.
+    pub(super) fn position(&self) -> Position {
+        Position { era: self.era, version: self.revision }
+    }
+}
+
 /// The row with the counts of one daemon and its followers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct CountsRow {
+    /// See [`RecordRow::era`].
+    #[serde(default)]
+    pub(super) era: u64,
+    /// See [`RecordRow::revision`].
     pub(super) revision: u64,
     pub(super) stage: u32,
     pub(super) new: Tally,
     pub(super) old: Tally,
 }
 
+impl CountsRow {
+    /// See [`RecordRow::position()`].
+    pub(super) fn position(&self) -> Position {
+        Position { era: self.era, version: self.revision }
+    }
+}
+
 /// Prefix of the keys of all rows of a service's moves.
 pub(super) fn prefix(service: &str) -> String {
     format!("moves/{service}/")
--- a/crates/winch-relay/src/moves.rs
+++ b/crates/winch-relay/src/moves.rs
@@ -17,6 +17,7 @@
     schedule,
     verdict::Verdict,
 };
+use winch_roster::position::Position;
 use winch_route::hash;
 
 use crate::prelude::*;
@@ -36,7 +37,16 @@
     /// Time within which all traffic is to be moved.
     pub within: Duration,
     /// Identifies the instruction among those for the same service; later ones are higher.
-    pub revision: u64,
+    pub revision: Position,
+}
+
+impl Spec {
+    /// Whether this is the instruction `former`, written again after the store has come back from a
+    /// copy without it.
+    pub(crate) fn repeats(&self, former: &Self) -> bool {
+        self.revision.era > former.revision.era
+            && (&self.to, self.within) == (&former.to, former.within)
+    }
 }
 
 /// Progress of a move.
@@ -75,7 +85,7 @@
     /// The service that is moved.
     pub service: Name,
     /// See [`Spec::revision`].
-    pub revision: u64,
+    pub revision: Position,
     /// The stage in which the counts were collected.
     pub stage: u32,
     /// Counts by the daemon and by those that report to it.
@@ -117,11 +127,18 @@
     observer: Observer,
     /// The last report of each follower, by its name, and when it arrived.
     reports: HashMap<Name, (Evidence, Instant)>,
+    /// Whether the store may have lost the verdict.
+    is_unrecorded: bool,
 }
 
 impl Rollout {
     fn new(progress: Progress) -> Self {
-        Self { progress, observer: Observer::default(), reports: HashMap::new() }
+        Self {
+            progress,
+            observer: Observer::default(),
+            reports: HashMap::new(),
+            is_unrecorded: false,
+        }
     }
 
     /// Progress of the move.
@@ -134,6 +151,11 @@
         self.progress.verdict.is_none()
     }
 
+    /// Whether the store may have lost the verdict, so that it has to be written again.
+    pub fn is_unrecorded(&self) -> bool {
+        self.is_unrecorded
+    }
+
     /// The stage in force at `now`; zero if none was confirmed recently, and after a fault or
     /// verdict.
     pub fn stage(&self, now: Instant) -> u32 {
@@ -179,6 +201,14 @@
         Rule::Only(new.iter().take(new_count).map(|replica| replica.id.clone()).collect())
     }
 
+    /// Goes on under the revision with which the instruction was written again.
+    fn repeat(&mut self, revision: Position) {
+        self.progress.spec.revision = revision;
+        self.is_unrecorded = !self.is_open();
+        // They name the former revision.
+        self.reports.clear();
+    }
+
     /// Merges `received` into the current progress; returns whether more than the time of
     /// the last confirmation has changed.
     fn apply(&mut self, received: Progress) -> bool {
@@ -230,6 +260,11 @@
                 rollout.apply(progress)
             }
             Some(rollout) if rollout.progress.spec.revision > progress.spec.revision => false,
+            Some(rollout) if progress.spec.repeats(&rollout.progress.spec) => {
+                rollout.repeat(progress.spec.revision);
+                rollout.apply(progress);
+                true
+            }
             _ => {
                 self.0.insert(progress.spec.service.clone(), Rollout::new(progress));
                 true
@@ -272,6 +307,23 @@
         self.0.values().any(Rollout::is_open)
     }
 
+    /// Moves that the controller has to look after: those without a verdict, and those whose verdict
+    /// the store may have lost.
+    pub fn unfinished(&self) -> Vec<Spec> {
+        let unfinished =
+            self.0.values().filter(|rollout| rollout.is_open() || rollout.is_unrecorded);
+        unfinished.map(|rollout| rollout.progress.spec.clone()).collect()
+    }
+
+    /// Records that the store has the verdict of the move that `spec` has instructed.
+    pub fn mark_recorded(&mut self, spec: &Spec) {
+        if let Some(rollout) = self.0.get_mut(&spec.service)
+            && rollout.progress.spec.revision == spec.revision
+        {
+            rollout.is_unrecorded = false;
+        }
+    }
+
     /// Draws the cohort of a new request from the uniformly distributed `number`; always the
     /// old one if no move of the service is known.
     pub fn draw<'a>(
--- a/crates/winch-relay/src/peer/message.rs
+++ b/crates/winch-relay/src/peer/message.rs
@@ -246,7 +246,7 @@
     /// See [`Spec::within`], in milliseconds.
     #[prost(uint64, tag = "3")]
     pub within_ms: u64,
-    /// See [`Spec::revision`].
+    /// Version of [`Spec::revision`].
     #[prost(uint64, tag = "4")]
     pub revision: u64,
     /// See [`Progress::stage`].
@@ -261,6 +261,9 @@
     /// The verdict: 1 completed, 2 taken back, 3 expired, 4 cancelled; 0 for none.
     #[prost(uint32, tag = "8")]
     pub verdict: u32,
+    /// Era of the revision.
+    #[prost(uint64, tag = "9")]
+    pub era: u64,
 }
 
 impl MoveProgress {
@@ -271,7 +274,8 @@
             service: spec.service.to_string(),
             to: spec.to.to_string(),
             within_ms: millis(spec.within),
-            revision: spec.revision,
+            revision: spec.revision.version,
+            era: spec.revision.era,
             stage: *stage,
             age_ms: confirmed_at.map(|at| millis(now.saturating_duration_since(at))),
             fault: *fault,
@@ -291,7 +295,7 @@
             service: self.service.into(),
             to: self.to.into(),
             within: Duration::from_millis(self.within_ms),
-            revision: self.revision,
+            revision: Position { era: self.era, version: self.revision },
         };
         Progress {
             spec,
@@ -329,7 +333,7 @@
     /// See [`Evidence::service`].
     #[prost(string, tag = "1")]
     pub service: String,
-    /// See [`Evidence::revision`].
+    /// Version of [`Evidence::revision`].
     #[prost(uint64, tag = "2")]
     pub revision: u64,
     /// See [`Evidence::stage`].
@@ -341,6 +345,9 @@
     /// Counts of the old version.
     #[prost(message, optional, tag = "5")]
     pub old: Option<Tally>,
+    /// Era of the revision.
+    #[prost(uint64, tag = "6")]
+    pub era: u64,
 }
 
 fn encode_tally(tally: evidence::Tally) -> Tally {
@@ -356,7 +363,8 @@
     fn from(evidence: Evidence) -> Self {
         Self {
             service: evidence.service.to_string(),
-            revision: evidence.revision,
+            revision: evidence.revision.version,
+            era: evidence.revision.era,
             stage: evidence.stage,
             new: Some(encode_tally(evidence.counts.new)),
             old: Some(encode_tally(evidence.counts.old)),
@@ -368,7 +376,7 @@
     fn from(counted: MoveCounts) -> Self {
         Self {
             service: counted.service.into(),
-            revision: counted.revision,
+            revision: Position { era: counted.era, version: counted.revision },
             stage: counted.stage,
             counts: Counts { new: decode_tally(counted.new), old: decode_tally(counted.old) },
         }
--- a/crates/winch-relay/tests/move_rules.rs
+++ b/crates/winch-relay/tests/move_rules.rs
@@ -13,6 +13,7 @@
     moves::{Counts, Evidence, Progress, REPORT_TTL, Rollouts, Rule, STAGE_TTL, Spec},
     replica::Replica,
 };
+use winch_roster::position::Position;
 
 fn replica(number: u16, version: &str) -> Replica {
     Replica {
@@ -32,11 +33,19 @@
     (1..=20).map(|number| replica(number, if number <= 10 { "v1" } else { "v2" })).collect()
 }
 
-fn spec(revision: u64) -> Spec {
+fn revision(era: u64, version: u64) -> Position {
+    Position { era, version }
+}
+
+fn spec_at(revision: Position) -> Spec {
     let within = Duration::from_secs(30);
     Spec { service: "s".into(), to: "v2".into(), within, revision }
 }
 
+fn spec(version: u64) -> Spec {
+    spec_at(revision(1, version))
+}
+
 fn progress_at(stage: u32, now: Instant) -> Progress {
     Progress { spec: spec(7), stage, confirmed_at: Some(now), fault: false, verdict: None }
 }
@@ -121,17 +130,55 @@
     assert!(rollouts.any_open());
 }
 
+#[test]
+fn repeated_instruction_continues() {
+    let (mut rollouts, now) = (Rollouts::default(), Instant::now());
+    rollouts.apply(Progress { fault: true, ..progress_at(2, now) });
+    // Versions of the new era are lower.
+    assert!(rollouts.start(spec_at(revision(2, 3))));
+    let rollout = rollouts.get("s").expect("known");
+    assert!(rollout.progress().fault, "the evidence is kept");
+    assert_eq!(rollout.progress().spec.revision, revision(2, 3));
+    assert!(!rollout.is_unrecorded(), "there is no verdict yet");
+    assert!(rollouts.start(spec_at(revision(2, 4))), "a later instruction starts anew");
+    assert!(!rollouts.get("s").expect("known").progress().fault);
+}
+
+#[test]
+fn lost_verdict_unrecorded() {
+    let (mut rollouts, now) = (Rollouts::default(), Instant::now());
+    rollouts.apply(Progress { verdict: Some(Verdict::Completed), ..progress_at(2, now) });
+    assert_eq!(rollouts.unfinished(), []);
+    rollouts.start(spec_at(revision(2, 3)));
+    assert!(!rollouts.any_open(), "the verdict is final");
+    assert_eq!(rollouts.unfinished(), [spec_at(revision(2, 3))]);
+    rollouts.mark_recorded(&spec_at(revision(2, 3)));
+    assert_eq!(rollouts.unfinished(), []);
+}
+
+#[test]
+fn other_target_starts_anew() {
+    let (mut rollouts, now) = (Rollouts::default(), Instant::now());
+    rollouts.apply(Progress { verdict: Some(Verdict::Completed), ..progress_at(2, now) });
+    rollouts.start(Spec { to: "v3".into(), ..spec_at(revision(2, 3)) });
+    assert!(rollouts.any_open());
+}
+
 #[test]
 fn reported_counts_expire() {
     let (mut rollouts, now) = (Rollouts::default(), Instant::now());
     rollouts.apply(progress_at(1, now));
     let tally = Tally { good: 5, failed: 2, slow: 1 };
     let counts = Counts { new: tally, old: Tally::default() };
-    let evidence = Evidence { service: "s".into(), revision: 7, stage: 1, counts };
+    let evidence = Evidence { service: "s".into(), revision: revision(1, 7), stage: 1, counts };
     rollouts.apply_report(&"daemon-2".into(), evidence.clone(), now);
     rollouts.apply_report(&"daemon-2".into(), evidence.clone(), now);
     rollouts.apply_report(&"daemon-3".into(), Evidence { stage: 2, ..evidence.clone() }, now);
-    rollouts.apply_report(&"daemon-4".into(), Evidence { revision: 6, ..evidence }, now);
+    rollouts.apply_report(
+        &"daemon-4".into(),
+        Evidence { revision: revision(1, 6), ..evidence },
+        now,
+    );
     rollouts.record_error_reply(&replica(11, "v2"));
     rollouts.record_success(&replica(1, "v1"), Duration::from_millis(10), None);
     let counted = rollouts.get("s").unwrap().counts(now);
