--- a/crates/winch-http/src/client.rs
+++ b/crates/winch-http/src/client.rs
@@ -80,7 +80,12 @@
         let connected = connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
         let io = connected.map_err(|source| Error::Connect { source })?;
         io.set_nodelay(true).map_err(|source| Error::Connect { source })?;
-        Ok(Self {
+        Ok(Self::new(io))
+    }
+
+    /// Makes a connection of an open stream, on which nothing but a request is expected next.
+    pub fn new(io: TcpStream) -> Self {
+        Self {
             io,
             input: BytesMut::new(),
             decoder: Decoder::new(Framing::Length(0)),
@@ -88,7 +93,7 @@
             idle_until: Instant::now(),
             idle_limit: DEFAULT_IDLE_LIMIT,
             exchanges: 0,
-        })
+        }
     }
 
     /// Returns the number of requests sent on this connection, including failed ones.
--- a/crates/winch-relay/src/code.rs
+++ b/crates/winch-relay/src/code.rs
@@ -23,6 +23,11 @@
                 match self { $(Self::$variant => $name,)* }
             }
 
+            /// The code with this number; `None` if there is none.
+            pub fn from_number(number: u16) -> Option<Self> {
+                Self::ALL.iter().copied().find(|code| *code as u16 == number)
+            }
+
             /// HTTP status of the reply.
             pub fn status(self) -> StatusCode {
                 match self { $(Self::$variant => StatusCode::$status,)* }
@@ -65,6 +70,8 @@
     SuspectPart = 613, "suspect_part", SERVICE_UNAVAILABLE, false;
     /// The replicas of the service name limits, and this daemon's shares of them are used up.
     Limited = 614, "limited", SERVICE_UNAVAILABLE, false;
+    /// The daemon has no room for requests that other daemons pass on.
+    Busy = 615, "busy", SERVICE_UNAVAILABLE, false;
     /// The connection to the replica broke; the request may have run.
     Broken = 620, "broken", BAD_GATEWAY, true;
     /// The reply of the replica is invalid; the request may have run.
--- a/crates/winch-relay/src/counter.rs
+++ b/crates/winch-relay/src/counter.rs
@@ -55,6 +55,16 @@
     counter!("winch_connections_total", "result" => result).increment(1);
 }
 
+/// Counts an attempt to pass a request on to another daemon, by result.
+pub fn forwarded(result: &'static str) {
+    counter!("winch_forwarded_total", "result" => result).increment(1);
+}
+
+/// Counts a request that another daemon has passed on, by whether there was room for it.
+pub fn taken(result: &'static str) {
+    counter!("winch_taken_total", "result" => result).increment(1);
+}
+
 /// Counts a call to the platform's store, by kind and result, and records its duration.
 pub fn store_called(kind: &'static str, result: &'static str, duration: Duration) {
     counter!("winch_store_calls_total", "kind" => kind, "result" => result).increment(1);
--- a/crates/winch-relay/src/daemon.rs
+++ b/crates/winch-relay/src/daemon.rs
@@ -13,8 +13,8 @@
 use winch_platform::table::Table;
 
 use crate::{
-    controller, edge, exposition, node::Node, peer, prelude::*, quarantine, settings::Settings,
-    store::Access, watch,
+    controller, edge, exposition, node::Node, peer, prelude::*, quarantine, reach,
+    settings::Settings, store::Access, watch,
 };
 
 /// Time after the stop signal during which new connections are still accepted, so
@@ -96,6 +96,7 @@
     background_tasks.spawn(serve_ready(node.clone(), sockets.ready));
     background_tasks.spawn(peer::serve(node.clone(), sockets.peers));
     background_tasks.spawn(sweep(node.clone()));
+    background_tasks.spawn(reach::run(node.clone()));
     if let Some(listener) = sockets.metrics {
         background_tasks.spawn(serve_metrics(listener));
     }
--- a/crates/winch-relay/src/edge.rs
+++ b/crates/winch-relay/src/edge.rs
@@ -36,6 +36,52 @@
 /// the platform's load balancer stops using the daemon first.
 pub const SHUTDOWN_IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Who has sent a request to this daemon.
+#[derive(Clone, Copy, Debug)]
+enum Origin {
+    /// A caller.
+    Caller,
+    /// Another daemon, which has sent it to replicas this many times.
+    Daemon { sends: u32 },
+}
+
+/// A request that was read completely.
+struct Received {
+    request: Request,
+    body: Bytes,
+    /// When the head had been read.
+    received_at: Instant,
+    origin: Origin,
+}
+
+/// Serves one request that another daemon passes on; it was sent to replicas `sends` times.
+pub async fn serve_forwarded<P, R, W>(node: &Arc<Node<P>>, read: R, write: W, sends: u32)
+where
+    P: Protocol,
+    R: AsyncRead + Unpin,
+    W: AsyncWrite + Unpin,
+{
+    let mut reader = Reader::new(read);
+    let mut out = Responder::for_daemon(write);
+    let Ok((request, body, received_at)) =
+        read_request(&mut reader, &mut out, &current_limits(node)).await
+    else {
+        // The daemon has checked the request; it treats the close as a broken connection.
+        return;
+    };
+    out.close_after();
+    let Some(_running) = node.running.enter_forwarded() else {
+        counter::taken("busy");
+        let _ = out.send_error(Code::Busy, None).await;
+        return;
+    };
+    counter::taken("taken");
+    let origin = Origin::Daemon { sends };
+    let request = Received { request, body, received_at, origin };
+    handle_request(node, &mut reader, &mut out, request).await;
+    out.shutdown().await;
+}
+
 /// Serves one caller's connection until it is closed.
 ///
 /// Each request is read under the limits in force when the daemon starts to wait for it.
@@ -47,6 +93,7 @@
 {
     let mut reader = Reader::new(read);
     let mut out = Responder::new(write);
+    let origin = Origin::Caller;
     loop {
         let limits = current_limits(&node);
         if !wait_for_request(&node, &mut reader, limits.idle_timeout).await {
@@ -54,7 +101,8 @@
         }
         match read_request(&mut reader, &mut out, &limits).await {
             Ok((request, body, received_at)) => {
-                handle_request(&node, &mut reader, &mut out, request, body, received_at).await;
+                let request = Received { request, body, received_at, origin };
+                handle_request(&node, &mut reader, &mut out, request).await;
             }
             Err(Error::Broken { .. }) => break,
             Err(Error::Unacceptable { source }) => {
@@ -145,9 +193,7 @@
     node: &Arc<Node<P>>,
     reader: &mut Reader<R>,
     out: &mut Responder<W>,
-    request: Request,
-    body: Bytes,
-    received_at: Instant,
+    received: Received,
 ) where
     P: Protocol,
     R: AsyncRead + Unpin,
@@ -156,10 +202,12 @@
     if node.is_stopping() {
         out.close_after();
     }
+    let Received { request, body, received_at, origin } = received;
     let call = node.protocol.decode_call(request, body, received_at);
     node.wait_initialized().await;
-    let job = match admit(node, &call) {
-        Ok(admitted) => admitted.into_job(call),
+    let _running = matches!(origin, Origin::Caller).then(|| node.running.enter_own());
+    let job = match admit(node, &call, origin) {
+        Ok(admitted) => admitted.into_job(call, origin),
         Err(code) => {
             log_not_admitted(node, &call, code);
             counter::refused(code);
@@ -169,6 +217,9 @@
         }
     };
     let mut trace = Trace::default();
+    if let Origin::Daemon { sends } = origin {
+        trace.sends = sends;
+    }
     let outcome = tokio::select! {
         biased;
         outcome = relay(node, &job, out, &mut trace) => outcome,
@@ -188,9 +239,10 @@
 }
 
 impl Admitted {
-    fn into_job(self, call: Call) -> Job {
+    fn into_job(self, call: Call, origin: Origin) -> Job {
         let Self { route, service, team, cohort, shared_parts, is_trial } = self;
-        Job { call, route, service, team, shared_parts, is_trial, cohort }
+        let is_forwarded = matches!(origin, Origin::Daemon { .. });
+        Job { call, route, service, team, shared_parts, is_trial, is_forwarded, cohort }
     }
 }
 
@@ -198,7 +250,7 @@
 ///
 /// # Errors
 /// The code with which the request is refused.
-fn admit<P: Protocol>(node: &Node<P>, call: &Call) -> Result<Admitted, Code> {
+fn admit<P: Protocol>(node: &Node<P>, call: &Call, origin: Origin) -> Result<Admitted, Code> {
     let config = node.config().ok_or(Code::NoConfig)?;
     let route = config.route(&call.host, call.path()).cloned().ok_or(Code::NoRoute)?;
     let team = call.api_key.as_deref().and_then(|key| config.team(key)).cloned();
@@ -212,6 +264,9 @@
         return Err(Code::Suspect);
     }
     let service = route.pick(&mut node.rng()).clone();
+    if matches!(origin, Origin::Daemon { .. }) && node.is_isolated(&service) {
+        return Err(Code::NoReplica);
+    }
     let shared_parts = strikes::shared_parts(call, &service);
     let is_trial = check_parts(node, &shared_parts)?;
     node.earn_retry(&service);
--- a/crates/winch-relay/src/fleet.rs
+++ b/crates/winch-relay/src/fleet.rs
@@ -1,13 +1,15 @@
 //! Size of the fleet and of the services, as far as a daemon's share of a common limit depends
-//! on them.
+//! on them, and daemons to which requests can be passed on.
 //!
 //! The daemon that reads the store counts its followers, and the seeds among them report theirs.
-//! It sends the sum to all.
+//! It sends the sum to all. Each daemon tells its followers a few of the others.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, net::SocketAddr};
 
 use slotmap::{SlotMap, new_key_type};
 
+use winch_route::hash;
+
 use crate::prelude::*;
 
 /// Number of daemons that one assumes before it was told.
@@ -21,11 +23,25 @@
     pub struct FollowerKey;
 }
 
-/// What a daemon knows of the size of the fleet.
+/// Number of daemons that a follower is told to pass requests on to.
+const MAX_RELAYS: usize = 16;
+
+/// A daemon that follows this one.
+#[derive(Debug)]
+struct Follower {
+    /// Address for other daemons; `None` if the follower is of an earlier release.
+    address: Option<SocketAddr>,
+    /// Number of its own followers.
+    followers: u32,
+}
+
+/// What a daemon knows of the fleet.
 #[derive(Debug, Default)]
 pub struct Fleet {
-    /// The followers of this daemon, with the number of followers that each reported.
-    followers: SlotMap<FollowerKey, u32>,
+    /// The followers of this daemon.
+    followers: SlotMap<FollowerKey, Follower>,
+    /// Daemons to which requests may be passed on, as the followed daemon told it.
+    relays: Vec<SocketAddr>,
     /// Number of daemons as the followed daemon told it.
     told: Option<u32>,
     /// The highest recent count, and when it was found.
@@ -35,15 +51,35 @@
 }
 
 impl Fleet {
-    /// Adds a follower.
-    pub fn add_follower(&mut self) -> FollowerKey {
-        self.followers.insert(0)
+    /// Adds a follower; `address` is its address for other daemons if it states one.
+    pub fn add_follower(&mut self, address: Option<SocketAddr>) -> FollowerKey {
+        self.followers.insert(Follower { address, followers: 0 })
+    }
+
+    /// A few daemons to which the one with this address passes requests on; the same ones for as
+    /// long as they follow.
+    pub fn choose_relays(&self, of: SocketAddr) -> Vec<SocketAddr> {
+        let score = |address: SocketAddr| hash::name(&address.to_string());
+        let addresses = self.followers.values().filter_map(|follower| follower.address);
+        let others = addresses.filter(|address| *address != of);
+        hash::subset(score(of), others.map(|address| (score(address), address)), MAX_RELAYS)
+    }
+
+    /// Records the daemons to which requests may be passed on.
+    pub fn set_relays(&mut self, relays: Vec<SocketAddr>) {
+        self.relays = relays;
+    }
+
+    /// Daemons to which requests may be passed on: those that were told, and the followers.
+    pub fn relays(&self) -> Vec<SocketAddr> {
+        let followers = self.followers.values().filter_map(|follower| follower.address);
+        self.relays.iter().copied().chain(followers).collect()
     }
 
     /// Records the number of followers that a follower reported.
     pub fn report(&mut self, follower: FollowerKey, followers: u32) {
-        if let Some(count) = self.followers.get_mut(follower) {
-            *count = followers;
+        if let Some(follower) = self.followers.get_mut(follower) {
+            follower.followers = followers;
         }
     }
 
@@ -68,7 +104,7 @@
 
     /// Number of daemons; `counts` tells whether this daemon counts them for others.
     pub fn daemons(&mut self, counts: bool, now: Instant) -> u32 {
-        let counted = self.followers.values().fold(1, |sum, followers| sum + 1 + followers);
+        let counted = self.followers.values().fold(1, |sum, follower| sum + 1 + follower.followers);
         let current = if counts { counted } else { self.told.unwrap_or(ASSUMED_DAEMONS) };
         match self.held {
             Some((held, at)) if held > current && now < at + HOLD_TIME => held,
--- /dev/null
+++ b/crates/winch-relay/src/forward.rs
@@ -0,0 +1,236 @@
+//! Passes requests on to other daemons while this one reaches no replica of their service.
+//!
+//! A request is forwarded once at most: the daemon that takes it serves it itself or refuses it. It
+//! carries the caller's request with the time that is left and the number of sends, so that deadline
+//! and attempts hold across both daemons. A daemon takes no more than it has room for.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
+
+use bytes::Bytes;
+use http::HeaderName;
+use rand::seq::SliceRandom;
+use tokio::time::{timeout, timeout_at};
+use winch_http::{client::Connection, head::Reply};
+
+use crate::{
+    counter,
+    job::{Job, Outcome, Trace, is_reply_to},
+    node::Node,
+    peer,
+    prelude::*,
+};
+
+/// Header of a reply to a forwarded request that the daemon itself made: its result code.
+pub const CODE: HeaderName = HeaderName::from_static("winch-code");
+
+/// Number of daemons that are asked to take a request.
+const MAX_DAEMONS: usize = 4;
+/// Timeout for opening a connection to another daemon.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time for which a daemon that did not take a request is not asked again.
+const AVOID_TIME: Duration = Duration::from_secs(1);
+/// Number of forwarded requests for which a daemon has room whatever it serves itself.
+const MIN_ROOM: usize = 64;
+/// Forwarded requests for which a daemon has room for each request of its own callers.
+const ROOM_PER_OWN: usize = 3;
+/// Largest share of the time left that one daemon gets if another one can be asked after it.
+const MAX_ATTEMPT_SHARE: f64 = 0.5;
+/// Largest body of a reply.
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+
+/// Counts the requests that run in this daemon.
+#[derive(Debug, Default)]
+pub struct Running {
+    own: AtomicUsize,
+    forwarded: AtomicUsize,
+    /// Until when daemons that did not take a request are not asked.
+    avoided: Mutex<HashMap<SocketAddr, Instant>>,
+}
+
+/// Guard of one running request.
+#[derive(Debug)]
+pub struct RunningGuard<'a>(&'a AtomicUsize);
+
+impl Drop for RunningGuard<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Running {
+    /// Counts a request of an own caller until the guard is dropped.
+    pub fn enter_own(&self) -> RunningGuard<'_> {
+        self.own.fetch_add(1, Ordering::Relaxed);
+        RunningGuard(&self.own)
+    }
+
+    /// Counts a forwarded request until the guard is dropped; `None` if there is no room for it.
+    pub fn enter_forwarded(&self) -> Option<RunningGuard<'_>> {
+        let room = MIN_ROOM.max(ROOM_PER_OWN * self.own.load(Ordering::Relaxed));
+        let running = self.forwarded.fetch_add(1, Ordering::Relaxed);
+        let guard = RunningGuard(&self.forwarded);
+        (running < room).then_some(guard)
+    }
+
+    fn avoid(&self, daemon: SocketAddr) {
+        let now = Instant::now();
+        let mut avoided = self.avoided.lock().unwrap_or_else(PoisonError::into_inner);
+        avoided.retain(|_, until| now < *until);
+        avoided.insert(daemon, now + AVOID_TIME);
+    }
+
+    fn is_avoided(&self, daemon: SocketAddr) -> bool {
+        let avoided = self.avoided.lock().unwrap_or_else(PoisonError::into_inner);
+        avoided.get(&daemon).is_some_and(|until| Instant::now() < *until)
+    }
+}
+
+impl Job {
+    /// Whether the request is to be forwarded: this daemon reaches no replica of its service, and
+    /// no daemon has refused or forwarded it yet.
+    pub fn needs_forwarding<P: Protocol>(&self, node: &Node<P>, trace: &Trace) -> bool {
+        !self.is_forwarded && !trace.was_forwarded && node.is_isolated(&self.service)
+    }
+}
+
+/// Whether a request that found no replica is to be forwarded in the end. Waits until it is clear
+/// whether this daemon reaches its service.
+pub async fn is_last_resort<P: Protocol>(node: &Node<P>, job: &Job, trace: &Trace) -> bool {
+    if job.is_forwarded || trace.was_forwarded {
+        return false;
+    }
+    // A deadline that passes meanwhile is found by whoever asks.
+    let _ = timeout_at(job.deadline(), node.wait_paths_clear(&job.service)).await;
+    job.needs_forwarding(node, trace)
+}
+
+/// What became of a request at another daemon.
+pub enum Reached {
+    /// The reply of a replica, whose body is still to be read from the connection.
+    Reply(Reply, Box<Connection>),
+    /// The daemon ended the request with this code.
+    Error(Code),
+    /// The daemon did not take the request, which has not run.
+    NotTaken,
+    /// The connection broke after the request was sent; it may have run.
+    Broken,
+}
+
+/// The daemons to ask in turn, in random order; those that refused lately come last.
+pub fn candidates<P: Protocol>(node: &Node<P>) -> Vec<SocketAddr> {
+    let mut daemons = node.fleet().relays().to_vec();
+    daemons.extend(&node.tuning().seeds);
+    daemons.retain(|daemon| *daemon != node.settings.peers);
+    daemons.sort_unstable();
+    daemons.dedup();
+    daemons.shuffle(&mut node.rng());
+    daemons.sort_by_key(|daemon| node.running.is_avoided(*daemon));
+    daemons.truncate(MAX_DAEMONS);
+    daemons
+}
+
+/// Sends a request to another daemon and reads the head of the reply.
+///
+/// `after_event` is the id of the last event that the caller has of a stream.
+pub async fn send<P: Protocol>(
+    node: &Node<P>,
+    job: &Job,
+    sends: u32,
+    after_event: Option<u64>,
+    daemon: SocketAddr,
+) -> Reached {
+    let opened = timeout(CONNECT_TIMEOUT, peer::open_forwarding(daemon, sends)).await;
+    let Ok(Ok(mut connection)) = opened else {
+        node.running.avoid(daemon);
+        counter::forwarded("unreachable");
+        return Reached::NotTaken;
+    };
+    let time_left = job.deadline().saturating_duration_since(Instant::now());
+    let request = node.protocol.encode_forwarded(&job.call, time_left, after_event);
+    let id = job.call.id.as_ref();
+    let accepts =
+        |reply: &Reply| reply.headers.contains_key(CODE) || is_reply_to(node, id, true, reply);
+    let Ok(reply) = connection.exchange(&job.call.method, &request, accepts).await else {
+        counter::forwarded("broken");
+        return Reached::Broken;
+    };
+    match decode_code(&reply) {
+        None => {
+            counter::forwarded("taken");
+            Reached::Reply(reply, Box::new(connection))
+        }
+        Some(Code::NoConfig | Code::NoReplica | Code::Stopping | Code::Busy) => {
+            node.running.avoid(daemon);
+            counter::forwarded("refused");
+            Reached::NotTaken
+        }
+        Some(code) => {
+            counter::forwarded("failed");
+            Reached::Error(code)
+        }
+    }
+}
+
+/// The result code of a reply that a daemon made itself; `None` if a replica made it.
+fn decode_code(reply: &Reply) -> Option<Code> {
+    let text = reply.headers.get(CODE)?.to_str().ok()?;
+    // A later release may have further codes; such a request may have run.
+    Some(text.parse().ok().and_then(Code::from_number).unwrap_or(Code::Broken))
+}
+
+/// Passes a lookup or an order on to other daemons; `None` if none takes it.
+pub async fn relay<P: Protocol>(node: &Node<P>, job: &Job, trace: &mut Trace) -> Option<Outcome> {
+    trace.was_forwarded = true;
+    let may_repeat = job.route.semantics.may_repeat();
+    let mut may_have_run = false;
+    for daemon in candidates(node) {
+        let time_left = job.deadline().saturating_duration_since(Instant::now());
+        let share = if may_repeat { MAX_ATTEMPT_SHARE } else { 1.0 };
+        let deadline = Instant::now() + time_left.mul_f64(share);
+        let asked = timeout_at(deadline, ask(node, job, trace.sends, daemon)).await;
+        trace.steps.push(format!("{daemon}:{}", if asked.is_ok() { "asked" } else { "timed out" }));
+        match asked {
+            Ok(Asked::Ended(outcome)) => return Some(outcome),
+            Ok(Asked::NotTaken) => {}
+            Ok(Asked::Broken) | Err(_) => {
+                trace.sends += 1;
+                may_have_run = true;
+                if !may_repeat || trace.sends >= job.route.max_attempts {
+                    let code = if asked.is_err() { Code::TimedOut } else { Code::Broken };
+                    return Some(Outcome::Error(code));
+                }
+            }
+        }
+    }
+    may_have_run.then_some(Outcome::Error(Code::Broken))
+}
+
+/// How asking one daemon ended.
+enum Asked {
+    Ended(Outcome),
+    NotTaken,
+    Broken,
+}
+
+async fn ask<P: Protocol>(node: &Node<P>, job: &Job, sends: u32, daemon: SocketAddr) -> Asked {
+    match send(node, job, sends, None, daemon).await {
+        Reached::NotTaken => Asked::NotTaken,
+        Reached::Broken => Asked::Broken,
+        Reached::Error(code) => Asked::Ended(Outcome::Error(code)),
+        Reached::Reply(reply, mut connection) => match read_body(&mut connection).await {
+            Some(body) => Asked::Ended(Outcome::Answer { reply, body }),
+            None => Asked::Broken,
+        },
+    }
+}
+
+async fn read_body(connection: &mut Connection) -> Option<Bytes> {
+    connection.body(MAX_BODY_BYTES).await.ok()
+}
--- a/crates/winch-relay/src/job.rs
+++ b/crates/winch-relay/src/job.rs
@@ -29,6 +29,8 @@
     pub shared_parts: Arc<[Part]>,
     /// Whether the request may run once although a part of its prompt is quarantined.
     pub is_trial: bool,
+    /// Whether another daemon has passed the request on, so that it is not passed on again.
+    pub is_forwarded: bool,
     /// Version of the service, old or new, for which the request was drawn while the service
     /// is moved.
     pub cohort: Cohort,
@@ -81,6 +83,8 @@
     pub sends: u32,
     /// Result of each attempt, as `replica@dc:result`.
     pub steps: Vec<String>,
+    /// Whether other daemons were asked to take the request.
+    pub was_forwarded: bool,
     /// Ids of the replicas that are not chosen again for the request, unless they hold the
     /// KV cache copy from which it continues.
     pub excluded: Vec<Name>,
--- a/crates/winch-relay/src/kv_snapshot.rs
+++ b/crates/winch-relay/src/kv_snapshot.rs
@@ -80,7 +80,7 @@
 async fn release<P: Protocol>(node: &Node<P>, source: &Replica, name: &str) {
     let (method, request) = node.protocol.encode_release_request(name, source);
     let released = async {
-        let mut connection = node.pool.open(source.address).await?;
+        let mut connection = node.open(source).await?;
         connection.exchange(&method, &request, |_| true).await?;
         connection.body(MAX_BODY_BYTES).await?;
         node.pool.put(source.address, connection);
@@ -146,7 +146,7 @@
 ) -> Result<Option<Name>, Error> {
     let source = &run.source;
     let (method, request) = node.protocol.encode_snapshot_request(&run.id, source, holder.address);
-    let mut connection = node.pool.open(source.address).await?;
+    let mut connection = node.open(source).await?;
     let reply = connection.exchange(&method, &request, |_| true).await?;
     let body = connection.body(MAX_BODY_BYTES).await?;
     node.pool.put(source.address, connection);
--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -32,9 +32,11 @@
     config::Config,
     edition::Edition,
     fleet::Fleet,
+    forward::Running,
     moves::{Progress, Rollouts, Rule, Spec},
     pool::Pool,
     prelude::*,
+    reach::Paths,
     settings::{Settings, Tuning},
     strikes::Strikes,
     unary::MAX_BODY_BLOCKS,
@@ -82,6 +84,9 @@
     rollouts: Mutex<Rollouts>,
     strikes: Mutex<Strikes>,
     fleet: Mutex<Fleet>,
+    paths: Mutex<Paths>,
+    /// Requests that run in this daemon.
+    pub running: Running,
     reads_store: AtomicBool,
     serves: AtomicBool,
     /// When the store last confirmed each topic.
@@ -115,6 +120,8 @@
             rollouts: Mutex::default(),
             strikes: Strikes::new(started_at).into(),
             fleet: Mutex::default(),
+            paths: Mutex::default(),
+            running: Running::default(),
             reads_store: AtomicBool::new(false),
             serves: AtomicBool::new(false),
             confirmed: Mutex::default(),
@@ -229,6 +236,11 @@
         lock(&self.fleet)
     }
 
+    /// What is known of the paths to replicas.
+    pub(crate) fn paths(&self) -> MutexGuard<'_, Paths> {
+        lock(&self.paths)
+    }
+
     /// Number of daemons in the fleet.
     pub fn daemons(&self) -> u32 {
         self.fleet().daemons(self.serves() && self.reads_store(), Instant::now())
--- a/crates/winch-relay/src/peer.rs
+++ b/crates/winch-relay/src/peer.rs
@@ -26,6 +26,7 @@
     time::{timeout, timeout_at},
 };
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use winch_http::client::Connection;
 use winch_roster::interest::Interest;
 use winch_route::quarantine::Part;
 
@@ -34,7 +35,7 @@
     serve::serve,
 };
 use self::{
-    message::Request,
+    message::{Forwarding, Request},
     notice::{ClearedPart, CrashStrike},
 };
 use crate::{counter, node::Node, prelude::*, strikes::Strike};
@@ -79,6 +80,17 @@
     timeout(REQUEST_TIMEOUT, connected).await?
 }
 
+/// Opens a connection to a daemon on which a caller's request is sent next; the request was sent to
+/// replicas `sends` times.
+///
+/// # Errors
+/// The system's error; nothing of the request was sent.
+pub async fn open_forwarding(address: SocketAddr, sends: u32) -> io::Result<Connection> {
+    let forwarding = Some(Forwarding { sends });
+    let framed = connect(address, Request { forwarding, ..Request::default() }).await?;
+    Ok(Connection::new(framed.into_inner()))
+}
+
 /// The part of the list that a daemon needs: all of it if it `serves` others.
 fn interest<P>(node: &Node<P>, serves: bool) -> Interest {
     let settings = &node.settings;
--- a/crates/winch-relay/src/peer/follow.rs
+++ b/crates/winch-relay/src/peer/follow.rs
@@ -125,6 +125,7 @@
             follow: true,
             list_version: resume.map_or(0, |position| position.version),
             interest: Some((&interest(node, limits.serves)).into()),
+            address: node.settings.peers.to_string(),
             ..Request::default()
         };
         let connected = timeout(CONNECT_TIMEOUT, connect(seed, request)).await;
@@ -205,6 +206,9 @@
         let services = std::mem::take(&mut update.services).into_iter();
         let sizes = services.map(|size| (size.service.into(), size.replicas));
         node.fleet().apply(update.daemons, sizes);
+        if let Some(relays) = update.relays.take() {
+            node.fleet().set_relays(relays.decode());
+        }
         let cleared = std::mem::take(&mut update.cleared);
         apply_notices(node, cleared, std::mem::take(&mut update.strikes));
         for moving in std::mem::take(&mut update.moving) {
--- a/crates/winch-relay/src/peer/message.rs
+++ b/crates/winch-relay/src/peer/message.rs
@@ -2,6 +2,8 @@
 //!
 //! See [`peer`](super) for the exchange of these messages.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use prost::Message;
 use winch_move::{evidence, verdict::Verdict};
@@ -40,6 +42,42 @@
     /// Parts of prompts whose strikes are removed, as for `strikes`.
     #[prost(message, repeated, tag = "5")]
     pub cleared: Vec<ClearedPart>,
+    /// Address of the sender for other daemons.
+    #[prost(string, tag = "6")]
+    pub address: String,
+    /// Set if a caller's request follows on the connection, as HTTP/1.1, and its reply is to follow
+    /// in place of updates.
+    #[prost(message, optional, tag = "7")]
+    pub forwarding: Option<Forwarding>,
+}
+
+/// What a daemon tells of a request that it passes on.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub(super) struct Forwarding {
+    /// Number of times that the request was sent.
+    #[prost(uint32, tag = "1")]
+    pub sends: u32,
+}
+
+/// Daemons to which requests may be passed on.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(super) struct Relays {
+    /// Their addresses for other daemons.
+    #[prost(string, repeated, tag = "1")]
+    pub addresses: Vec<String>,
+}
+
+impl From<&[SocketAddr]> for Relays {
+    fn from(addresses: &[SocketAddr]) -> Self {
+        Self { addresses: addresses.iter().map(ToString::to_string).collect() }
+    }
+}
+
+impl Relays {
+    /// Decodes the addresses; unusable ones are left out.
+    pub(super) fn decode(&self) -> Vec<SocketAddr> {
+        self.addresses.iter().filter_map(|address| address.parse().ok()).collect()
+    }
 }
 
 /// The state of a daemon, or its changes since the last update.
@@ -102,6 +140,10 @@
     /// See [`Edition::digest`].
     #[prost(fixed64, tag = "18")]
     pub config_digest: u64,
+    /// Daemons to which the receiver may pass requests on, if they have changed since the last
+    /// update on the connection.
+    #[prost(message, optional, tag = "19")]
+    pub relays: Option<Relays>,
 }
 
 /// The number of replicas of a service.
--- a/crates/winch-relay/src/peer/serve.rs
+++ b/crates/winch-relay/src/peer/serve.rs
@@ -1,23 +1,25 @@
 //! Serves the state of this daemon to its followers.
 
-use std::io;
+use std::{io, net::SocketAddr};
 
 use futures_util::StreamExt;
 use prost::Message;
 use tokio::{
+    io::AsyncReadExt,
     net::{TcpListener, TcpStream},
     task::JoinSet,
     time::{sleep, sleep_until, timeout},
 };
+use tokio_util::codec::FramedParts;
 use winch_roster::{cursor::Cursor, frame, interest::Interest, pace::Pace};
 
 use super::{
     FramedStream, REQUEST_TIMEOUT, SEED_TIMEOUT, apply_notices, frame_stream,
-    message::{MoveProgress, Report, Request, ServiceSize, Update},
+    message::{MoveProgress, Relays, Report, Request, ServiceSize, Update},
     notice::{ClearedPart, CrashStrike},
     send,
 };
-use crate::{edition::Edition, fleet::FollowerKey, node::Node, prelude::*, strikes::Notice};
+use crate::{edge, edition::Edition, fleet::FollowerKey, node::Node, prelude::*, strikes::Notice};
 
 /// Largest number of connections that are served at once; further ones are closed.
 const MAX_CONNECTIONS: usize = 512;
@@ -41,6 +43,9 @@
     /// Number of notices of strikes that were sent or skipped.
     notices: usize,
     services: Vec<ServiceSize>,
+    /// Address of the peer for other daemons, if it states one.
+    address: Option<SocketAddr>,
+    relays: Vec<SocketAddr>,
 }
 
 impl Sent {
@@ -54,6 +59,8 @@
             is_compact,
             notices: 0,
             services: Vec::new(),
+            address: request.address.parse().ok(),
+            relays: Vec::new(),
         }
     }
 
@@ -80,9 +87,19 @@
         self.add_moves(node, &mut update);
         self.add_notices(node, &mut update);
         self.add_listing(node, &mut update);
+        self.add_relays(node, &mut update);
         update
     }
 
+    fn add_relays<P: Protocol>(&mut self, node: &Node<P>, update: &mut Update) {
+        let Some(address) = self.address else { return };
+        let relays = node.fleet().choose_relays(address);
+        if relays != self.relays {
+            update.relays = Some(Relays::from(&relays[..]));
+            self.relays = relays;
+        }
+    }
+
     fn add_moves<P: Protocol>(&self, node: &Node<P>, update: &mut Update) {
         let now = Instant::now();
         let rollouts = node.rollouts();
@@ -145,7 +162,7 @@
     }
 }
 
-async fn serve_connection<P: Protocol>(node: &Node<P>, stream: TcpStream) -> io::Result<()> {
+async fn serve_connection<P: Protocol>(node: &Arc<Node<P>>, stream: TcpStream) -> io::Result<()> {
     let mut framed = frame_stream(stream);
     let received = timeout(REQUEST_TIMEOUT, framed.next()).await?.transpose()?;
     let Some(request) = received else { return Ok(()) };
@@ -155,6 +172,13 @@
         apply_notices(node, cleared, std::mem::take(&mut request.strikes));
         return Ok(());
     }
+    if let Some(forwarding) = request.forwarding {
+        let FramedParts { io, read_buf, .. } = framed.into_parts();
+        let (read, write) = io.into_split();
+        let read = io::Cursor::new(read_buf).chain(read);
+        edge::serve_forwarded(node, read, write, forwarding.sends).await;
+        return Ok(());
+    }
     let mut sent = Sent::new(node, &request);
     if !request.follow {
         return send(&mut framed, sent.next_update(node, usize::MAX)).await;
@@ -169,7 +193,7 @@
     framed: &mut FramedStream,
     mut sent: Sent,
 ) -> io::Result<()> {
-    let follower = Follower::new(node);
+    let follower = Follower::new(node, sent.address);
     let mut changes = node.subscribe();
     while node.serves() {
         let update = sent.next_update(node, MAX_PUSHED_CONFIG_BYTES);
@@ -202,8 +226,8 @@
 }
 
 impl<'a, P: Protocol> Follower<'a, P> {
-    fn new(node: &'a Node<P>) -> Self {
-        Self { node, key: node.fleet().add_follower() }
+    fn new(node: &'a Node<P>, address: Option<SocketAddr>) -> Self {
+        Self { node, key: node.fleet().add_follower(address) }
     }
 }
 
--- a/crates/winch-relay/src/pool.rs
+++ b/crates/winch-relay/src/pool.rs
@@ -6,9 +6,9 @@
     sync::{Mutex, PoisonError},
 };
 
-use winch_http::client::{Connection, Error};
+use winch_http::client::Connection;
 
-use crate::{counter, prelude::*};
+use crate::prelude::*;
 
 /// Largest number of idle connections kept per replica.
 const MAX_IDLE_PER_REPLICA: usize = 6;
@@ -38,20 +38,6 @@
         })
     }
 
-    /// Takes an idle connection to `address`, or opens a new one within
-    /// [`CONNECT_TIMEOUT`].
-    ///
-    /// # Errors
-    /// [`Error::Connect`] if no connection could be opened; nothing was sent.
-    pub async fn open(&self, address: SocketAddr) -> Result<Connection, Error> {
-        if let Some(connection) = self.take(address) {
-            return Ok(connection);
-        }
-        let opened = Connection::open(address, CONNECT_TIMEOUT).await;
-        counter::connected(if opened.is_ok() { "ok" } else { "failed" });
-        opened
-    }
-
     /// Returns a connection to the pool; closes it if its last exchange does not allow
     /// another one, or if the pool holds enough for this replica.
     pub fn put(&self, address: SocketAddr, mut connection: Connection) {
--- a/crates/winch-relay/src/probe.rs
+++ b/crates/winch-relay/src/probe.rs
@@ -6,16 +6,12 @@
     sync::mpsc,
     time::{timeout, timeout_at},
 };
-use winch_http::{
-    client::{Connection, Error},
-    head::Reply,
-};
+use winch_http::{client::Error, head::Reply};
 
 use crate::{
     call::{self, Part},
     catalog::Key,
     counter,
-    pool::CONNECT_TIMEOUT,
     prelude::*,
     replica::Report,
 };
@@ -49,6 +45,9 @@
     let received = timeout(PROBE_TIMEOUT, fetch_report(node, replica)).await;
     let report = received.ok().and_then(Result::ok).flatten();
     counter::probed(if report.is_some() { "ok" } else { "failed" });
+    if report.is_none() {
+        node.doubt_paths(&replica.service);
+    }
     match report {
         Some(report) if report.is_from_other_incarnation(replica) => {
             insert_restarted(node, replica, &report).await;
@@ -68,7 +67,7 @@
     if service.is_some_and(|service| service.engine.is_some()) {
         return request_report(node, replica).await.is_some();
     }
-    Connection::open(replica.address, CONNECT_TIMEOUT).await.is_ok()
+    node.open_new(replica).await.is_ok()
 }
 
 async fn exchange<P: Protocol>(
@@ -76,7 +75,7 @@
     replica: &Replica,
     (method, request): (Method, Bytes),
 ) -> Result<(Reply, Bytes), Error> {
-    let mut connection = node.pool.open(replica.address).await?;
+    let mut connection = node.open(replica).await?;
     let reply = connection.exchange(&method, &request, |_| true).await?;
     let body = connection.body(MAX_REPORT_BYTES).await?;
     node.pool.put(replica.address, connection);
--- a/crates/winch-relay/src/protocol.rs
+++ b/crates/winch-relay/src/protocol.rs
@@ -78,6 +78,11 @@
     /// Encodes one attempt of a caller's request at the replica of `dispatch`.
     fn encode_request(&self, call: &Call, dispatch: &Dispatch<'_>) -> Bytes;
 
+    /// Encodes a caller's request as another daemon is to receive it. `time_left` is the time until
+    /// it is given up, `after_event` the id of the last event that the caller has of a stream.
+    fn encode_forwarded(&self, call: &Call, time_left: Duration, after_event: Option<u64>)
+    -> Bytes;
+
     /// Decodes the head of a replica's reply.
     fn decode_reply_meta(&self, reply: &head::Reply) -> ReplyMeta;
 
--- /dev/null
+++ b/crates/winch-relay/src/reach.rs
@@ -0,0 +1,144 @@
+//! Finds out whether this daemon reaches the replicas of its services.
+//!
+//! Each opened or failed connection to a replica is recorded. While a service is in doubt or out of
+//! reach, connections are opened to see if any replica takes one.
+
+use std::collections::HashMap;
+
+use rand::seq::IteratorRandom;
+use tokio::{sync::Notify, time::sleep};
+use winch_http::client::{Connection, Error};
+use winch_route::{hash, reach::Reach};
+
+use crate::{counter, node::Node, pool::CONNECT_TIMEOUT, prelude::*};
+
+/// Interval of checks of a service that is in doubt.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Number of replicas that one check tries.
+const CHECKED_REPLICAS: usize = 2;
+/// Longest wait until it is clear whether a service is within reach.
+const CLEARING_TIMEOUT: Duration = Duration::from_millis(500);
+/// Interval at which such a wait looks at the result of the checks.
+const CLEARING_INTERVAL: Duration = Duration::from_millis(25);
+/// Time after which a reply that has not arrived puts its service in doubt.
+pub const LATE_REPLY_TIME: Duration = Duration::from_millis(300);
+
+/// What a daemon knows of its paths to replicas, by service.
+#[derive(Debug, Default)]
+pub struct Paths {
+    services: HashMap<Name, Reach>,
+    in_doubt: Arc<Notify>,
+}
+
+impl Paths {
+    fn service(&mut self, service: &Name) -> &mut Reach {
+        self.services.entry(service.clone()).or_default()
+    }
+
+    /// Services that need a check.
+    fn unchecked(&self) -> Vec<Name> {
+        let unchecked = self.services.iter().filter(|(_, reach)| reach.needs_check());
+        unchecked.map(|(service, _)| service.clone()).collect()
+    }
+}
+
+impl<P: Protocol> Node<P> {
+    /// Takes an idle connection to `replica`, or opens a new one; records whether that succeeds.
+    ///
+    /// # Errors
+    /// [`Error::Connect`] if no connection could be opened; nothing was sent.
+    pub async fn open(&self, replica: &Replica) -> Result<Connection, Error> {
+        if let Some(connection) = self.pool.take(replica.address) {
+            return Ok(connection);
+        }
+        self.open_new(replica).await
+    }
+
+    /// Opens a new connection to `replica`, and records whether that succeeds.
+    ///
+    /// # Errors
+    /// As [`Self::open()`].
+    pub async fn open_new(&self, replica: &Replica) -> Result<Connection, Error> {
+        let opened = Connection::open(replica.address, CONNECT_TIMEOUT).await;
+        counter::connected(if opened.is_ok() { "ok" } else { "failed" });
+        self.record_opening(replica, opened.is_ok());
+        opened
+    }
+
+    fn record_opening(&self, replica: &Replica, is_open: bool) {
+        let service = &replica.service;
+        let (now, known) = (self.uptime(), self.catalog().serving(service).count());
+        let mut paths = self.paths();
+        let reach = paths.service(service);
+        if is_open {
+            if reach.record_opened(now) {
+                emit!(Event::ServiceReached, service = service);
+            }
+            return;
+        }
+        if reach.record_failed(hash::name(&replica.id), known, now) {
+            emit!(Event::ServiceOutOfReach, service = service, replicas = known);
+        }
+        paths.in_doubt.notify_one();
+    }
+
+    /// Records that a reply of a replica of `service` is late.
+    pub fn doubt_paths(&self, service: &Name) {
+        let mut paths = self.paths();
+        if paths.service(service).doubt(self.uptime()) {
+            paths.in_doubt.notify_one();
+        }
+    }
+
+    /// Waits while it is not clear whether this daemon reaches a replica of `service`.
+    pub async fn wait_paths_clear(&self, service: &str) {
+        let deadline = Instant::now() + CLEARING_TIMEOUT;
+        let is_unclear = || {
+            let paths = self.paths();
+            paths.services.get(service).is_some_and(|r| r.needs_check() && !r.is_isolated())
+        };
+        while is_unclear() && Instant::now() < deadline {
+            sleep(CLEARING_INTERVAL).await;
+        }
+    }
+
+    /// Whether this daemon reaches no replica of `service`.
+    pub fn is_isolated(&self, service: &str) -> bool {
+        self.paths().services.get(service).is_some_and(Reach::is_isolated)
+    }
+}
+
+/// Checks services that are in doubt or out of reach, for as long as the daemon runs.
+pub async fn run<P: Protocol>(node: Arc<Node<P>>) {
+    let in_doubt = node.paths().in_doubt.clone();
+    loop {
+        let unchecked = node.paths().unchecked();
+        if unchecked.is_empty() {
+            in_doubt.notified().await;
+            continue;
+        }
+        let checks = unchecked.iter().map(|service| check(&node, service));
+        futures_util::future::join_all(checks).await;
+        sleep(CHECK_INTERVAL).await;
+    }
+}
+
+/// Opens connections to a few replicas of a service, and keeps those that succeed for later requests.
+async fn check<P: Protocol>(node: &Node<P>, service: &Name) {
+    let replicas = {
+        let catalog = node.catalog();
+        let serving = catalog.serving(service).map(|(_, entry)| entry.replica.clone());
+        serving.choose_multiple(&mut node.rng(), CHECKED_REPLICAS)
+    };
+    if replicas.is_empty() {
+        // The replicas have left the list: there is nothing to reach.
+        node.paths().services.remove(service);
+        return;
+    }
+    let openings = replicas.iter().map(|replica| async {
+        if let Ok(connection) = node.open_new(replica).await {
+            node.pool.put(replica.address, connection);
+        }
+    });
+    futures_util::future::join_all(openings).await;
+}
--- a/crates/winch-relay/src/respond.rs
+++ b/crates/winch-relay/src/respond.rs
@@ -12,7 +12,7 @@
     server::Writer,
 };
 
-use crate::prelude::*;
+use crate::{forward::CODE, prelude::*};
 
 /// Progress of the reply to the current request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,12 +31,21 @@
     writer: Writer<W>,
     progress: Progress,
     must_close: bool,
+    /// Whether error replies state their code in a header, for another daemon.
+    states_code: bool,
 }
 
 impl<W: AsyncWrite + Unpin> Responder<W> {
     /// Creates a responder for a new connection, which writes to `io`.
     pub fn new(io: W) -> Self {
-        Self { writer: Writer::new(io), progress: Progress::Waiting, must_close: false }
+        let progress = Progress::Waiting;
+        Self { writer: Writer::new(io), progress, must_close: false, states_code: false }
+    }
+
+    /// Creates a responder for a connection of another daemon, which tells error replies from
+    /// those of replicas by a header.
+    pub fn for_daemon(io: W) -> Self {
+        Self { states_code: true, ..Self::new(io) }
     }
 
     /// Prepares for the reply to a new request. With `must_close` the reply announces that
@@ -87,11 +96,23 @@
         put_reply(self.writer.buffer(), status, &headers);
     }
 
-    /// Sends a complete reply.
+    /// Sends a complete reply that a replica has made.
     ///
     /// # Errors
     /// If the connection is broken.
     pub async fn send_reply(
+        &mut self,
+        status: StatusCode,
+        mut headers: HeaderMap,
+        body: &[u8],
+    ) -> io::Result<()> {
+        // A replica must not pass for a daemon.
+        headers.remove(CODE);
+        self.send_whole(status, headers, body).await
+    }
+
+    /// Sends a complete reply.
+    async fn send_whole(
         &mut self,
         status: StatusCode,
         headers: HeaderMap,
@@ -122,17 +143,21 @@
         if let Some(value) = seconds.and_then(|text| HeaderValue::from_str(&text).ok()) {
             headers.insert(header::RETRY_AFTER, value);
         }
+        if self.states_code {
+            headers.insert(CODE, (code as u16).into());
+        }
         let body = serde_json::json!({ "error": {
             "code": code as u16,
             "name": code.name(),
             "not_run": !code.may_have_run(),
         }});
-        self.send_reply(code.status(), headers, body.to_string().as_bytes()).await
+        self.send_whole(code.status(), headers, body.to_string().as_bytes()).await
     }
 
     /// Starts a stream and buffers its head, made from the head of a replica's reply; the
     /// next [`flush`](Self::flush) sends it.
-    pub fn begin_stream(&mut self, status: StatusCode, headers: HeaderMap) {
+    pub fn begin_stream(&mut self, status: StatusCode, mut headers: HeaderMap) {
+        headers.remove(CODE);
         self.put_head(status, headers, ("transfer-encoding", "chunked"));
         self.progress = Progress::Streaming;
     }
--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -6,6 +6,7 @@
 //! request to it and forwards the events.
 
 mod attempt;
+mod passing;
 mod target;
 
 use tokio::{io::AsyncWrite, time::timeout_at};
@@ -15,7 +16,7 @@
 use crate::{
     catalog::Key,
     config::Semantics,
-    counter,
+    counter, forward,
     job::{Job, Outcome, Trace},
     kv_snapshot::Refresher,
     node::Node,
@@ -135,7 +136,15 @@
             if Instant::now() >= deadline {
                 return self.give_up(Code::TimedOut);
             }
+            if self.job.needs_forwarding(self.node, self.trace)
+                && let Some(outcome) = self.forward().await
+            {
+                return outcome;
+            }
             let Some(target) = self.choose_target().await else {
+                if self.job.needs_forwarding(self.node, self.trace) {
+                    continue;
+                }
                 if self.trace.sends == 0 && self.node.is_limited(&self.job.service) {
                     code = Code::Limited;
                 }
@@ -225,6 +234,13 @@
                 }
             }
         }
+        let may_run = !self.may_have_run || self.job.route.semantics.may_repeat();
+        if may_run
+            && forward::is_last_resort(self.node, self.job, self.trace).await
+            && let Some(outcome) = self.forward().await
+        {
+            return outcome;
+        }
         self.give_up(code)
     }
 
--- a/crates/winch-relay/src/stream/attempt.rs
+++ b/crates/winch-relay/src/stream/attempt.rs
@@ -35,7 +35,7 @@
 impl<P: Protocol, W: AsyncWrite + Unpin> Session<'_, P, W> {
     /// Sends the request to `target` and forwards its events to the caller.
     pub(super) async fn attempt(&mut self, target: &Target) -> Attempt {
-        let mut connection = match self.node.pool.open(target.replica.address).await {
+        let mut connection = match self.node.open(&target.replica).await {
             Ok(connection) => connection,
             Err(error) => return Attempt::NotSent(error.to_string()),
         };
@@ -142,17 +142,7 @@
                 }
             };
             let Read { events, end } = read;
-            let mut has_progress = false;
-            for event in events {
-                if event.id.is_some() && event.id <= self.last_event {
-                    // The caller already has this event.
-                    continue;
-                }
-                has_progress |= event.is_progress(self.last_event);
-                self.last_event = event.id.or(self.last_event);
-                self.out.buffer_event(&event.bytes);
-            }
-            if has_progress {
+            if self.buffer_events(events) {
                 self.record_event(target, &mut starting);
             }
             if self.out.flush().await.is_err() {
@@ -173,6 +163,21 @@
         }
     }
 
+    /// Buffers the events that the caller does not have yet; returns whether one of them advances
+    /// the stream.
+    pub(super) fn buffer_events(&mut self, events: Vec<StreamEvent>) -> bool {
+        let mut has_progress = false;
+        for event in events {
+            if event.id.is_some() && event.id <= self.last_event {
+                continue;
+            }
+            has_progress |= event.is_progress(self.last_event);
+            self.last_event = event.id.or(self.last_event);
+            self.out.buffer_event(&event.bytes);
+        }
+        has_progress
+    }
+
     /// Updates the session after new events of `target` have been buffered.
     fn record_event(&mut self, target: &Target, starting: &mut Option<StartingGuard<'_, P>>) {
         let now = Instant::now();
@@ -247,7 +252,7 @@
 }
 
 /// How a stream ended at its replica.
-enum End {
+pub(super) enum End {
     /// With its last event.
     Complete,
     /// For this reason.
@@ -255,15 +260,15 @@
 }
 
 /// Events that were read, and whether the stream ended after them.
-struct Read {
-    events: Vec<StreamEvent>,
-    end: Option<End>,
+pub(super) struct Read {
+    pub(super) events: Vec<StreamEvent>,
+    pub(super) end: Option<End>,
 }
 
 /// Reads until an event advances the stream after `last`, or the stream ends.
 ///
 /// A replica that sends bytes without progress has failed once they exceed a limit.
-async fn read_events(
+pub(super) async fn read_events(
     connection: &mut Connection,
     splitter: &mut Splitter,
     last: Option<u64>,
--- /dev/null
+++ b/crates/winch-relay/src/stream/passing.rs
@@ -0,0 +1,117 @@
+//! Passes a stream on to other daemons while this one reaches no replica.
+
+use std::net::SocketAddr;
+
+use http::StatusCode;
+use tokio::{io::AsyncWrite, time::timeout_at};
+use winch_http::{client::Connection, head::Reply};
+
+use super::{
+    Session,
+    attempt::{End, Read, read_events},
+};
+use crate::{
+    forward::{self, Reached},
+    job::Outcome,
+    prelude::*,
+    respond::Progress,
+    sse::Splitter,
+};
+
+/// Largest body of a reply that is not a stream.
+const MAX_BODY_BYTES: usize = 1024 * 1024;
+
+/// How a stream ended at another daemon.
+enum Forwarded {
+    Ended(Outcome),
+    /// It has not run there.
+    NotTaken,
+    /// It broke off, and may go on elsewhere.
+    Broken,
+}
+
+impl<P: Protocol, W: AsyncWrite + Unpin> Session<'_, P, W> {
+    /// Passes the stream on to other daemons, one after the other; `None` if none takes it.
+    pub(super) async fn forward(&mut self) -> Option<Outcome> {
+        self.trace.was_forwarded = true;
+        let deadline = self.job.deadline();
+        for daemon in forward::candidates(self.node) {
+            if self.trace.sends >= self.job.route.max_attempts {
+                break;
+            }
+            let Ok(forwarded) = timeout_at(deadline, self.forward_to(daemon)).await else {
+                self.may_have_run = true;
+                return Some(self.give_up(Code::TimedOut));
+            };
+            match forwarded {
+                Forwarded::Ended(outcome) => return Some(outcome),
+                Forwarded::NotTaken => {}
+                Forwarded::Broken => {
+                    self.trace.sends += 1;
+                    self.may_have_run = true;
+                    if !self.job.route.semantics.may_repeat() {
+                        return Some(self.give_up(Code::Broken));
+                    }
+                }
+            }
+        }
+        None
+    }
+
+    async fn forward_to(&mut self, daemon: SocketAddr) -> Forwarded {
+        self.trace.steps.push(format!("{daemon}:asked"));
+        let (node, job, sends) = (self.node, self.job, self.trace.sends);
+        match forward::send(node, job, sends, self.last_event, daemon).await {
+            Reached::NotTaken => Forwarded::NotTaken,
+            Reached::Broken => Forwarded::Broken,
+            Reached::Error(code) => {
+                self.may_have_run |= code.may_have_run();
+                Forwarded::Ended(self.give_up(code))
+            }
+            Reached::Reply(reply, connection) => self.forward_reply(reply, connection).await,
+        }
+    }
+
+    async fn forward_reply(&mut self, reply: Reply, mut connection: Box<Connection>) -> Forwarded {
+        if reply.status.is_success() {
+            if self.out.progress() == Progress::Waiting {
+                self.out.begin_stream(StatusCode::OK, reply.headers);
+            }
+            return self.forward_all(&mut connection).await;
+        }
+        self.may_have_run = true;
+        if self.out.progress() != Progress::Waiting {
+            return Forwarded::Ended(self.give_up(Code::Broken));
+        }
+        match connection.body(MAX_BODY_BYTES).await {
+            Ok(body) => Forwarded::Ended(Outcome::Answer { reply, body }),
+            Err(_) => Forwarded::Broken,
+        }
+    }
+
+    /// Forwards the events on `connection` until the stream ends or breaks off.
+    async fn forward_all(&mut self, connection: &mut Connection) -> Forwarded {
+        let mut splitter = Splitter::default();
+        loop {
+            let Read { events, end } =
+                read_events(connection, &mut splitter, self.last_event).await;
+            let had_forwarded = self.has_forwarded;
+            self.has_forwarded |= self.buffer_events(events);
+            if self.has_forwarded && !had_forwarded {
+                crate::counter::first_event(self.job.call.received_at.elapsed());
+            }
+            if self.out.flush().await.is_err() {
+                return Forwarded::Ended(Outcome::CallerGone);
+            }
+            match end {
+                None => {}
+                Some(End::Complete) => {
+                    let ended = self.out.end_stream().await;
+                    let outcome = ended.map_or(Outcome::CallerGone, |()| Outcome::Streamed);
+                    return Forwarded::Ended(outcome);
+                }
+                Some(End::Failed(_)) => return Forwarded::Broken,
+            }
+        }
+    }
+}
--- a/crates/winch-relay/src/stream/target.rs
+++ b/crates/winch-relay/src/stream/target.rs
@@ -86,7 +86,8 @@
     async fn place_with_retries(&mut self) -> Option<Target> {
         for (round, delay) in (0..).zip(PLACEMENT_BACKOFF) {
             let target = self.place_once(round).await;
-            if target.is_some() {
+            // Another daemon may reach a replica although this one does not.
+            if target.is_some() || self.job.needs_forwarding(self.node, self.trace) {
                 return target;
             }
             sleep(delay).await;
--- a/crates/winch-relay/src/unary.rs
+++ b/crates/winch-relay/src/unary.rs
@@ -4,9 +4,11 @@
 //! if no replica can have run it. [`relay`] takes an admitted request and returns its
 //! outcome; it writes nothing to the caller.
 
+use std::{future::Future, pin::pin};
+
 use bytes::{Bytes, BytesMut};
 use http::StatusCode;
-use tokio::time::timeout_at;
+use tokio::time::{sleep, timeout_at};
 use winch_http::{
     Fault,
     client::{Connection, Error},
@@ -16,12 +18,13 @@
 
 use crate::{
     catalog::Key,
-    counter,
+    counter, forward,
     job::{InFlightGuard, Job, Outcome, Trace, is_reply_to},
     node::Node,
     placement,
     prelude::*,
     protocol::Dispatch,
+    reach::LATE_REPLY_TIME,
     strikes,
 };
 
@@ -73,6 +76,11 @@
             timed_out = true;
             break;
         }
+        if job.needs_forwarding(node, trace)
+            && let Some(outcome) = forward::relay(node, job, trace).await
+        {
+            return outcome;
+        }
         let (service, dc) = (&job.service, &node.settings.dc);
         let choice = {
             let rule = node.rule(service, job.cohort);
@@ -142,6 +150,14 @@
             }
         }
     }
+    // What may have run is repeated only if it is idempotent: everything else has returned above.
+    if error_reply.is_none()
+        && !timed_out
+        && forward::is_last_resort(node, job, trace).await
+        && let Some(outcome) = forward::relay(node, job, trace).await
+    {
+        return outcome;
+    }
     match error_reply {
         Some(error_reply) => error_reply,
         None if may_have_run && timed_out => Outcome::Error(Code::TimedOut),
@@ -171,14 +187,15 @@
     deadline: Instant,
     trace: &mut Trace,
 ) -> Attempt {
-    let mut connection = match node.pool.open(replica.address).await {
+    let mut connection = match node.open(replica).await {
         Ok(connection) => connection,
         Err(error) => return Attempt::NotSent(error.to_string()),
     };
     trace.sends += 1;
     let in_flight = InFlightGuard::new(node, key);
     let sent_at = Instant::now();
-    let exchanged = timeout_at(deadline, exchange(node, job, replica, &mut connection)).await;
+    let exchange = exchange(node, job, replica, &mut connection);
+    let exchanged = timeout_at(deadline, doubt_if_late(node, job, exchange)).await;
     drop(in_flight);
     match exchanged {
         Err(_) => Attempt::TimedOut,
@@ -212,6 +229,21 @@
     }
 }
 
+/// Completes with `exchange`; puts the paths to the service in doubt if that takes long.
+async fn doubt_if_late<P: Protocol, T>(
+    node: &Node<P>,
+    job: &Job,
+    exchange: impl Future<Output = T>,
+) -> T {
+    let mut exchange = pin!(exchange);
+    tokio::select! {
+        biased;
+        exchanged = &mut exchange => return exchanged,
+        () = sleep(LATE_REPLY_TIME) => node.doubt_paths(&job.service),
+    }
+    exchange.await
+}
+
 /// Sends the request on `connection` and reads the complete reply.
 async fn exchange<P: Protocol>(
     node: &Node<P>,
@@ -266,7 +298,9 @@
     match code {
         Code::NoConfig | Code::NoReplica => Some(Duration::from_secs(1)),
         Code::Stopping => Some(Duration::from_millis(20)),
-        Code::Refused | Code::NoBudget | Code::Limited => Some(Duration::from_millis(200)),
+        Code::Refused | Code::NoBudget | Code::Limited | Code::Busy => {
+            Some(Duration::from_millis(200))
+        }
         _ => None,
     }
 }
--- a/crates/winch-route/src/lib.rs
+++ b/crates/winch-route/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod pace;
 pub mod pool;
 pub mod quarantine;
+pub mod reach;
 pub mod router;
 pub mod suspect;
 pub mod throttle;
