winch-route: count openings of connections by replica when judging whether a service is in reach

Now the latest opening of each replica counts for 1.5 s: out of reach with three failures for each success, within reach with as many successes as failures. single_path_ignored shows it.

--- a/crates/winch-event/src/lib.rs
+++ b/crates/winch-event/src/lib.rs
@@ -124,9 +124,9 @@
     /// A replica has begun or ceased to name a limit of the requests that it takes from all
     /// daemons together.
     ReplicaLimited = 1120, Warn, "limit of a replica changed";
-    /// This daemon reaches no replica of a service, and passes its requests on to other daemons.
-    ServiceOutOfReach = 1121, Error, "no replica of the service within reach";
-    /// This daemon reaches a replica of the service again.
+    /// This daemon does not reach most replicas of a service, and passes its requests on to others.
+    ServiceOutOfReach = 1121, Error, "replicas of the service out of reach";
+    /// This daemon reaches replicas of the service again.
     ServiceReached = 1122, Info, "replicas of the service within reach again";
     /// An order was sent, but its response was lost or did not arrive in time; the order
     /// may have taken effect.
--- a/crates/winch-relay/src/reach.rs
+++ b/crates/winch-relay/src/reach.rs
@@ -70,16 +70,14 @@
         let (now, known) = (self.uptime(), self.catalog().serving(service).count());
         let mut paths = self.paths();
         let reach = paths.service(service);
-        if is_open {
-            if reach.record_opened(now) {
-                emit!(Event::ServiceReached, service = service);
-            }
-            return;
+        if reach.record(hash::name(&replica.id), is_open, known, now) {
+            let is_isolated = reach.is_isolated();
+            let event = if is_isolated { Event::ServiceOutOfReach } else { Event::ServiceReached };
+            emit!(event, service = service, replicas = known);
         }
-        if reach.record_failed(hash::name(&replica.id), known, now) {
-            emit!(Event::ServiceOutOfReach, service = service, replicas = known);
+        if reach.needs_check() {
+            paths.in_doubt.notify_one();
         }
-        paths.in_doubt.notify_one();
     }
 
     /// Records that a reply of a replica of `service` is late.
@@ -102,7 +100,7 @@
         }
     }
 
-    /// Whether this daemon reaches no replica of `service`.
+    /// Whether this daemon does not reach most replicas of `service`.
     pub fn is_isolated(&self, service: &str) -> bool {
         self.paths().services.get(service).is_some_and(Reach::is_isolated)
     }
--- a/crates/winch-route/src/reach.rs
+++ b/crates/winch-route/src/reach.rs
@@ -1,25 +1,36 @@
-//! Whether a daemon reaches the replicas of a service at all.
+//! Whether a daemon reaches the replicas of a service.
 //!
-//! One replica that takes no connection has failed, or is silent for a moment. Several in a row without
-//! one that does mean that the daemon is partitioned from all of them, or that all have failed; it
-//! cannot tell which, but another daemon that still reaches one can.
+//! One replica that takes no connection has failed, or is silent for a moment. Several without enough
+//! others that do mean that the daemon is partitioned from most of them, or that most have failed; it
+//! cannot tell which, but another daemon that still reaches them can.
 
-use std::{collections::HashSet, time::Duration};
+use std::{collections::HashMap, time::Duration};
 
 /// Number of different replicas that have to take no connection; fewer if the service has
 /// fewer.
-const MIN_REPLICAS: usize = 3;
-/// Time for which no replica has to take a connection.
+const MIN_FAILED: usize = 3;
+/// Replicas that have to take no connection for each one that does.
+const FAILED_PER_OPENED: usize = 3;
+/// Time for which replicas have to take no connection.
 const MIN_TIME: Duration = Duration::from_millis(250);
+/// Time for which the latest attempt to open a connection to a replica counts.
+const WINDOW: Duration = Duration::from_millis(1_500);
 /// Time after a connection was opened within which a slow reply raises no doubt.
 const DOUBT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The latest attempt to open a connection to one replica.
+#[derive(Clone, Copy, Debug)]
+struct Opening {
+    is_open: bool,
+    at: Duration,
+}
+
 /// What a daemon knows of its paths to the replicas of one service.
 #[derive(Debug, Default)]
 pub struct Reach {
-    /// Hashes of the replicas that have taken no connection since one was opened last.
-    failed: HashSet<u64>,
-    /// When the first of them did not.
+    /// Recent openings, by the hash of the replica.
+    openings: HashMap<u64, Opening>,
+    /// When connections began to fail; `None` while more are opened than fail.
     failing_since: Option<Duration>,
     opened_at: Option<Duration>,
     is_doubted: bool,
@@ -27,36 +38,42 @@
 }
 
 impl Reach {
-    /// Records that a replica has taken a connection; returns whether the service was out of
-    /// reach.
-    pub fn record_opened(&mut self, now: Duration) -> bool {
+    /// Records whether `replica`, one of `known`, has taken a connection. Returns whether
+    /// [`Self::is_isolated()`] has changed.
+    pub fn record(&mut self, replica: u64, is_open: bool, known: usize, now: Duration) -> bool {
+        self.openings.retain(|_, opening| now < opening.at + WINDOW);
+        self.openings.insert(replica, Opening { is_open, at: now });
+        if is_open {
+            self.opened_at = Some(now);
+            self.is_doubted = false;
+        }
+        let opened = self.openings.values().filter(|opening| opening.is_open).count();
+        let failed = self.openings.len() - opened;
         let was_isolated = self.is_isolated;
-        *self = Self { opened_at: Some(now), ..Self::default() };
-        was_isolated
-    }
-
-    /// Records that `replica`, one of `known`, has taken no connection; returns whether the service
-    /// is out of reach since then.
-    pub fn record_failed(&mut self, replica: u64, known: usize, now: Duration) -> bool {
-        let since = *self.failing_since.get_or_insert(now);
-        self.failed.insert(replica);
-        let is_isolated = self.failed.len() >= MIN_REPLICAS.min(known) && now >= since + MIN_TIME;
-        is_isolated && !std::mem::replace(&mut self.is_isolated, true)
+        if opened >= failed {
+            self.failing_since = None;
+            self.is_isolated = false;
+        } else {
+            let since = *self.failing_since.get_or_insert(now);
+            let least = MIN_FAILED.min(known).max(FAILED_PER_OPENED * opened);
+            self.is_isolated |= failed >= least && now >= since + MIN_TIME;
+        }
+        self.is_isolated != was_isolated
     }
 
     /// Records that a reply on an open connection is late, which may be its replica's or the
     /// path's fault; returns whether this is worth a check.
     pub fn doubt(&mut self, now: Duration) -> bool {
-        self.is_doubted = self.opened_at.is_none_or(|at| now >= at + DOUBT_INTERVAL);
+        self.is_doubted |= self.opened_at.is_none_or(|at| now >= at + DOUBT_INTERVAL);
         self.is_doubted
     }
 
-    /// Whether connections should be opened to see if any replica takes one.
+    /// Whether connections should be opened to see which replicas take one.
     pub fn needs_check(&self) -> bool {
         self.is_doubted || self.failing_since.is_some()
     }
 
-    /// Whether no replica of the service is within reach.
+    /// Whether most replicas of the service are out of reach.
     pub fn is_isolated(&self) -> bool {
         self.is_isolated
     }
--- a/crates/winch-route/tests/reach_service.rs
+++ b/crates/winch-route/tests/reach_service.rs
@@ -8,15 +8,25 @@
     Duration::from_millis(ms)
 }
 
+/// A service of 36 replicas of which the first three take no connection.
+fn isolated() -> Reach {
+    let mut reach = Reach::default();
+    for replica in 1..=3 {
+        reach.record(replica, false, 36, ms(replica * 150));
+    }
+    assert!(reach.is_isolated());
+    reach
+}
+
 #[test]
 fn several_replicas_needed() {
     let mut reach = Reach::default();
     for at in [0, 300, 600, 900] {
-        assert!(!reach.record_failed(1, 4, ms(at)), "one silent replica is no partition");
+        assert!(!reach.record(1, false, 4, ms(at)), "one silent replica is no partition");
     }
-    assert!(!reach.record_failed(2, 4, ms(900)));
-    assert!(reach.record_failed(3, 4, ms(900)));
-    assert!(!reach.record_failed(4, 4, ms(950)), "it is told once");
+    assert!(!reach.record(2, false, 4, ms(900)));
+    assert!(reach.record(3, false, 4, ms(900)));
+    assert!(!reach.record(4, false, 4, ms(950)), "it is told once");
     assert!(reach.is_isolated());
 }
 
@@ -24,36 +34,53 @@
 fn short_failure_ignored() {
     let mut reach = Reach::default();
     for replica in 1..=4 {
-        assert!(!reach.record_failed(replica, 4, ms(replica)));
+        assert!(!reach.record(replica, false, 4, ms(replica)));
     }
     assert!(reach.needs_check());
-    assert!(!reach.record_opened(ms(100)), "it was not isolated");
+    for replica in 1..=4 {
+        assert!(!reach.record(replica, true, 4, ms(100)), "it was not isolated");
+    }
     assert!(!reach.needs_check());
 }
 
 #[test]
-fn opened_connection_ends() {
-    let mut reach = Reach::default();
-    for replica in 1..=3 {
-        reach.record_failed(replica, 3, ms(replica * 200));
+fn single_path_ignored() {
+    let mut reach = isolated();
+    assert!(!reach.record(9, true, 36, ms(600)), "one replica cannot serve for all");
+    assert!(reach.is_isolated());
+    for replica in 4..=6 {
+        reach.record(replica, false, 36, ms(700));
     }
     assert!(reach.is_isolated());
-    assert!(reach.record_opened(ms(1_000)));
+}
+
+#[test]
+fn opened_connections_end() {
+    let mut reach = isolated();
+    assert!(!reach.record(4, true, 36, ms(600)));
+    assert!(!reach.record(5, true, 36, ms(700)));
+    assert!(reach.record(6, true, 36, ms(800)));
     assert!(!reach.is_isolated());
-    assert!(!reach.record_failed(1, 3, ms(1_500)), "all are counted anew");
+}
+
+#[test]
+fn old_failures_expire() {
+    let mut reach = isolated();
+    assert!(reach.record(4, true, 36, ms(5_000)), "nothing else is known any more");
+    assert!(!reach.needs_check());
 }
 
 #[test]
 fn single_replica_counts() {
     let mut reach = Reach::default();
-    assert!(!reach.record_failed(1, 1, ms(0)));
-    assert!(reach.record_failed(1, 1, ms(400)));
+    assert!(!reach.record(1, false, 1, ms(0)));
+    assert!(reach.record(1, false, 1, ms(400)));
 }
 
 #[test]
 fn late_reply_checked() {
     let mut reach = Reach::default();
-    reach.record_opened(ms(0));
+    reach.record(1, true, 4, ms(0));
     assert!(!reach.doubt(ms(500)), "a connection was opened just before");
     assert!(reach.doubt(ms(1_500)));
     assert!(reach.needs_check());
