--- a/crates/winch-relay/src/daemon.rs
+++ b/crates/winch-relay/src/daemon.rs
@@ -24,6 +24,8 @@
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 /// Interval at which idle connections and expired replicas are removed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which a stopping daemon looks if it still serves requests of other daemons.
+const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Delay before the next attempt after a connection could not be accepted.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
@@ -112,7 +114,12 @@
     let accepting = accept(&node, &sockets.callers, &mut connections);
     let _ = timeout_at(stop_deadline.min(Instant::now() + STOP_ACCEPT_TIME), accepting).await;
     drop(sockets.callers);
-    let joined = async { while connections.join_next().await.is_some() {} };
+    let joined = async {
+        while connections.join_next().await.is_some() {}
+        while !node.running.serves_no_daemon() {
+            sleep(DRAIN_CHECK_INTERVAL).await;
+        }
+    };
     if timeout_at(stop_deadline, joined).await.is_err() {
         emit!(Event::GraceExpired, open = connections.len());
     }
--- a/crates/winch-relay/src/edge.rs
+++ b/crates/winch-relay/src/edge.rs
@@ -70,6 +70,11 @@
         return;
     };
     out.close_after();
+    if node.is_stopping() {
+        // The other daemon asks one that is not stopping.
+        let _ = out.send_error(Code::Stopping, None).await;
+        return;
+    }
     let Some(_running) = node.running.enter_forwarded() else {
         counter::taken("busy");
         let _ = out.send_error(Code::Busy, None).await;
--- a/crates/winch-relay/src/fleet.rs
+++ b/crates/winch-relay/src/fleet.rs
@@ -31,6 +31,8 @@
 struct Follower {
     /// Address for other daemons; `None` if the follower is of an earlier release.
     address: Option<SocketAddr>,
+    /// Hash of the address.
+    hash: u64,
     /// Number of its own followers.
     followers: u32,
 }
@@ -40,6 +42,8 @@
 pub struct Fleet {
     /// The followers of this daemon.
     followers: SlotMap<FollowerKey, Follower>,
+    /// Number of changes of the followers so far.
+    revision: u64,
     /// Daemons to which requests may be passed on, as the followed daemon told it.
     relays: Vec<SocketAddr>,
     /// Number of daemons as the followed daemon told it.
@@ -50,19 +54,30 @@
     services: HashMap<Name, u32>,
 }
 
+fn hash_address(address: SocketAddr) -> u64 {
+    hash::name(&address.to_string())
+}
+
 impl Fleet {
     /// Adds a follower; `address` is its address for other daemons if it states one.
     pub fn add_follower(&mut self, address: Option<SocketAddr>) -> FollowerKey {
-        self.followers.insert(Follower { address, followers: 0 })
+        self.revision += 1;
+        let hash = address.map_or(0, hash_address);
+        self.followers.insert(Follower { address, hash, followers: 0 })
+    }
+
+    /// Number of changes of the followers so far, on which [`Self::choose_relays()`] depends.
+    pub fn revision(&self) -> u64 {
+        self.revision
     }
 
     /// A few daemons to which the one with this address passes requests on; the same ones for as
     /// long as they follow.
     pub fn choose_relays(&self, of: SocketAddr) -> Vec<SocketAddr> {
-        let score = |address: SocketAddr| hash::name(&address.to_string());
-        let addresses = self.followers.values().filter_map(|follower| follower.address);
-        let others = addresses.filter(|address| *address != of);
-        hash::subset(score(of), others.map(|address| (score(address), address)), MAX_RELAYS)
+        let followers = self.followers.values();
+        let hashed = followers.filter_map(|follower| Some((follower.hash, follower.address?)));
+        let others = hashed.filter(|(_, address)| *address != of);
+        hash::subset(hash_address(of), others, MAX_RELAYS)
     }
 
     /// Records the daemons to which requests may be passed on.
@@ -85,6 +100,7 @@
 
     /// Removes a follower that has disconnected.
     pub fn remove_follower(&mut self, follower: FollowerKey) {
+        self.revision += 1;
         self.followers.remove(follower);
     }
 
--- a/crates/winch-relay/src/forward.rs
+++ b/crates/winch-relay/src/forward.rs
@@ -79,6 +79,11 @@
         (running < room).then_some(guard)
     }
 
+    /// Whether no request of another daemon runs here.
+    pub fn serves_no_daemon(&self) -> bool {
+        self.forwarded.load(Ordering::Relaxed) == 0
+    }
+
     fn avoid(&self, daemon: SocketAddr) {
         let now = Instant::now();
         let mut avoided = self.avoided.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/winch-relay/src/peer/serve.rs
+++ b/crates/winch-relay/src/peer/serve.rs
@@ -46,6 +46,8 @@
     /// Address of the peer for other daemons, if it states one.
     address: Option<SocketAddr>,
     relays: Vec<SocketAddr>,
+    /// Revision of the fleet for which the relays were chosen.
+    fleet_revision: u64,
 }
 
 impl Sent {
@@ -61,6 +63,7 @@
             services: Vec::new(),
             address: request.address.parse().ok(),
             relays: Vec::new(),
+            fleet_revision: 0,
         }
     }
 
@@ -93,7 +96,12 @@
 
     fn add_relays<P: Protocol>(&mut self, node: &Node<P>, update: &mut Update) {
         let Some(address) = self.address else { return };
-        let relays = node.fleet().choose_relays(address);
+        let fleet = node.fleet();
+        if self.fleet_revision == fleet.revision() {
+            return;
+        }
+        self.fleet_revision = fleet.revision();
+        let relays = fleet.choose_relays(address);
         if relays != self.relays {
             update.relays = Some(Relays::from(&relays[..]));
             self.relays = relays;
