winch-relay: apply what the list says of a replica that is in use, whatever left before it

Cause: an incarnation that had left once and came back in the same era still counted as departed; in the next era each change of its entry waited 8 s, its draining too. Now a departure counts only for replicas that are not known. returned_replica_drains failed before and passes.

--- a/crates/winch-relay/src/catalog.rs
+++ b/crates/winch-relay/src/catalog.rs
@@ -258,9 +258,10 @@
         if self.returns_at.is_none() {
             return false;
         }
-        let known = self.by_id.get(&replica.id).map(|key| &self.entries[*key].replica);
-        let is_superseded = known.is_some_and(|known| known.started_at_ms > replica.started_at_ms);
-        is_superseded || self.departed.has_left_before(replica, self.era.unwrap_or(0))
+        match self.by_id.get(&replica.id).map(|key| &self.entries[*key].replica) {
+            Some(known) => known.started_at_ms > replica.started_at_ms,
+            None => self.departed.has_left_before(replica, self.era.unwrap_or(0)),
+        }
     }
 
     /// Applies the entries in `returning` if the store has kept them long enough.
--- a/crates/winch-relay/tests/catalog_outage.rs
+++ b/crates/winch-relay/tests/catalog_outage.rs
@@ -200,3 +200,15 @@
     let known = catalog.replicas().next().expect("known");
     assert_eq!(known.started_at_ms, Some(9));
 }
+
+#[test]
+fn returned_replica_drains() {
+    let start = Instant::now();
+    let mut catalog = first_era(start);
+    put(&mut catalog, replica("i-1", 1, 5));
+    catalog.apply(Change::Removed("i-1".into()));
+    put(&mut catalog, replica("i-1", 1, 5));
+    catalog.enter_era(2, start);
+    let transition = put(&mut catalog, Replica { draining: true, ..replica("i-1", 1, 5) });
+    assert!(matches!(transition, Some(Transition::Draining(_))), "it is known and in use");
+}
