--- a/crates/winch-relay/src/catalog.rs
+++ b/crates/winch-relay/src/catalog.rs
@@ -52,6 +52,8 @@
     pub latency_ms: Option<f64>,
     /// Moving average of the share of answers that were failures, 0 to 1.
     pub failure_rate: f64,
+    /// See [`Catalog::slowness()`].
+    slowness: f64,
     ejected_until: Option<Instant>,
     /// Failures since the last answer, except those while the replica was ejected.
     consecutive_failures: u32,
@@ -74,6 +76,7 @@
             starting: 0,
             latency_ms: None,
             failure_rate: 0.0,
+            slowness: 1.0,
             ejected_until: None,
             consecutive_failures: 0,
             removed_in_outage: false,
@@ -356,6 +359,12 @@
         self.entries.get(key)
     }
 
+    /// Time that the replica takes for the same work, relative to a typical replica of its service;
+    /// 1 if the speeds of the service's replicas are not known to differ.
+    pub fn slowness(&self, key: Key) -> f64 {
+        self.entries.get(key).map_or(1.0, |entry| entry.slowness)
+    }
+
     /// Changes the entry with `key`, unless the replica was removed.
     pub fn update(&mut self, key: Key, change: impl FnOnce(&mut Entry)) {
         if let Some(entry) = self.entries.get_mut(key) {
--- a/crates/winch-relay/src/code.rs
+++ b/crates/winch-relay/src/code.rs
@@ -72,6 +72,8 @@
     Limited = 614, "limited", SERVICE_UNAVAILABLE, false;
     /// The daemon has no room for requests that other daemons pass on.
     Busy = 615, "busy", SERVICE_UNAVAILABLE, false;
+    /// No replica of the service can start the request within the route's target latency.
+    Overloaded = 616, "overloaded", SERVICE_UNAVAILABLE, false;
     /// The connection to the replica broke; the request may have run.
     Broken = 620, "broken", BAD_GATEWAY, true;
     /// The reply of the replica is invalid; the request may have run.
--- a/crates/winch-relay/src/edge.rs
+++ b/crates/winch-relay/src/edge.rs
@@ -335,7 +335,9 @@
     }
     let (result, failed) = match &outcome {
         Outcome::Answer { reply, .. } => (reply.status.as_str(), !reply.status.is_success()),
-        Outcome::Error(code) | Outcome::Aborted(code) => (code.name(), true),
+        Outcome::Error(code) | Outcome::Shed { code, .. } | Outcome::Aborted(code) => {
+            (code.name(), true)
+        }
         Outcome::Streamed => ("200", false),
         Outcome::CallerGone => ("caller_gone", false),
     };
@@ -357,6 +359,10 @@
             counter::refused(code);
             out.send_error(code, unary::retry_after(code)).await
         }
+        Outcome::Shed { code, retry_after } => {
+            counter::refused(code);
+            out.send_error(code, Some(retry_after)).await
+        }
         Outcome::Aborted(_) | Outcome::Streamed | Outcome::CallerGone => Ok(()),
     };
 }
--- a/crates/winch-relay/src/job.rs
+++ b/crates/winch-relay/src/job.rs
@@ -67,6 +67,13 @@
     },
     /// An error reply that the daemon itself makes and is yet to send.
     Error(Code),
+    /// An error reply for a request that was shed before it was sent to a replica.
+    Shed {
+        /// The code of the reply.
+        code: Code,
+        /// How long the caller should wait before it sends the request again.
+        retry_after: Duration,
+    },
     /// A stream that was forwarded to its end.
     Streamed,
     /// A stream that was given up after it had started. The connection is closed without the
--- a/crates/winch-relay/src/protocol.rs
+++ b/crates/winch-relay/src/protocol.rs
@@ -32,6 +32,9 @@
     pub time_left: Option<Duration>,
     /// The caller's team.
     pub team: Option<&'a Name>,
+    /// Priority level at the replica, 0 (first) to 9; `None` if all requests of the service have
+    /// the same priority.
+    pub priority: Option<u8>,
     /// Id of the last event that the caller has; the stream continues after it. `None` if
     /// the stream starts from its first event.
     pub after_event: Option<u64>,
--- a/crates/winch-relay/src/stream/attempt.rs
+++ b/crates/winch-relay/src/stream/attempt.rs
@@ -57,6 +57,7 @@
             replica: &target.replica,
             time_left: self.job.time_left(Instant::now()),
             team: self.job.team.as_ref().map(|team| &team.name),
+            priority: None,
             after_event: self.last_event,
             copy_to: target.copy_to.as_ref().map(|replica| replica.address),
             copy_from: target.copy_from.as_ref(),
--- a/crates/winch-relay/src/unary.rs
+++ b/crates/winch-relay/src/unary.rs
@@ -255,6 +255,7 @@
         replica,
         time_left: job.time_left(Instant::now()),
         team: job.team.as_ref().map(|team| &team.name),
+        priority: None,
         after_event: None,
         copy_to: None,
         copy_from: None,
@@ -296,7 +297,7 @@
 /// header of the error reply states it; `None` if the reply has no such header.
 pub fn retry_after(code: Code) -> Option<Duration> {
     match code {
-        Code::NoConfig | Code::NoReplica => Some(Duration::from_secs(1)),
+        Code::NoConfig | Code::NoReplica | Code::Overloaded => Some(Duration::from_secs(1)),
         Code::Stopping => Some(Duration::from_millis(20)),
         Code::Refused | Code::NoBudget | Code::Limited | Code::Busy => {
             Some(Duration::from_millis(200))
