winch-route, winch-relay: share the slack of the retry budget between daemons

The settings allow a number of retries in a window besides; each daemon now gains its part of it over time. Streams that have begun keep a small reserve.

--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -45,6 +45,17 @@
 
 /// Largest number of unused retries that the budget of a service holds in one daemon.
 const RETRY_BURST: f64 = 10.0;
+/// Retries of a budget that streams which have not begun leave to those that have: the callers of
+/// the latter lose what they have received.
+const BEGUN_RESERVE: f64 = 2.0;
+
+/// The retry budget of one service.
+#[derive(Clone, Copy, Debug)]
+struct RetryBudget {
+    budget: Budget,
+    /// When the budget last gained its part of the slack.
+    refilled_at: Instant,
+}
 
 /// Time after the start during which requests wait until the daemon has a configuration
 /// and replicas.
@@ -93,7 +104,7 @@
     confirmed: Mutex<[Option<Instant>; Topic::ALL.len()]>,
     started_at: Instant,
     /// Retry budgets by service.
-    budgets: Mutex<HashMap<Name, Budget>>,
+    budgets: Mutex<HashMap<Name, RetryBudget>>,
     stopping: Sender<bool>,
 }
 
@@ -385,11 +396,24 @@
         self.with_budget(service, Budget::spend)
     }
 
+    /// Takes one retry of a stream that has not begun from the budget of `service`, but not from
+    /// the reserve for those that have; `false` if the rest is exhausted.
+    pub fn spend_restart(&self, service: &Name) -> bool {
+        self.with_budget(service, |budget| budget.spend_above(BEGUN_RESERVE))
+    }
+
     fn with_budget<T>(&self, service: &Name, act: impl FnOnce(&mut Budget) -> T) -> T {
-        let ratio = self.tuning().retry_ratio;
+        let (tuning, now) = (self.tuning(), Instant::now());
+        let refill_per_s = tuning.retry_slack_per_s / f64::from(self.daemons().max(1));
+        let options = budget::Options { ratio: tuning.retry_ratio, burst: RETRY_BURST };
         let mut budgets = lock(&self.budgets);
-        let new_budget = || Budget::new(budget::Options { ratio, burst: RETRY_BURST });
-        act(budgets.entry(service.clone()).or_insert_with(new_budget))
+        let entry = budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget { budget: Budget::new(options), refilled_at: now });
+        let elapsed = now.saturating_duration_since(entry.refilled_at);
+        entry.budget.add(elapsed.as_secs_f64() * refill_per_s);
+        entry.refilled_at = now;
+        act(&mut entry.budget)
     }
 
     /// Ejects a replica after a failure of one of this daemon's requests, and closes the idle
--- a/crates/winch-relay/src/settings.rs
+++ b/crates/winch-relay/src/settings.rs
@@ -32,6 +32,9 @@
     pub stop_grace: Duration,
     /// Retries that each caller's request adds to the retry budget of its service.
     pub retry_ratio: f64,
+    /// Retries a second that the budgets of a service gain in all daemons together, whatever the
+    /// number of requests.
+    pub retry_slack_per_s: f64,
     /// Interval between two reads of the list of replicas, to which jitter is added. A seed
     /// uses its own list interval if that is shorter.
     pub list_interval: Duration,
--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -153,7 +153,7 @@
             if self.is_quarantined() {
                 return self.give_up(Code::SuspectPart);
             }
-            if self.trace.sends > 0 && !self.node.spend_retry(&self.job.service) {
+            if self.trace.sends > 0 && !self.spend_retry() {
                 code = Code::NoBudget;
                 break;
             }
@@ -244,6 +244,15 @@
         self.give_up(code)
     }
 
+    /// Takes one retry from the budget of the service; `false` if the budget is exhausted.
+    fn spend_retry(&self) -> bool {
+        if self.has_forwarded {
+            self.node.spend_retry(&self.job.service)
+        } else {
+            self.node.spend_restart(&self.job.service)
+        }
+    }
+
     /// Whether a part of the prompt was quarantined since the request was admitted.
     fn is_quarantined(&self) -> bool {
         let is_trial = self.job.is_trial && self.trace.sends == 0;
--- a/crates/winch-route/src/budget.rs
+++ b/crates/winch-route/src/budget.rs
@@ -34,9 +34,20 @@
         self.tokens = (self.tokens + self.options.ratio).min(self.options.burst);
     }
 
+    /// Adds retries that no first attempt has earned, such as this daemon's part of a slack that all
+    /// daemons share.
+    pub fn add(&mut self, retries: f64) {
+        self.tokens = (self.tokens + retries).min(self.options.burst);
+    }
+
     /// Takes one retry; returns false if less than one is left.
     pub fn spend(&mut self) -> bool {
-        let is_allowed = self.tokens >= 1.0;
+        self.spend_above(0.0)
+    }
+
+    /// Takes one retry, unless less than `reserve` would be left for retries that matter more.
+    pub fn spend_above(&mut self, reserve: f64) -> bool {
+        let is_allowed = self.tokens >= 1.0 + reserve;
         if is_allowed {
             self.tokens -= 1.0;
         }
