winch-route: load of model engines, committed KV cache and expected times

A report shows the KV cache in use, but not what queued requests and the growth of runs will take. Replicas that showed free tokens ran out of memory and preempted runs. Nothing uses it yet.

--- a/crates/winch-route/src/lib.rs
+++ b/crates/winch-route/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod budget;
 pub mod candidate;
 pub mod choose;
+pub mod engine;
 pub mod hash;
 pub mod pace;
 pub mod pool;
