winch-relay: ask further replicas when the best of the first is loaded, and place copies by committed KV cache

The best of four candidates had up to seven queued prompts while other replicas were idle. When the best one would let the stream queue, has no slot or no uncommitted KV cache, eight further replicas are asked, and eight more if none is open. Idle replicas cost no further report.

A copy goes to the replica with the most uncommitted KV cache among all that were asked, else to a random one that was not asked.

The cost of a stream is now computed by winch-route; the tests of placement call it there with the same loads and assertions. The report decodes runs, the first queued request and the number of copies.

--- a/crates/winch-bench/src/replay/choose.rs
+++ b/crates/winch-bench/src/replay/choose.rs
@@ -10,6 +10,7 @@
     placement::{self, Draw},
     replica::Replica,
 };
+use winch_route::engine::{Request, Service};
 
 use super::engine::Engine;
 
@@ -134,11 +135,14 @@
             for (key, _) in lost {
                 self.catalog.eject(key, now);
             }
+            let request = Request { tokens: kv_tokens, prompt_units: 1.0, level: None };
+            let service = Service::default();
             let cost = |(key, replica): &(Key, Arc<Replica>)| {
-                let starting = self.catalog.get(*key).map_or(0, |entry| entry.starting);
                 let report = engines[replica_number(replica)].report();
-                let is_local = *replica.dc == *self.dc;
-                placement::stream_cost(&report, starting, is_local, kv_tokens, 0.0)
+                let (candidate, dc) = ((*key, &**replica), &self.dc);
+                let (catalog, cached) = (&self.catalog, 0.0);
+                placement::forecast(catalog, candidate, &report, dc, cached, &request, &service)
+                    .cost
             };
             let best = live.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
             let Some((key, replica)) = best else { continue };
@@ -147,7 +151,7 @@
                 .map(|(_, other)| (other, engines[replica_number(other)].report()))
                 .collect();
             let reported = reports.iter().map(|(other, report)| (*other, report));
-            let holder = placement::choose_copy_holder(reported, replica, kv_tokens)
+            let holder = placement::choose_copy_holder(reported, replica, kv_tokens, &service)
                 .or_else(|| placement::draw_copy_holder(&self.catalog, replica, "", now, rng));
             let copy_holder = holder.as_deref().map(replica_number);
             return Some(Placement { key: *key, replica: replica_number(replica), copy_holder });
--- a/crates/winch-bench/src/replay/engine.rs
+++ b/crates/winch-bench/src/replay/engine.rs
@@ -171,6 +171,6 @@
     /// one.
     pub fn report(&self) -> Report {
         let empty = Report { total_tokens: KV_CAPACITY_TOKENS, ..Report::default() };
-        self.reports.front().map_or(empty, |(_, report)| *report)
+        self.reports.front().map_or(empty, |(_, report)| report.clone())
     }
 }
--- a/crates/winch-relay/src/catalog.rs
+++ b/crates/winch-relay/src/catalog.rs
@@ -6,6 +6,7 @@
 
 mod departed;
 mod limits;
+mod typical;
 
 use std::{
     collections::{HashMap, HashSet},
@@ -13,7 +14,10 @@
 };
 
 use slotmap::{SlotMap, new_key_type};
-use winch_route::throttle::{Demand, Throttle};
+use winch_route::{
+    engine::Typical,
+    throttle::{Demand, Throttle},
+};
 
 use self::departed::Departed;
 use crate::{prelude::*, store::Change};
@@ -136,6 +140,8 @@
     origin: Option<Instant>,
     /// This daemon's demand for each service.
     demands: HashMap<Name, Demand>,
+    /// Averages over this daemon's streams, by service.
+    typicals: HashMap<Name, Typical>,
     /// Whether the store is unreachable.
     in_outage: bool,
     /// Set from the end of an outage until the first read after it is applied.
--- a/crates/winch-relay/src/config.rs
+++ b/crates/winch-relay/src/config.rs
@@ -86,6 +86,8 @@
     pub slots: u32,
     /// KV cache capacity of a replica, in tokens.
     pub kv_capacity_tokens: u64,
+    /// Tokens in one event of a stream.
+    pub tokens_per_event: f64,
     /// Whether a replica can copy the KV cache of a run to another one while the run goes on.
     pub copies: bool,
     /// Lifetime of a snapshot of a KV cache; `None` if replicas make no snapshots.
--- a/crates/winch-relay/src/counter.rs
+++ b/crates/winch-relay/src/counter.rs
@@ -39,8 +39,9 @@
     counter!("winch_copies_total").increment(1);
 }
 
-/// Counts a snapshot of the KV cache of a run whose copy was lost: `ok` or `failed` when it
-/// is made, `freed` when it is freed, and `left` when that fails and it is left to expire.
+/// Counts a snapshot of the KV cache of a run without a copy: `ok` or `failed` when it is made,
+/// `no_room` when there is no holder for it, `freed` when it is freed, and `left` when that fails
+/// and it is left to expire.
 pub fn snapshot(result: &'static str) {
     counter!("winch_snapshots_total", "result" => result).increment(1);
 }
@@ -50,6 +51,28 @@
     counter!("winch_probes_total", "result" => result).increment(1);
 }
 
+/// Counts a placement of a stream by the rounds of candidates that it took, 1 to 3.
+pub fn placed(rounds: u32) {
+    let rounds = match rounds {
+        1 => "1",
+        2 => "2",
+        _ => "3",
+    };
+    counter!("winch_placements_total", "rounds" => rounds).increment(1);
+}
+
+/// Counts a stream that was placed at a replica without enough uncommitted KV cache.
+pub fn placed_without_room() {
+    counter!("winch_placements_without_room_total").increment(1);
+}
+
+/// Counts a KV cache copy that was not requested when its run started, by reason: `no_room` if
+/// no holder had enough uncommitted KV cache, `priority` if what there was is left to more urgent
+/// requests.
+pub fn copy_skipped(reason: &'static str) {
+    counter!("winch_copies_skipped_total", "reason" => reason).increment(1);
+}
+
 /// Counts an attempt to open a connection to a replica, by result.
 pub fn connected(result: &'static str) {
     counter!("winch_connections_total", "result" => result).increment(1);
--- a/crates/winch-relay/src/kv_snapshot.rs
+++ b/crates/winch-relay/src/kv_snapshot.rs
@@ -1,8 +1,9 @@
-//! Snapshots of a run's KV cache, made on demand when its copy is lost.
+//! Snapshots of a run's KV cache, made on demand while the run has no other copy.
 //!
 //! The replica that runs a request keeps a copy of the KV cache at another replica from
-//! the start of the run. When the holder of that copy is no longer in the catalog, a snapshot
-//! is made at a new holder and replaced by a new one before it expires, until the run ends.
+//! the start of the run if there is room for it. When there is none, or when the holder of that
+//! copy is no longer in the catalog, a snapshot is made at a holder with room and replaced by a new
+//! one before it expires, until the run ends.
 
 use std::sync::{Mutex, PoisonError};
 
@@ -11,14 +12,16 @@
     time::{sleep, timeout},
 };
 use winch_http::client::Error;
+use winch_route::engine::Service;
 
-use crate::{counter, node::Node, placement, prelude::*, protocol::KvCopy};
+use crate::{copy_holder::Wanted, counter, node::Node, prelude::*, protocol::KvCopy};
 
 /// Timeout for making or freeing a snapshot.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Share of a snapshot's lifetime after which a new one replaces it.
 const REFRESH_SHARE: f64 = 0.6;
-/// Delay before the next attempt after a failed snapshot.
+/// Delay before the next attempt after a failed snapshot; while no holder has room, it doubles
+/// with each attempt, since each asks replicas for their load.
 const RETRY_BACKOFF: Duration = Duration::from_millis(300);
 /// Consecutive failures after which no further snapshot is tried.
 const MAX_FAILURES: u32 = 4;
@@ -34,6 +37,10 @@
     pub source: Arc<Replica>,
     /// Lifetime of a snapshot.
     pub ttl: Duration,
+    /// KV cache that the run may need, in tokens.
+    pub tokens: u64,
+    /// What is known of the service's engines.
+    pub service: Service,
 }
 
 /// Keeps a snapshot of one run valid; when the refresher is dropped, the last snapshot
@@ -95,29 +102,34 @@
     let mut failures = 0;
     let mut holder = None;
     while failures < MAX_FAILURES {
-        let candidate = holder.take().or_else(|| draw_holder(&node, &run));
+        let candidate = match holder.take() {
+            Some(holder) => Some(holder),
+            None => find_holder(&node, &run).await,
+        };
         let snapshot = match &candidate {
             Some(candidate) => make_snapshot(&node, &run, candidate).await,
             None => None,
         };
-        let delay = if snapshot.is_some() {
+        let (result, delay) = match (&snapshot, &candidate) {
+            (Some(_), _) => ("ok", run.ttl.mul_f64(REFRESH_SHARE)),
+            (None, Some(_)) => ("failed", RETRY_BACKOFF),
+            (None, None) => ("no_room", RETRY_BACKOFF * 2_u32.pow(failures)),
+        };
+        if snapshot.is_some() {
             failures = 0;
             holder = candidate;
-            run.ttl.mul_f64(REFRESH_SHARE)
         } else {
             failures += 1;
-            RETRY_BACKOFF
-        };
-        counter::snapshot(if snapshot.is_some() { "ok" } else { "failed" });
+        }
+        counter::snapshot(result);
         *copy.lock().unwrap_or_else(PoisonError::into_inner) = snapshot;
         sleep(delay).await;
     }
 }
 
-fn draw_holder<P: Protocol>(node: &Node<P>, run: &Run) -> Option<Arc<Replica>> {
-    let source = &run.source;
-    let (now, rng) = (Instant::now(), &mut node.rng());
-    placement::draw_copy_holder(&node.catalog(), source, &source.dc, now, rng)
+async fn find_holder<P: Protocol>(node: &Arc<Node<P>>, run: &Run) -> Option<Arc<Replica>> {
+    let (source, room, service) = (&run.source, run.tokens, run.service);
+    Wanted { source, room, excluded_dc: "", service }.ask(node).await
 }
 
 async fn make_snapshot<P: Protocol>(
--- a/crates/winch-relay/src/lib.rs
+++ b/crates/winch-relay/src/lib.rs
@@ -4,8 +4,8 @@
 //! [`catalog`] holds the known replicas, [`placement`] chooses one, [`sse`] splits
 //! streams into complete events, [`stall`] detects stalled streams, and [`moves`] holds
 //! the state of version moves. [`edge`], [`unary`] and [`stream`] carry out requests,
-//! [`probe`] requests load reports from replicas, and [`strikes`] detects requests that
-//! crash them.
+//! [`probe`] requests load reports from replicas, [`copy_holder`] finds a replica for a KV cache
+//! copy, and [`strikes`] detects requests that crash replicas.
 //!
 //! [`watch`] and [`peer`] keep the state of [`node`] in sync with the platform's store, and
 //! [`controller`] drives version moves. An adapter to a platform implements [`protocol`]
@@ -16,6 +16,7 @@
 pub mod code;
 pub mod config;
 pub mod controller;
+pub mod copy_holder;
 pub mod counter;
 pub mod daemon;
 pub mod edge;
--- a/crates/winch-relay/src/placement.rs
+++ b/crates/winch-relay/src/placement.rs
@@ -1,15 +1,16 @@
 //! Chooses replicas for streams, for unary requests and for KV cache copies.
 //!
-//! A stream goes to the replica with the least [`stream_cost`] among a few drawn
-//! candidates that have reported their load. A [unary](crate::unary) request goes to the
+//! A stream goes to the replica with the least [cost](forecast) among a few drawn candidates that
+//! have reported their load; further ones are drawn if the best of them is loaded. A [unary](crate::unary) request goes to the
 //! replica with the least expected latency, which this daemon's earlier requests have
 //! measured; no load report is requested for it. The functions take the [`Catalog`] and
 //! received [`Report`]s, and send nothing themselves.
 
-use std::cmp::Reverse;
-
 use rand::{Rng, seq::IteratorRandom};
-use winch_route::hash;
+use winch_route::{
+    engine::{self, Forecast, Position, Request},
+    hash,
+};
 
 use crate::{
     catalog::{Catalog, Entry, Key},
@@ -28,15 +29,8 @@
 /// Number of candidates of a round that are drawn at random, so that requests with the same key
 /// do not all compete for the same replicas.
 const RANDOM_CANDIDATES: usize = 1;
-/// What a wholly cached prompt takes off the cost of a stream, relative to a run in the prefill
-/// phase. More than the phase itself, because the stream's caller has already waited for it once.
-const CACHE_GAIN: f64 = 3.0;
-/// Cost of a run in the decode phase, relative to one in the prefill phase.
-const DECODE_COST: f64 = 0.8;
-/// Cost that a replica in another data centre adds, relative to a run in the prefill phase.
-const REMOTE_COST: f64 = 0.15;
-/// Cost that a lack of free KV cache adds for a stream, and cost factor of an ejected
-/// replica for a unary request: so high that such a replica is normally chosen last.
+/// Cost factor of an ejected replica for a unary request: so high that such a replica is
+/// normally chosen last.
 const LAST_RESORT_COST: f64 = 100.0;
 /// Assumed latency of a replica without a measurement, in milliseconds.
 const DEFAULT_LATENCY_MS: f64 = 20.0;
@@ -62,8 +56,9 @@
 /// Draws the replicas that are asked for their load before a stream is placed.
 ///
 /// Only replicas that satisfy `is_eligible` are drawn. Most candidates follow from the key by
-/// rendezvous hashing: after a restart of all daemons, which then know nothing of earlier runs,
-/// a repeated request is offered to replicas that may have read its prompt before. Remote
+/// rendezvous hashing, in proportion to the replicas' speeds: after a restart of all daemons, which
+/// then know nothing of earlier runs, a repeated request is offered to replicas that may have read
+/// its prompt before. Remote
 /// replicas replace missing local ones. Replicas whose limit binds come first while this daemon has a
 /// slot. Replicas without a slot under the limit that they name are
 /// drawn at random only. Ejected replicas are drawn only if no other one is
@@ -88,17 +83,18 @@
     let usable = free.into_iter().map(to_pair);
     let (local, remote): (Vec<_>, Vec<_>) = usable.partition(|(_, replica)| *replica.dc == *dc);
     let total = (LOCAL_CANDIDATES + REMOTE_CANDIDATES) << round;
-    let mut drawn = rank(limited, affinity, SLOT_CANDIDATES << round);
-    drawn.extend(rank(local, affinity, LOCAL_CANDIDATES << round));
+    let rank = |replicas, count| rank(catalog, replicas, affinity, count);
+    let mut drawn = rank(limited, SLOT_CANDIDATES << round);
+    drawn.extend(rank(local, LOCAL_CANDIDATES << round));
     let remote_count = total - drawn.len();
-    let mut remote = rank(remote, affinity, usize::MAX);
+    let mut remote = rank(remote, usize::MAX);
     let mut others =
         remote.split_off(remote.len().min(remote_count.saturating_sub(RANDOM_CANDIDATES)));
     // The report of a replica without a slot may show that its limit has ended.
     others.extend(closed.into_iter().map(to_pair));
     drawn.extend(remote);
     let missing = total - drawn.len();
-    drawn.extend(others.into_iter().choose_multiple(rng, missing.min(RANDOM_CANDIDATES)));
+    drawn.extend(draw_by_speed(catalog, others, missing.min(RANDOM_CANDIDATES), rng));
     if drawn.is_empty() {
         let serving = catalog.serving(service).filter(is_eligible).map(to_pair);
         drawn = serving.choose_multiple(rng, total);
@@ -106,52 +102,97 @@
     drawn
 }
 
-/// The first `count` replicas in the rendezvous order of `affinity`.
+/// The first `count` replicas in the rendezvous order of `affinity`, in which a replica's share of
+/// the first places is proportional to its speed.
 fn rank(
+    catalog: &Catalog,
     mut replicas: Vec<(Key, Arc<Replica>)>,
     affinity: u64,
     count: usize,
 ) -> Vec<(Key, Arc<Replica>)> {
-    let score = |replica: &Replica| hash::score(affinity, hash::name(&replica.id));
-    replicas.sort_by_cached_key(|(_, replica)| Reverse(score(replica)));
+    let order = |(key, replica): &(Key, Arc<Replica>)| {
+        let score = hash::score(affinity, hash::name(&replica.id)) as f64 / u64::MAX as f64;
+        engine::draw_order(score, catalog.slowness(*key))
+    };
+    sort_by_order(&mut replicas, order);
     replicas.truncate(count);
     replicas
 }
 
-/// Cost of placing a stream that needs `tokens` of KV cache at a replica with this report. A
-/// queued request and a run in the prefill phase cost 1 each; the least cost is best.
-///
-/// `starting` is the number of this daemon's own streams there without a first event;
-/// the report may be too old to include them. `cached` is the share of the prompt that the
-/// replica has cached, 0 to 1.
-pub fn stream_cost(
+/// Sorts by a value that is computed once for each replica.
+fn sort_by_order(
+    replicas: &mut Vec<(Key, Arc<Replica>)>,
+    mut order: impl FnMut(&(Key, Arc<Replica>)) -> f64,
+) {
+    let mut ordered: Vec<_> = replicas.drain(..).map(|pair| (order(&pair), pair)).collect();
+    ordered.sort_by(|a, b| a.0.total_cmp(&b.0));
+    replicas.extend(ordered.into_iter().map(|(_, pair)| pair));
+}
+
+/// Draws `count` replicas at random, in proportion to their speeds.
+fn draw_by_speed<R: Rng>(
+    catalog: &Catalog,
+    mut replicas: Vec<(Key, Arc<Replica>)>,
+    count: usize,
+    rng: &mut R,
+) -> Vec<(Key, Arc<Replica>)> {
+    sort_by_order(&mut replicas, |(key, _)| {
+        engine::draw_order(rng.random(), catalog.slowness(*key))
+    });
+    replicas.truncate(count);
+    replicas
+}
+
+/// Draws the replicas of a further round, in which no one is `asked` again: at random from all
+/// data centres, in proportion to their speeds.
+pub fn draw_further<R: Rng>(
+    catalog: &Catalog,
+    service: &str,
+    asked: &[Key],
+    is_eligible: impl Fn(&Replica) -> bool,
+    now: Instant,
+    rng: &mut R,
+) -> Vec<(Key, Arc<Replica>)> {
+    let demand = catalog.demand_per_replica(service, now);
+    let eligible = catalog.usable(service, now).filter(|(key, entry)| {
+        !asked.contains(key) && is_eligible(&entry.replica) && catalog.has_slot(entry, demand, now)
+    });
+    let eligible = eligible.map(|(key, entry)| (key, entry.replica.clone())).collect();
+    draw_by_speed(catalog, eligible, engine::FURTHER_CANDIDATES, rng)
+}
+
+/// What a stream has to expect at the replica with `key`, which has sent this report. The daemon is
+/// in the data centre `dc`; `cached` is the share of the prompt that the replica has cached.
+pub fn forecast(
+    catalog: &Catalog,
+    (key, replica): (Key, &Replica),
     report: &Report,
-    starting: u32,
-    is_local: bool,
-    tokens: u64,
+    dc: &str,
     cached: f64,
-) -> f64 {
-    let prefilling = report.prefilling.max(starting) + report.waiting;
-    let full_cost = if report.free_tokens() < tokens { LAST_RESORT_COST } else { 0.0 };
-    let remote_cost = if is_local { 0.0 } else { REMOTE_COST };
-    let decoding = report.running.saturating_sub(report.prefilling);
-    f64::from(prefilling) + f64::from(decoding) * DECODE_COST + remote_cost + full_cost
-        - cached * CACHE_GAIN
+    request: &Request,
+    service: &engine::Service,
+) -> Forecast {
+    let starting = catalog.get(key).map_or(0, |entry| entry.starting);
+    let slowness = catalog.slowness(key);
+    let position = Position { is_local: *replica.dc == *dc, slowness, cached };
+    engine::forecast(&report.load(starting), request, position, service)
 }
 
 /// Chooses the replica that is to hold the KV cache copy of a run at `source`: the one with
-/// the most free tokens among those of the same version in other data centres that are not
-/// draining and have at least `tokens` free. `None` if there is no such replica.
+/// the most uncommitted tokens among those of the same version in other data centres that are not
+/// draining and have at least `room`. `None` if there is no such replica.
 pub fn choose_copy_holder<'a>(
     reports: impl Iterator<Item = (&'a Arc<Replica>, &'a Report)>,
     source: &Replica,
-    tokens: u64,
+    room: u64,
+    service: &engine::Service,
 ) -> Option<Arc<Replica>> {
-    reports
+    let eligible = reports
         .filter(|(replica, _)| replica.dc != source.dc && replica.version == source.version)
-        .filter(|(_, report)| report.free_tokens() >= tokens && !report.draining)
-        .max_by_key(|(_, report)| report.free_tokens())
-        .map(|(replica, _)| replica.clone())
+        .filter(|(_, report)| !report.draining);
+    let uncommitted =
+        eligible.map(|(replica, report)| (replica, report.load(0).uncommitted_tokens(service)));
+    engine::choose_holder(uncommitted, room).cloned()
 }
 
 /// Draws a holder for the KV cache copy of a run at `source` without load reports: a usable
@@ -164,11 +205,28 @@
     now: Instant,
     rng: &mut R,
 ) -> Option<Arc<Replica>> {
-    let usable = catalog.usable(&source.service, now).map(|(_, entry)| &entry.replica);
-    let is_eligible = |replica: &&Arc<Replica>| {
-        replica.version == source.version && replica.dc != source.dc && *replica.dc != *excluded_dc
+    let any = |_: &Replica| true;
+    let drawn = draw_copy_holders(catalog, source, excluded_dc, any, 1, now, rng);
+    drawn.into_iter().next().map(|(_, replica)| replica)
+}
+
+/// As [`draw_copy_holder()`], but draws up to `count` replicas that satisfy `is_eligible`.
+pub fn draw_copy_holders<R: Rng>(
+    catalog: &Catalog,
+    source: &Replica,
+    excluded_dc: &str,
+    is_eligible: impl Fn(&Replica) -> bool,
+    count: usize,
+    now: Instant,
+    rng: &mut R,
+) -> Vec<(Key, Arc<Replica>)> {
+    let usable = catalog.usable(&source.service, now).map(|(key, entry)| (key, &entry.replica));
+    let may_hold = |(_, replica): &(Key, &Arc<Replica>)| {
+        let is_elsewhere = replica.dc != source.dc && *replica.dc != *excluded_dc;
+        is_elsewhere && replica.version == source.version && is_eligible(replica)
     };
-    usable.filter(is_eligible).choose(rng).cloned()
+    let drawn = usable.filter(may_hold).choose_multiple(rng, count);
+    drawn.into_iter().map(|(key, replica)| (key, replica.clone())).collect()
 }
 
 /// Chooses the replica for a unary request: the one with the least expected latency among
--- a/crates/winch-relay/src/probe.rs
+++ b/crates/winch-relay/src/probe.rs
@@ -89,7 +89,7 @@
     let exchanged = exchange(node, replica, node.protocol.encode_report_request(replica)).await?;
     let (reply, body) = exchanged;
     let report = node.protocol.decode_report(&body);
-    if report.is_some_and(|report| !report.is_from_other_incarnation(replica)) {
+    if report.as_ref().is_some_and(|report| !report.is_from_other_incarnation(replica)) {
         node.apply_limit(replica, node.protocol.decode_reply_meta(&reply).limit);
     }
     Ok(report)
--- a/crates/winch-relay/src/replica.rs
+++ b/crates/winch-relay/src/replica.rs
@@ -1,9 +1,10 @@
 //! Descriptions of replicas: entries of the platform's list, and the replicas' load reports.
 
 pub use winch_roster::replica::Replica;
+use winch_route::engine::{Load, Run};
 
 /// Load report of a replica; its figures can be some hundred milliseconds old.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Report {
     /// Number of queued requests.
     pub waiting: u32,
@@ -15,6 +16,12 @@
     pub used_tokens: u64,
     /// KV cache capacity, in tokens.
     pub total_tokens: u64,
+    /// Tokens of the first queued request, if stated.
+    pub next_tokens: Option<u64>,
+    /// Number of KV cache copies of other replicas' runs.
+    pub copies: u32,
+    /// Running requests that have sent an event, if stated.
+    pub runs: Vec<Run>,
     /// Whether the replica drains.
     pub draining: bool,
     /// Start time of the reporting incarnation, in Unix milliseconds, if stated.
@@ -33,7 +40,24 @@
             && self.started_at_ms != listed.started_at_ms
     }
 
-    /// KV cache that a new run can use, in tokens: all that is free or can be freed.
+    /// The reported load; `starting` is the number of this daemon's own streams there without a
+    /// first event, which the report may be too old to include.
+    pub fn load(&self, starting: u32) -> Load<'_> {
+        Load {
+            waiting: self.waiting,
+            running: self.running,
+            prefilling: self.prefilling,
+            used_tokens: self.used_tokens,
+            total_tokens: self.total_tokens,
+            next_tokens: self.next_tokens,
+            copies: self.copies,
+            runs: &self.runs,
+            starting,
+        }
+    }
+
+    /// KV cache that is free now or can be freed, in tokens, although requests at the replica may
+    /// still take it.
     pub fn free_tokens(&self) -> u64 {
         self.total_tokens.saturating_sub(self.used_tokens)
     }
--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -2,11 +2,12 @@
 //! another replica.
 //!
 //! [`relay`] takes an admitted request, writes the events to the caller's connection and
-//! returns the outcome. `target` chooses the replica of each attempt; `attempt` sends the
-//! request to it and forwards the events.
+//! returns the outcome. `target` chooses the replica of each attempt among those that `survey` has
+//! asked for their load; `attempt` sends the request to it and forwards the events.
 
 mod attempt;
 mod passing;
+mod survey;
 mod target;
 
 use tokio::{io::AsyncWrite, time::timeout_at};
@@ -57,6 +58,23 @@
     copy_from: Option<KvCopy>,
     /// The replica that receives a copy of the run's KV cache; `None` if no copy is made.
     copy_to: Option<Arc<Replica>>,
+    /// When the first event is expected; `None` if the replica has sent no report.
+    estimate: Option<Estimate>,
+}
+
+/// What a stream has to expect at its target.
+#[derive(Clone, Copy, Debug)]
+struct Estimate {
+    /// Time to the first event.
+    first_event: Duration,
+    /// The same without the queued requests that are less urgent.
+    urgent_first_event: Duration,
+    /// Whether the stream can start without queueing behind other prompts.
+    is_open: bool,
+    /// Whether the replica had no other prompt.
+    is_idle: bool,
+    /// Size of the prompt, relative to a mean one.
+    prompt_units: f64,
 }
 
 /// State of one caller's stream across all attempts.
@@ -71,7 +89,7 @@
     last_event_at: Instant,
     /// KV cache copy of the current run, held by another replica.
     copy: Option<KvCopy>,
-    /// Makes snapshots in place of a lost copy; `None` until the copy is lost.
+    /// Makes snapshots while the run has no copy; `None` as long as it has one.
     refresher: Option<Refresher<P>>,
     /// Data centre of the last attempt that broke.
     broken_dc: Option<Name>,
@@ -105,6 +123,11 @@
         Semantics::Stream { max_gap, .. } => max_gap,
         _ => None,
     };
+    if let Some(size) = job.call.size {
+        node.catalog().record_typical(&job.service, |typical| {
+            typical.record_size(size.prompt_tokens, size.max_answer_tokens);
+        });
+    }
     let mut session = Session {
         node,
         job,
--- a/crates/winch-relay/src/stream/attempt.rs
+++ b/crates/winch-relay/src/stream/attempt.rs
@@ -153,6 +153,7 @@
                 None => {}
                 Some(End::Complete) => {
                     record_answer(self.node, target.key);
+                    self.record_answer_time(target);
                     self.record_survival();
                     return match self.out.end_stream().await {
                         Ok(()) => Attempt::Complete,
@@ -182,9 +183,10 @@
     /// Updates the session after new events of `target` have been buffered.
     fn record_event(&mut self, target: &Target, starting: &mut Option<StartingGuard<'_, P>>) {
         let now = Instant::now();
-        if starting.take().is_some() {
+        if let Some(starting) = starting.take() {
             record_answer(self.node, target.key);
             if self.trace.sends == 1 {
+                self.record_prompt_time(target, now - starting.started_at);
                 let elapsed = now - self.job.call.received_at;
                 counter::first_event(elapsed);
                 self.first_event_latency = Some(elapsed);
@@ -220,15 +222,48 @@
         }
     }
 
-    /// Starts to make snapshots if the holder of the run's copy is no longer in the catalog.
+    /// Records the time to the first event if it was the time of a prefill: the replica had no
+    /// other prompt and nothing of this one.
+    fn record_prompt_time(&self, target: &Target, elapsed: Duration) {
+        let Some(estimate) = target.estimate.filter(|estimate| estimate.is_idle) else { return };
+        if self.job.call.last_event.is_some() {
+            return;
+        }
+        let mut catalog = self.node.catalog();
+        let slowness = catalog.slowness(target.key);
+        catalog.record_typical(&self.job.service, |typical| {
+            typical.record_prompt_time(elapsed, estimate.prompt_units, slowness);
+        });
+    }
+
+    /// Records the time from the first event to the last one of a stream that ran in one attempt.
+    fn record_answer_time(&self, target: &Target) {
+        let Some(first_event_at) = self.first_event_at.filter(|_| self.trace.sends == 1) else {
+            return;
+        };
+        let mut catalog = self.node.catalog();
+        let slowness = catalog.slowness(target.key);
+        catalog.record_typical(&self.job.service, |typical| {
+            typical.record_answer_time(first_event_at.elapsed(), slowness);
+        });
+    }
+
+    /// Starts to make snapshots if the run has no copy, or if the copy's holder is no longer in the
+    /// catalog.
     fn ensure_copy(&mut self, target: &Target) {
-        let Some(copy) = &self.copy else { return };
-        if self.refresher.is_some() || self.node.catalog().key(&copy.replica.id).is_some() {
+        if self.refresher.is_some() {
             return;
         }
+        let needs_copy = match &self.copy {
+            Some(copy) => self.node.catalog().key(&copy.replica.id).is_none(),
+            None => self.keeps_copy(),
+        };
         let ttl = self.engine().and_then(|engine| engine.snapshot_ttl);
-        let (Some(ttl), Some(id)) = (ttl, self.job.call.id.clone()) else { return };
-        let run = kv_snapshot::Run { id, source: target.replica.clone(), ttl };
+        let (true, Some(ttl), Some(id)) = (needs_copy, ttl, self.job.call.id.clone()) else {
+            return;
+        };
+        let (source, tokens) = (target.replica.clone(), self.kv_tokens());
+        let run = kv_snapshot::Run { id, source, ttl, tokens, service: self.service() };
         self.refresher = Some(Refresher::start(self.node, run));
     }
 
@@ -316,12 +351,13 @@
 struct StartingGuard<'a, P: Protocol> {
     node: &'a Node<P>,
     key: Key,
+    started_at: Instant,
 }
 
 impl<'a, P: Protocol> StartingGuard<'a, P> {
     fn new(node: &'a Node<P>, key: Key) -> Self {
         node.catalog().update(key, |entry| entry.starting += 1);
-        Self { node, key }
+        Self { node, key, started_at: Instant::now() }
     }
 }
 
--- a/crates/winch-relay/src/stream/target.rs
+++ b/crates/winch-relay/src/stream/target.rs
@@ -2,13 +2,15 @@
 
 use tokio::{io::AsyncWrite, time::sleep};
 
-use super::{Session, Target};
+use winch_route::engine;
+
+use super::{
+    Estimate, Session, Target,
+    survey::{Rated, Survey},
+};
 use crate::{
-    config::Engine,
-    kv_snapshot::Refresher,
-    placement::{self, Draw},
-    prelude::*,
-    probe,
+    config::Engine, copy_holder::Wanted, counter, kv_snapshot::Refresher, prelude::*,
+    protocol::KvCopy,
 };
 
 /// Delay after each round of load probes in which no replica could be chosen; placement
@@ -21,18 +23,21 @@
     Duration::from_millis(300),
     Duration::from_millis(500),
 ];
-/// Time after a daemon's start within which its callers repeat requests that broke off with its
-/// predecessor.
-const RESTART_TIME: Duration = Duration::from_secs(5);
 /// KV cache assumed for a request that does not state its size, in tokens.
 const DEFAULT_KV_TOKENS: u64 = 1_000;
 
 impl<P: Protocol, W: AsyncWrite + Unpin> Session<'_, P, W> {
     /// KV cache that the run may need, in tokens.
-    fn kv_tokens(&self) -> u64 {
+    pub(super) fn kv_tokens(&self) -> u64 {
         self.job.call.size.map_or(DEFAULT_KV_TOKENS, |size| size.total())
     }
 
+    /// Rank of the request among the priorities of its service, 0 for the most urgent; `None` if
+    /// all its requests have the same priority.
+    pub(super) fn rank(&self) -> Option<u8> {
+        None
+    }
+
     /// Capabilities of the service's engines; `None` for a plain service.
     pub(super) fn engine(&self) -> Option<Engine> {
         self.node.config()?.service(&self.job.service)?.engine
@@ -40,7 +45,7 @@
 
     /// Whether a run that starts from the prompt keeps a copy of its KV cache at another
     /// replica.
-    fn keeps_copy(&self) -> bool {
+    pub(super) fn keeps_copy(&self) -> bool {
         let engine = self.engine();
         self.job.route.semantics.may_repeat()
             && self.job.call.id.is_some()
@@ -50,35 +55,81 @@
     /// Chooses the replica of the next attempt: the holder of the run's KV cache copy if it
     /// may serve the request, else the replica with the least cost. `None` if there is none.
     pub(super) async fn choose_target(&mut self) -> Option<Target> {
-        if let Some(target) = self.target_from_copy() {
+        if let Some(copy) = self.take_copy()
+            && let Some(target) = self.target_from_copy(copy).await
+        {
             return Some(target);
         }
         self.place_with_retries().await
     }
 
-    /// The holder of the newest copy, if it may serve the request. The session forgets the
-    /// copy in any case.
-    fn target_from_copy(&mut self) -> Option<Target> {
+    /// Takes the newest copy, which the session forgets.
+    fn take_copy(&mut self) -> Option<KvCopy> {
         let snapshot = self.refresher.take().and_then(Refresher::into_copy);
-        let copy = snapshot.or(self.copy.take())?;
+        snapshot.or(self.copy.take())
+    }
+
+    /// The holder of `copy`, if it may serve the request, and a holder for the next copy.
+    async fn target_from_copy(&self, copy: KvCopy) -> Option<Target> {
         if self.node.rule(&self.job.service, self.job.cohort).excludes(&copy.replica.version) {
             return None;
         }
         let now = Instant::now();
-        let mut catalog = self.node.catalog();
-        let key = catalog.key(&copy.replica.id)?;
-        let entry = catalog.get(key)?;
-        if entry.replica.draining || entry.is_ejected(now) {
+        let (key, replica) = {
+            let mut catalog = self.node.catalog();
+            let key = catalog.key(&copy.replica.id)?;
+            let entry = catalog.get(key)?;
+            if entry.replica.draining || entry.is_ejected(now) {
+                return None;
+            }
+            let replica = entry.replica.clone();
+            catalog.take_slot(key, now).then_some((key, replica))?
+        };
+        let copy_to = if self.keeps_copy() {
+            let broken_dc = self.broken_dc.as_deref().unwrap_or_default();
+            let copy_to = self.wanted_copy(&replica, broken_dc).ask(self.node).await;
+            if copy_to.is_none() {
+                counter::copy_skipped("no_room");
+            }
+            copy_to
+        } else {
+            None
+        };
+        Some(Target { key, replica, copy_from: Some(copy), copy_to, estimate: None })
+    }
+
+    /// The copy of the run at `source` that is wanted when it starts.
+    fn wanted_copy<'b>(&self, source: &'b Replica, excluded_dc: &'b str) -> Wanted<'b> {
+        let room = engine::copy_room(self.kv_tokens(), self.rank().unwrap_or(0));
+        Wanted { source, room, excluded_dc, service: self.service() }
+    }
+
+    /// Chooses the holder of the copy of a run that starts at `best`: the one with the most
+    /// uncommitted KV cache among those that were asked, else a random one that was not asked.
+    /// `None` if the run keeps no copy or gets it later.
+    fn choose_copy_holder(&self, survey: &Survey, best: &Rated) -> Option<Arc<Replica>> {
+        if !self.keeps_copy() {
             return None;
         }
-        let replica = entry.replica.clone();
-        if !catalog.take_slot(key, now) {
+        let source = &best.answer.replica;
+        let wanted = self.wanted_copy(source, "");
+        let answers = || survey.rated.iter().map(|rated| &rated.answer);
+        let reports = answers().map(|answer| (&answer.replica, &answer.report));
+        let holder = wanted.choose(reports);
+        if holder.is_some() {
+            return holder;
+        }
+        let is_other = |replica: &Replica| replica.dc != source.dc;
+        if self.rank().is_some_and(|rank| rank > 0) && answers().any(|a| is_other(&a.replica)) {
+            counter::copy_skipped("priority");
             return None;
         }
-        let broken_dc = self.broken_dc.as_deref().unwrap_or_default();
-        let rng = &mut self.node.rng();
-        let copy_to = placement::draw_copy_holder(&catalog, &replica, broken_dc, now, rng);
-        Some(Target { key, replica, copy_from: Some(copy), copy_to })
+        let is_asked = |replica: &Replica| answers().any(|answer| answer.replica.id == replica.id);
+        let holder = wanted.draw(self.node, is_asked);
+        if holder.is_none() {
+            counter::copy_skipped("no_room");
+        }
+        holder
     }
 
     /// Probes replicas in rounds until one can be chosen, because several may be down at the
@@ -95,71 +146,59 @@
         None
     }
 
-    /// Whether a replica may have read the prompt for an earlier request of the caller: the
-    /// caller resumes a stream, or this daemon was restarted and its callers repeat what they
-    /// have lost.
-    fn may_be_cached(&self) -> bool {
-        self.job.call.last_event.is_some() || self.node.uptime() < RESTART_TIME
-    }
-
-    /// Probes one round of candidates and returns the one with the least cost.
+    /// Probes one round of candidates, and further ones if those are loaded, and returns the one
+    /// with the least cost.
     async fn place_once(&self, round: u32) -> Option<Target> {
-        let (node, service) = (self.node, &self.job.service);
-        let dc = &node.settings.dc;
-        let candidates = {
-            let (rule, excluded) = (node.rule(service, self.job.cohort), &self.trace.excluded);
-            let is_eligible =
-                |replica: &Replica| rule.allows(replica) && !excluded.contains(&replica.id);
-            let (now, rng) = (Instant::now(), &mut node.rng());
-            let draw = Draw { service, dc, affinity: self.job.fingerprint().0, round };
-            placement::draw_candidates(&node.catalog(), draw, is_eligible, now, rng)
-        };
+        let candidates = self.draw(round);
         let only_candidate = (candidates.len() == 1).then(|| candidates[0].clone());
-        let prompt = if self.may_be_cached() { &self.job.call.prompt[..] } else { &[] };
-        let answers = probe::request_reports(node, candidates, prompt).await;
-        let tokens = self.kv_tokens();
-        let cost = |answer: &probe::Answer| {
-            let starting = node.catalog().get(answer.key).map_or(0, |entry| entry.starting);
-            let is_local = answer.replica.dc == *dc;
-            placement::stream_cost(&answer.report, starting, is_local, tokens, answer.cached)
-        };
-        let mut ranked: Vec<_> = answers.iter().filter(|a| !a.report.draining).collect();
-        ranked.sort_by(|a, b| cost(a).total_cmp(&cost(b)));
+        let survey = self.survey(candidates).await;
         let now = Instant::now();
-        let best = ranked.into_iter().find(|answer| node.catalog().take_slot(answer.key, now));
-        let Some(best) = best else {
+        let takes = |rated: &&Rated| self.node.catalog().take_slot(rated.answer.key, now);
+        let Some(best) = survey.rated.iter().find(takes) else {
             // A single candidate may still serve without a report in time or while it
             // drains, unless it has left the catalog, for example because another
             // incarnation has replaced it.
             let (key, replica) = only_candidate?;
-            if !node.catalog().take_slot(key, now) {
+            if !self.node.catalog().take_slot(key, now) {
                 return None;
             }
-            return Some(Target { key, replica, copy_from: None, copy_to: None });
-        };
-        let copy_to = if self.keeps_copy() {
-            let reports = answers.iter().map(|answer| (&answer.replica, &answer.report));
-            placement::choose_copy_holder(reports, &best.replica, tokens).or_else(|| {
-                let (now, rng) = (Instant::now(), &mut node.rng());
-                placement::draw_copy_holder(&node.catalog(), &best.replica, "", now, rng)
-            })
-        } else {
-            None
+            return Some(Target { key, replica, copy_from: None, copy_to: None, estimate: None });
         };
-        let report = best.report;
+        if !best.forecast.has_room {
+            counter::placed_without_room();
+        }
+        let copy_to = self.choose_copy_holder(&survey, best);
+        let estimate = survey.estimate(&best.forecast);
+        self.log_choice(&survey, best, &estimate, copy_to.as_deref());
+        let (key, replica) = (best.answer.key, best.answer.replica.clone());
+        Some(Target { key, replica, copy_from: None, copy_to, estimate: Some(estimate) })
+    }
+
+    fn log_choice(
+        &self,
+        survey: &Survey,
+        best: &Rated,
+        estimate: &Estimate,
+        copy_to: Option<&Replica>,
+    ) {
+        let Rated { answer, forecast } = best;
+        let (replica, report) = (&answer.replica, &answer.report);
         emit!(
             Event::ReplicaChosen,
             request = self.job.call.label(),
-            replica = best.replica.id,
-            dc = best.replica.dc,
-            asked = answers.len(),
+            replica = replica.id,
+            dc = replica.dc,
+            asked = survey.rated.len(),
             waiting = report.waiting,
             running = report.running,
             prefilling = report.prefilling,
             free_tokens = report.free_tokens(),
-            cached = format!("{:.2}", best.cached),
-            copy = copy_to.as_ref().map_or("-", |copy| &*copy.id)
+            has_room = forecast.has_room,
+            is_open = estimate.is_open,
+            first_event_ms = estimate.first_event.as_millis(),
+            urgent_first_event_ms = estimate.urgent_first_event.as_millis(),
+            cached = format!("{:.2}", answer.cached),
+            copy = copy_to.map_or("-", |copy| &*copy.id)
         );
-        Some(Target { key: best.key, replica: best.replica.clone(), copy_from: None, copy_to })
     }
 }
--- a/crates/winch-relay/tests/place_choice.rs
+++ b/crates/winch-relay/tests/place_choice.rs
@@ -16,6 +16,7 @@
     replica::{Replica, Report},
     store::Change,
 };
+use winch_route::engine::{self, Position, Request, Service};
 
 fn replica(number: u16, dc: &str) -> Replica {
     Replica {
@@ -50,9 +51,16 @@
     Report { running, prefilling, used_tokens, total_tokens: 88_000, ..Report::default() }
 }
 
+/// Cost of a stream of 9,000 tokens at a local replica of mean speed.
+fn stream_cost(report: &Report, starting: u32, cached: f64) -> f64 {
+    let request = Request { tokens: 9_000, prompt_units: 1.0, level: None };
+    let position = Position { is_local: true, slowness: 1.0, cached };
+    engine::forecast(&report.load(starting), &request, position, &Service::default()).cost
+}
+
 #[test]
 fn cost_grows_with_load() {
-    let cost = |report: &Report| placement::stream_cost(report, 0, true, 9_000, 0.0);
+    let cost = |report: &Report| stream_cost(report, 0, 0.0);
     let idle = cost(&report(0, 0, 0));
     let decoding = cost(&report(1, 0, 9_000));
     let prefilling = cost(&report(1, 1, 9_000));
@@ -64,8 +72,8 @@
 #[test]
 fn unreported_streams_counted() {
     let report = report(0, 0, 0);
-    let without_own = placement::stream_cost(&report, 0, true, 9_000, 0.0);
-    assert!(placement::stream_cost(&report, 1, true, 9_000, 0.0) > without_own);
+    let without_own = stream_cost(&report, 0, 0.0);
+    assert!(stream_cost(&report, 1, 0.0) > without_own);
 }
 
 #[test]
@@ -73,15 +81,13 @@
     let replicas: Vec<Arc<Replica>> =
         [("a", 1), ("b", 2), ("b", 3)].map(|(dc, number)| Arc::new(replica(number, dc))).into();
     let reports = [report(0, 0, 0), report(3, 0, 30_000), report(1, 0, 9_000)];
-    let chosen =
-        placement::choose_copy_holder(replicas.iter().zip(&reports), &replica(9, "a"), 9_000)
-            .unwrap();
-    assert_eq!(&*chosen.id, "i-3");
+    let choose = |reports| {
+        let reported = replicas.iter().zip(reports);
+        placement::choose_copy_holder(reported, &replica(9, "a"), 9_000, &Service::default())
+    };
+    assert_eq!(&*choose(&reports).unwrap().id, "i-3");
     let full = [report(0, 0, 0), report(3, 0, 87_000), report(1, 0, 87_000)];
-    assert_eq!(
-        placement::choose_copy_holder(replicas.iter().zip(&full), &replica(9, "a"), 9_000),
-        None
-    );
+    assert_eq!(choose(&full), None);
 }
 
 #[test]
@@ -173,8 +179,7 @@
 
 #[test]
 fn cached_prompt_preferred() {
-    let cost =
-        |running, cached| placement::stream_cost(&report(running, 0, 0), 0, true, 9_000, cached);
+    let cost = |running, cached| stream_cost(&report(running, 0, 0), 0, cached);
     assert!(cost(3, 1.0) < cost(0, 0.0), "the prompt need not be read again");
     assert!(cost(8, 1.0) > cost(0, 0.0), "but not at any price");
     assert!(cost(3, 0.02) > cost(0, 0.0), "a shared part alone counts little");
@@ -232,3 +237,32 @@
     assert!(!catalog.take_slot(key, now), "ten such daemons send more than half of the limit");
     assert!(catalog.take_slot(key, now + Duration::from_secs(30)), "the demand is over");
 }
+
+#[test]
+fn further_candidates_unasked() {
+    let dcs: Vec<&str> = (0..30).map(|n| ["a", "b", "c"][n % 3]).collect();
+    let mut catalog = catalog(&dcs);
+    let now = Instant::now();
+    catalog.eject(catalog.key("i-30").unwrap(), now);
+    let mut seen = HashSet::new();
+    for seed in 0..100 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let first = placement::draw_candidates(&catalog, draw(seed, 0), any, now, &mut rng);
+        let asked: Vec<_> = first.iter().map(|(key, _)| *key).collect();
+        let further = placement::draw_further(&catalog, "s", &asked, any, now, &mut rng);
+        assert_eq!(further.len(), 8);
+        assert!(further.iter().all(|(key, _)| !asked.contains(key)), "no replica is asked twice");
+        seen.extend(further.into_iter().map(|(_, replica)| replica.id.clone()));
+    }
+    assert_eq!(seen.len(), 29, "all data centres are asked, ejected replicas are not");
+}
+
+#[test]
+fn further_candidates_end() {
+    let catalog = catalog(&["a", "b"]);
+    let (now, mut rng) = (Instant::now(), SmallRng::seed_from_u64(1));
+    let asked = [catalog.key("i-1").unwrap()];
+    assert_eq!(placement::draw_further(&catalog, "s", &asked, any, now, &mut rng).len(), 1);
+    let excluded = |replica: &Replica| &*replica.id != "i-2";
+    assert!(placement::draw_further(&catalog, "s", &asked, excluded, now, &mut rng).is_empty());
+}
