winch-relay: send replicas the priority level of a request where a service has several

Replicas admit more urgent requests first, but requests carried no level, so that all counted as 5. The priorities that requests of an engine service can have are ranked once per configuration; a request carries twice its rank plus one, and one less if it starts again from its prompt after a loss, because its caller has already waited. It still does not pass a more urgent rank.

Ruled out: sending the configured number itself, which may exceed 9 and leaves no level between two ranks; counting the priorities of teams without keys and of routes whose callers all belong to teams with priorities of their own, which would send levels where all requests are alike.

--- a/crates/winch-relay/src/config.rs
+++ b/crates/winch-relay/src/config.rs
@@ -6,7 +6,10 @@
 
 use rand::Rng;
 
-use crate::prelude::*;
+use crate::{
+    prelude::*,
+    priority::{Priority, Ranks},
+};
 
 /// How often a request of a route may run, and the form of its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -147,6 +150,7 @@
     services: HashMap<Name, Arc<Service>>,
     teams: HashMap<Name, Arc<Team>>,
     requires_keys: bool,
+    ranks: Ranks,
     /// Limits on callers' requests and connections.
     pub limits: Limits,
 }
@@ -172,7 +176,9 @@
         let services = services.into_iter().map(|s| (s.name.clone(), s.into())).collect();
         let requires_keys = teams.is_some();
         let teams = teams.unwrap_or_default().into_iter().collect();
-        Self { version, routes: by_host, services, teams, requires_keys, limits }
+        let all_routes = by_host.values().flatten().map(|route| &**route);
+        let ranks = Ranks::new(all_routes, &services, requires_keys.then_some(&teams));
+        Self { version, routes: by_host, services, teams, requires_keys, ranks, limits }
     }
 
     /// The route with the longest prefix of `path` on `host`, which may include a port and
@@ -207,6 +213,11 @@
         self.teams.get(key)
     }
 
+    /// The priority of a request of `service` that `route` matched, from a caller of `team`.
+    pub fn priority(&self, service: &str, route: &Route, team: Option<&Team>) -> Priority {
+        self.ranks.priority(service, route, team)
+    }
+
     /// Number of routes.
     pub fn len(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/crates/winch-relay/src/edge.rs
+++ b/crates/winch-relay/src/edge.rs
@@ -24,6 +24,7 @@
     job::{Job, Outcome, Trace},
     node::Node,
     prelude::*,
+    priority::Priority,
     respond::{Progress, Responder},
     stream, strikes, unary,
 };
@@ -238,6 +239,7 @@
     route: Arc<Route>,
     service: Name,
     team: Option<Arc<Team>>,
+    priority: Priority,
     cohort: Cohort,
     shared_parts: Arc<[Part]>,
     is_trial: bool,
@@ -245,9 +247,9 @@
 
 impl Admitted {
     fn into_job(self, call: Call, origin: Origin) -> Job {
-        let Self { route, service, team, cohort, shared_parts, is_trial } = self;
+        let Self { route, service, team, priority, cohort, shared_parts, is_trial } = self;
         let is_forwarded = matches!(origin, Origin::Daemon { .. });
-        Job { call, route, service, team, shared_parts, is_trial, is_forwarded, cohort }
+        Job { call, route, service, team, priority, shared_parts, is_trial, is_forwarded, cohort }
     }
 }
 
@@ -277,7 +279,8 @@
     node.earn_retry(&service);
     node.catalog().record_demand(&service, Instant::now());
     let cohort = node.draw_cohort(&service);
-    Ok(Admitted { route, service, team, cohort, shared_parts, is_trial })
+    let priority = config.priority(&service, &route, team.as_deref());
+    Ok(Admitted { route, service, team, priority, cohort, shared_parts, is_trial })
 }
 
 /// Checks that no part of a prompt is quarantined; true if one is, and the request is its trial.
--- a/crates/winch-relay/src/job.rs
+++ b/crates/winch-relay/src/job.rs
@@ -11,6 +11,7 @@
     config::{Route, Team},
     node::Node,
     prelude::*,
+    priority::Priority,
     strikes,
 };
 
@@ -25,6 +26,8 @@
     pub service: Name,
     /// The caller's team.
     pub team: Option<Arc<Team>>,
+    /// Priority among the requests of the service.
+    pub priority: Priority,
     /// Parts of the prompt that other requests may hold, too.
     pub shared_parts: Arc<[Part]>,
     /// Whether the request may run once although a part of its prompt is quarantined.
--- a/crates/winch-relay/src/lib.rs
+++ b/crates/winch-relay/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod placement;
 pub mod pool;
 pub mod prelude;
+pub mod priority;
 pub mod probe;
 pub mod protocol;
 pub mod quarantine;
--- a/crates/winch-relay/src/stream/attempt.rs
+++ b/crates/winch-relay/src/stream/attempt.rs
@@ -51,13 +51,19 @@
         result
     }
 
+    /// Whether the request was lost before, at a replica or with an earlier daemon, and starts
+    /// again from its prompt.
+    fn is_repeated(&self, target: &Target) -> bool {
+        target.copy_from.is_none() && (self.may_have_run || self.last_event.is_some())
+    }
+
     /// Sends the request on `connection` and handles the reply.
     async fn exchange(&mut self, target: &Target, connection: &mut Connection) -> Attempt {
         let dispatch = Dispatch {
             replica: &target.replica,
             time_left: self.job.time_left(Instant::now()),
             team: self.job.team.as_ref().map(|team| &team.name),
-            priority: None,
+            priority: self.job.priority.level(self.is_repeated(target)),
             after_event: self.last_event,
             copy_to: target.copy_to.as_ref().map(|replica| replica.address),
             copy_from: target.copy_from.as_ref(),
--- a/crates/winch-relay/src/unary.rs
+++ b/crates/winch-relay/src/unary.rs
@@ -255,7 +255,7 @@
         replica,
         time_left: job.time_left(Instant::now()),
         team: job.team.as_ref().map(|team| &team.name),
-        priority: None,
+        priority: job.priority.level(false),
         after_event: None,
         copy_to: None,
         copy_from: None,
