winch-route, winch-relay: shed unary requests of overloaded plain services

A plain service with bounded queues that receives more than it can answer has full queues, so that most answers are late, and callers whose request is refused return at the same time. Each daemon now counts, per service, the requests that were answered within the route's target and those that a full replica refused or answered late, and sheds the excess before it is sent (code 616, Retry-After with jitter), less urgent priorities first. A replica that has just refused because it was full costs more for the time of one answer.

--- a/crates/winch-relay/src/catalog.rs
+++ b/crates/winch-relay/src/catalog.rs
@@ -30,6 +30,10 @@
 const EJECTION_MIN: Duration = Duration::from_millis(400);
 /// Longest ejection of a replica, after repeated failures.
 const EJECTION_MAX: Duration = Duration::from_millis(1_600);
+/// Shortest time for which a replica counts as full after it has refused a request.
+const FULL_MIN: Duration = Duration::from_millis(50);
+/// Longest time for which a replica counts as full after it has refused a request.
+const FULL_MAX: Duration = Duration::from_secs(1);
 /// Weight of the newest sample in moving averages.
 const SAMPLE_WEIGHT: f64 = 0.2;
 
@@ -55,6 +59,7 @@
     /// See [`Catalog::slowness()`].
     slowness: f64,
     ejected_until: Option<Instant>,
+    full_until: Option<Instant>,
     /// Failures since the last answer, except those while the replica was ejected.
     consecutive_failures: u32,
     /// Whether the replica's entry in the list was removed during an outage of the store or in
@@ -78,6 +83,7 @@
             failure_rate: 0.0,
             slowness: 1.0,
             ejected_until: None,
+            full_until: None,
             consecutive_failures: 0,
             removed_in_outage: false,
             held_by_source: false,
@@ -91,6 +97,11 @@
         self.ejected_until.is_some_and(|until| now < until)
     }
 
+    /// Whether the replica has just refused a request because it was full.
+    pub fn is_full(&self, now: Instant) -> bool {
+        self.full_until.is_some_and(|until| now < until)
+    }
+
     /// Whether the replica names a limit of the requests that it takes.
     pub fn is_limited(&self) -> bool {
         self.throttle.is_some()
@@ -423,6 +434,15 @@
         Some(length)
     }
 
+    /// Records that a replica has refused a request because it was full. It counts as full for the
+    /// time that a request takes there, after which the requests of its queue have moved up.
+    pub fn record_full(&mut self, key: Key, now: Instant) {
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        let latency_ms = entry.latency_ms.unwrap_or_default();
+        let latency = Duration::from_secs_f64(latency_ms / 1_000.0);
+        entry.full_until = Some(now + latency.clamp(FULL_MIN, FULL_MAX));
+    }
+
     /// Records an answer, which ends an ejection even if the answer is a failure.
     ///
     /// `latency` is the time to the complete answer; `None` leaves the average as it is.
--- a/crates/winch-relay/src/counter.rs
+++ b/crates/winch-relay/src/counter.rs
@@ -16,6 +16,12 @@
     counter!("winch_refused_total", "code" => code.name()).increment(1);
 }
 
+/// Counts a request that was shed because its service is overloaded. The kind is `lookup` or
+/// `order`.
+pub fn shed(kind: &'static str) {
+    counter!("winch_shed_total", "kind" => kind).increment(1);
+}
+
 /// Counts an attempt that was refused or failed, by reason; usually a retry follows.
 pub fn retried(reason: &'static str) {
     counter!("winch_retries_total", "reason" => reason).increment(1);
--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -38,6 +38,7 @@
     prelude::*,
     reach::Paths,
     settings::{Settings, Tuning},
+    shed::Shedders,
     strikes::Strikes,
     unary::MAX_BODY_BLOCKS,
     watch::Topic,
@@ -94,6 +95,7 @@
     started_at: Instant,
     /// Retry budgets by service.
     budgets: Mutex<HashMap<Name, Budget>>,
+    pub(crate) shedders: Shedders,
     stopping: Sender<bool>,
 }
 
@@ -127,6 +129,7 @@
             confirmed: Mutex::default(),
             started_at,
             budgets: Mutex::default(),
+            shedders: Shedders::default(),
             stopping: Sender::new(false),
         })
     }
--- a/crates/winch-relay/src/placement.rs
+++ b/crates/winch-relay/src/placement.rs
@@ -42,6 +42,9 @@
 const DEFAULT_LATENCY_MS: f64 = 20.0;
 /// Cost factor of a replica in another data centre for a unary request.
 const REMOTE_FACTOR: f64 = 1.5;
+/// Cost factor of a replica for a unary request that has just refused one because it was full: its
+/// queue is as long for all daemons.
+const FULL_FACTOR: f64 = 4.0;
 /// Weight of a replica's failure rate in its cost for a unary request.
 const FAILURE_WEIGHT: f64 = 4.0;
 
@@ -174,7 +177,7 @@
 /// Chooses the replica for a unary request: the one with the least expected latency among
 /// those that satisfy `is_eligible`.
 ///
-/// The cost of a replica also grows with its failure rate, and an ejected replica is normally
+/// The cost of a replica also grows with its failure rate and if it was full, and an ejected replica is normally
 /// chosen only if there is no other one. `None` if no replica is eligible, or if none has a slot
 /// under the limit that it names.
 pub fn choose_replica<R: Rng>(
@@ -190,8 +193,15 @@
         let load = 1.0 + f64::from(entry.in_flight) / f64::from(entry.replica.slots.max(1));
         let remote = if *entry.replica.dc == *dc { 1.0 } else { REMOTE_FACTOR };
         let ejected = if entry.is_ejected(now) { LAST_RESORT_COST } else { 1.0 };
+        let full = if entry.is_full(now) { FULL_FACTOR } else { 1.0 };
         let jitter = rng.random_range(0.95..1.05);
-        latency * load * remote * ejected * (1.0 + FAILURE_WEIGHT * entry.failure_rate) * jitter
+        latency
+            * load
+            * remote
+            * ejected
+            * full
+            * (1.0 + FAILURE_WEIGHT * entry.failure_rate)
+            * jitter
     };
     let demand = catalog.demand_per_replica(service, now);
     let entries = catalog
--- a/crates/winch-relay/src/unary.rs
+++ b/crates/winch-relay/src/unary.rs
@@ -25,6 +25,7 @@
     prelude::*,
     protocol::Dispatch,
     reach::LATE_REPLY_TIME,
+    shed::{self, Sample},
     strikes,
 };
 
@@ -49,7 +50,10 @@
     /// The replica sent a complete reply.
     Complete(Reply, Bytes),
     /// The replica states that it did not run the request.
-    Refused,
+    Refused {
+        /// Whether it has no room for more requests.
+        is_full: bool,
+    },
     /// The reply is unsigned or encoded; the request may have run.
     Unusable(String),
     /// No connection could be opened; nothing was sent.
@@ -60,10 +64,16 @@
     TimedOut,
 }
 
-/// Relays a request to one replica after another until one gives a final reply.
+/// Relays a request to one replica after another until one gives a final reply, unless it is shed
+/// because its service is overloaded.
 ///
-/// Returns [`Outcome::Answer`] or [`Outcome::Error`], which the function's caller sends.
+/// Returns [`Outcome::Answer`], [`Outcome::Error`] or [`Outcome::Shed`], which the function's caller
+/// sends.
 pub async fn relay<P: Protocol>(node: &Arc<Node<P>>, job: &Job, trace: &mut Trace) -> Outcome {
+    if let Some(outcome) = shed::admit(node, job) {
+        return outcome;
+    }
+    let mut sample = Sample::new(node, job);
     let deadline = job.deadline();
     let may_repeat = job.route.semantics.may_repeat();
     let (mut may_have_run, mut timed_out) = (false, false);
@@ -105,7 +115,14 @@
         trace.excluded.push(replica.id.clone());
         let is_last = !may_repeat || trace.sends + 1 >= job.route.max_attempts;
         let attempt_deadline = if is_last { deadline } else { retry_deadline(node, key, job, now) };
-        match attempt(node, job, key, &replica, attempt_deadline, trace).await {
+        sample.start(&replica);
+        let attempt = attempt(node, job, key, &replica, attempt_deadline, trace).await;
+        match &attempt {
+            Attempt::Complete(reply, _) if !reply.status.is_server_error() => sample.answered(),
+            Attempt::Refused { is_full: true } | Attempt::TimedOut => sample.rejected(),
+            _ => sample.failed(),
+        }
+        match attempt {
             Attempt::Complete(reply, body) if reply.status.is_server_error() && !is_last => {
                 trace.record(&replica, reply.status.as_u16());
                 counter::retried("failure");
@@ -115,7 +132,7 @@
                 trace.record(&replica, reply.status.as_u16());
                 return Outcome::Answer { reply, body };
             }
-            Attempt::Refused => {
+            Attempt::Refused { .. } => {
                 trace.record(&replica, "refused");
                 code = Code::Refused;
                 counter::retried("refused");
@@ -209,7 +226,13 @@
             let latency = sent_at.elapsed();
             node.pool.put(replica.address, connection);
             if meta.not_run {
-                return Attempt::Refused;
+                // A replica that names a limit refuses requests although it has room for them.
+                let is_unavailable = reply.status == StatusCode::SERVICE_UNAVAILABLE;
+                let is_full = is_unavailable && meta.limit.is_none();
+                if is_full {
+                    node.catalog().record_full(key, Instant::now());
+                }
+                return Attempt::Refused { is_full };
             }
             let is_error = reply.status.is_server_error();
             node.catalog().record_answer(key, Some(latency), is_error);
--- a/crates/winch-relay/tests/place_choice.rs
+++ b/crates/winch-relay/tests/place_choice.rs
@@ -131,6 +131,22 @@
     assert_eq!(chosen(&catalog), "i-2", "fast failures do not make a replica preferable");
 }
 
+/// A replica whose queue is full refuses the requests of all daemons, so that another one is chosen
+/// until its queue has moved up.
+#[test]
+fn full_replica_avoided() {
+    let (mut catalog, now) = (catalog(&["a", "b"]), Instant::now());
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut chosen = |catalog: &Catalog, now| {
+        placement::choose_replica(catalog, "s", "a", any, now, &mut rng).unwrap().1.id.to_string()
+    };
+    let key = catalog.key("i-1").unwrap();
+    catalog.record_answer(key, Some(Duration::from_millis(20)), false);
+    catalog.record_full(key, now);
+    assert_eq!(chosen(&catalog, now), "i-2");
+    assert_eq!(chosen(&catalog, now + Duration::from_millis(100)), "i-1");
+}
+
 #[test]
 fn repeat_offered_to_same() {
     let dcs: Vec<&str> = (0..60).map(|n| if n < 20 { "a" } else { "b" }).collect();
