winch-route, winch-relay: let less urgent streams wait in the daemon while all replicas are loaded

Requests of several priorities compete for prefill and KV cache. An ordinary request that queues at a replica takes room from the runs there, which are preempted, and keeps its place although others become free.

--- a/crates/winch-relay/src/counter.rs
+++ b/crates/winch-relay/src/counter.rs
@@ -79,6 +79,12 @@
     counter!("winch_copies_skipped_total", "reason" => reason).increment(1);
 }
 
+/// Counts a stream that waits in this daemon for a replica with room: `begun`, and then `started` or
+/// `expired`.
+pub fn waited(result: &'static str) {
+    counter!("winch_waits_total", "result" => result).increment(1);
+}
+
 /// Counts an attempt to open a connection to a replica, by result.
 pub fn connected(result: &'static str) {
     counter!("winch_connections_total", "result" => result).increment(1);
--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -39,6 +39,7 @@
     reach::Paths,
     settings::{Settings, Tuning},
     shed::Shedders,
+    stream::admission::Backlogs,
     strikes::Strikes,
     unary::MAX_BODY_BLOCKS,
     watch::Topic,
@@ -107,6 +108,7 @@
     /// Retry budgets by service.
     budgets: Mutex<HashMap<Name, RetryBudget>>,
     pub(crate) shedders: Shedders,
+    pub(crate) backlogs: Backlogs,
     stopping: Sender<bool>,
 }
 
@@ -141,6 +143,7 @@
             started_at,
             budgets: Mutex::default(),
             shedders: Shedders::default(),
+            backlogs: Backlogs::default(),
             stopping: Sender::new(false),
         })
     }
--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -5,6 +5,7 @@
 //! returns the outcome. `target` chooses the replica of each attempt among those that `survey` has
 //! asked for their load; `attempt` sends the request to it and forwards the events.
 
+pub(crate) mod admission;
 mod attempt;
 mod passing;
 mod survey;
@@ -62,6 +63,14 @@
     estimate: Option<Estimate>,
 }
 
+/// The choice of the replica of an attempt.
+enum Choice {
+    /// The replica; `None` if there is none.
+    Target(Option<Target>),
+    /// The request is refused before it is sent.
+    Refused(Outcome),
+}
+
 /// What a stream has to expect at its target.
 #[derive(Clone, Copy, Debug)]
 struct Estimate {
@@ -164,7 +173,11 @@
             {
                 return outcome;
             }
-            let Some(target) = self.choose_target().await else {
+            let target = match self.choose_target().await {
+                Choice::Refused(outcome) => return outcome,
+                Choice::Target(target) => target,
+            };
+            let Some(target) = target else {
                 if self.job.needs_forwarding(self.node, self.trace) {
                     continue;
                 }
--- a/crates/winch-relay/src/stream/survey.rs
+++ b/crates/winch-relay/src/stream/survey.rs
@@ -89,8 +89,13 @@
         placement::draw_further(&node.catalog(), service, asked, is_eligible, now, rng)
     }
 
-    /// Asks the candidates, and further ones while those that have answered are loaded.
-    pub(super) async fn survey(&self, candidates: Vec<(Key, Arc<Replica>)>) -> Survey {
+    /// Asks the candidates, and with `may_ask_further` further ones while those that have answered are
+    /// loaded.
+    pub(super) async fn survey(
+        &self,
+        candidates: Vec<(Key, Arc<Replica>)>,
+        may_ask_further: bool,
+    ) -> Survey {
         let service = self.service();
         let prompt_tokens = self.job.call.size.map(|size| size.prompt_tokens);
         let request = Request {
@@ -102,7 +107,7 @@
         let mut survey = Survey { rated: Vec::new(), request, service };
         self.ask(candidates, &mut survey).await;
         let mut further = 0;
-        while survey.needs_further_round(further) {
+        while may_ask_further && survey.needs_further_round(further) {
             let candidates = self.draw_further(&asked);
             if candidates.is_empty() {
                 break;
--- a/crates/winch-relay/src/stream/target.rs
+++ b/crates/winch-relay/src/stream/target.rs
@@ -2,10 +2,9 @@
 
 use tokio::{io::AsyncWrite, time::sleep};
 
-use winch_route::engine;
-
 use super::{
-    Estimate, Session, Target,
+    Choice, Estimate, Session, Target,
+    admission::Admission,
     survey::{Rated, Survey},
 };
 use crate::{
@@ -35,7 +34,8 @@
     /// Rank of the request among the priorities of its service, 0 for the most urgent; `None` if
     /// all its requests have the same priority.
     pub(super) fn rank(&self) -> Option<u8> {
-        None
+        let priority = self.job.priority;
+        (priority.ranks > 1).then(|| u8::try_from(priority.rank).unwrap_or(u8::MAX))
     }
 
     /// Capabilities of the service's engines; `None` for a plain service.
@@ -54,13 +54,17 @@
 
     /// Chooses the replica of the next attempt: the holder of the run's KV cache copy if it
     /// may serve the request, else the replica with the least cost. `None` if there is none.
-    pub(super) async fn choose_target(&mut self) -> Option<Target> {
+    pub(super) async fn choose_target(&mut self) -> Choice {
         if let Some(copy) = self.take_copy()
             && let Some(target) = self.target_from_copy(copy).await
         {
-            return Some(target);
+            return Choice::Target(Some(target));
+        }
+        match self.wait_for_room().await {
+            Admission::Started(target) => Choice::Target(Some(target)),
+            Admission::Refused(outcome) => Choice::Refused(outcome),
+            Admission::Passed => Choice::Target(self.place_with_retries().await),
         }
-        self.place_with_retries().await
     }
 
     /// Takes the newest copy, which the session forgets.
@@ -100,7 +104,7 @@
 
     /// The copy of the run at `source` that is wanted when it starts.
     fn wanted_copy<'b>(&self, source: &'b Replica, excluded_dc: &'b str) -> Wanted<'b> {
-        let room = engine::copy_room(self.kv_tokens(), self.rank().unwrap_or(0));
+        let room = self.kv_tokens();
         Wanted { source, room, excluded_dc, service: self.service() }
     }
 
@@ -119,11 +123,6 @@
         if holder.is_some() {
             return holder;
         }
-        let is_other = |replica: &Replica| replica.dc != source.dc;
-        if self.rank().is_some_and(|rank| rank > 0) && answers().any(|a| is_other(&a.replica)) {
-            counter::copy_skipped("priority");
-            return None;
-        }
         let is_asked = |replica: &Replica| answers().any(|answer| answer.replica.id == replica.id);
         let holder = wanted.draw(self.node, is_asked);
         if holder.is_none() {
@@ -151,10 +150,9 @@
     async fn place_once(&self, round: u32) -> Option<Target> {
         let candidates = self.draw(round);
         let only_candidate = (candidates.len() == 1).then(|| candidates[0].clone());
-        let survey = self.survey(candidates).await;
+        let survey = self.survey(candidates, true).await;
         let now = Instant::now();
-        let takes = |rated: &&Rated| self.node.catalog().take_slot(rated.answer.key, now);
-        let Some(best) = survey.rated.iter().find(takes) else {
+        let Some(target) = self.take_best(&survey, |_| true) else {
             // A single candidate may still serve without a report in time or while it
             // drains, unless it has left the catalog, for example because another
             // incarnation has replaced it.
@@ -164,12 +162,29 @@
             }
             return Some(Target { key, replica, copy_from: None, copy_to: None, estimate: None });
         };
+        Some(target)
+    }
+
+    /// Probes one round of candidates, and `further` ones if those are loaded; returns the best one
+    /// if the stream can start there without queueing.
+    pub(super) async fn place_if_open(&self, further: bool) -> Option<Target> {
+        let survey = self.survey(self.draw(0), further).await;
+        self.take_best(&survey, |rated| rated.forecast.is_open)
+    }
+
+    /// The replica with the least cost among those that are eligible, and the holder of the copy.
+    fn take_best(&self, survey: &Survey, is_eligible: impl Fn(&Rated) -> bool) -> Option<Target> {
+        let now = Instant::now();
+        let takes = |rated: &&Rated| {
+            is_eligible(rated) && self.node.catalog().take_slot(rated.answer.key, now)
+        };
+        let best = survey.rated.iter().find(takes)?;
         if !best.forecast.has_room {
             counter::placed_without_room();
         }
-        let copy_to = self.choose_copy_holder(&survey, best);
+        let copy_to = self.choose_copy_holder(survey, best);
         let estimate = survey.estimate(&best.forecast);
-        self.log_choice(&survey, best, &estimate, copy_to.as_deref());
+        self.log_choice(survey, best, &estimate, copy_to.as_deref());
         let (key, replica) = (best.answer.key, best.answer.replica.clone());
         Some(Target { key, replica, copy_from: None, copy_to, estimate: Some(estimate) })
     }
--- a/crates/winch-relay/tests/priority_ranks.rs
+++ b/crates/winch-relay/tests/priority_ranks.rs
@@ -26,7 +26,13 @@
 }
 
 fn service(name: &str, is_engine: bool) -> Service {
-    let engine = Engine { slots: 4, kv_capacity_tokens: 1_000, copies: true, snapshot_ttl: None };
+    let engine = Engine {
+        slots: 4,
+        kv_capacity_tokens: 1_000,
+        tokens_per_event: 1.0,
+        copies: true,
+        snapshot_ttl: None,
+    };
     Service {
         name: name.into(),
         health_path: "/health".into(),
--- a/crates/winch-route/src/lib.rs
+++ b/crates/winch-route/src/lib.rs
@@ -12,6 +12,7 @@
 //! [`Duration`]: std::time::Duration
 
 pub mod admission;
+pub mod backlog;
 pub mod budget;
 pub mod candidate;
 pub mod choose;
