winch-config, winch-relay, platform: warnings and differences in `check`

`wisteriawinch check` reported faults only. A route that another one hides, a service that no route uses, a team without keys or a target latency above its timeout went into force unnoticed, and what a file changes was not shown. Warnings have numbers of their own (321 to 324) and the form of faults; they do not change the exit code. Differences are printed field by field against the set in force of a daemon or, with `--against`, another file.

--- a/crates/winch-config/src/lib.rs
+++ b/crates/winch-config/src/lib.rs
@@ -8,6 +8,8 @@
 
 pub mod change;
 pub mod check;
+pub mod difference;
+pub mod lint;
 pub mod load;
 pub mod object;
 pub mod publish;
--- a/crates/winch-move/src/machine.rs
+++ b/crates/winch-move/src/machine.rs
@@ -59,6 +59,8 @@
 
 /// Minimum time in one stage, in seconds.
 const MIN_STAGE_SECS: f64 = 3.0;
+/// Shortest time in which a move passes through all its stages, in seconds.
+pub const MIN_MOVE_SECS: f64 = MIN_STAGE_SECS * schedule::LAST_STAGE as f64;
 /// Longest time before the deadline at which a move without enough evidence ends, in seconds, so
 /// that its verdict is stored in time.
 const MAX_MARGIN_SECS: f64 = 2.0;
--- a/crates/winch-relay/src/config.rs
+++ b/crates/winch-relay/src/config.rs
@@ -138,6 +138,21 @@
     }
 }
 
+/// A configuration as its document lists it, in the document's order.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Parts {
+    /// See [`Config::version`].
+    pub version: u64,
+    /// The routes.
+    pub routes: Vec<Route>,
+    /// The services.
+    pub services: Vec<Service>,
+    /// The teams, with their API keys; `None` if no route needs a key.
+    pub teams: Option<Vec<(Arc<Team>, Vec<Name>)>>,
+    /// Limits on callers' requests and connections.
+    pub limits: Limits,
+}
+
 /// One version of the complete configuration.
 #[derive(Clone, Debug, Default)]
 pub struct Config {
@@ -151,6 +166,19 @@
     pub limits: Limits,
 }
 
+impl From<Parts> for Config {
+    fn from(parts: Parts) -> Self {
+        let Parts { version, routes, services, teams, limits } = parts;
+        let by_key = |teams: Vec<(Arc<Team>, Vec<Name>)>| {
+            let keys = |(team, keys): (Arc<Team>, Vec<Name>)| {
+                keys.into_iter().map(move |key| (key, team.clone()))
+            };
+            teams.into_iter().flat_map(keys).collect()
+        };
+        Self::new(version, routes, services, teams.map(by_key), limits)
+    }
+}
+
 impl Config {
     /// Builds a configuration from its parts.
     ///
--- a/crates/winch-relay/src/lib.rs
+++ b/crates/winch-relay/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod forward;
 pub mod job;
 pub mod kv_snapshot;
+pub mod lint;
 pub mod moves;
 pub mod node;
 pub mod peer;
--- a/crates/wisteriawinch/src/command/operate.rs
+++ b/crates/wisteriawinch/src/command/operate.rs
@@ -4,7 +4,14 @@
 use gumdrop::Options;
 use reqwest::{Client, Response};
 use serde_json::{Value, json};
-use winch_config::{change::parse, check, set::Set};
+use winch_adapter::document;
+use winch_config::{
+    change::{Change, Edit, parse},
+    check,
+    difference::{self, Difference},
+    lint::{self, Warning},
+    set::{Set, Stored},
+};
 
 use super::Exit;
 
@@ -21,6 +28,10 @@
     daemon: Option<String>,
     #[options(help = "operator token [WINCH_OPERATOR_TOKEN]", no_short)]
     token: Option<String>,
+    #[options(help = "complete configuration with which the file is compared", no_short)]
+    against: Option<String>,
+    #[options(help = "the files are configurations of `entry`", no_short)]
+    platform: bool,
 }
 
 /// Flags of `apply`.
@@ -170,42 +181,110 @@
     result.unwrap_or_else(|exit| exit)
 }
 
-/// Runs `check`: prints the faults of a file, as a change to a daemon's configuration or as a
-/// complete configuration.
+/// Runs `check`: prints the faults and warnings of a file, as a change to a daemon's configuration or
+/// as a complete configuration, and what differs from that of the daemon or of another file.
+///
+/// Warnings do not change the exit code.
 pub async fn check(options: &Check) -> Exit {
     into_exit(try_check(options).await)
 }
 
 async fn try_check(options: &Check) -> Result<Exit, Exit> {
+    if options.daemon.is_some() && (options.platform || options.against.is_some()) {
+        eprintln!("wisteriawinch: --daemon excludes --platform and --against");
+        return Err(Exit::Usage);
+    }
     let text = read_file(&options.file)?;
+    let against = match &options.against {
+        Some(_) => Some(read_file(&options.against)?),
+        None => None,
+    };
+    if options.platform {
+        return check_platform(&text, against.as_deref());
+    }
     if options.daemon.is_none() {
-        return Ok(check_offline(&text));
+        return check_offline(&text, against.as_deref());
     }
     let daemon = Daemon::new(&options.daemon, &options.token)?;
     // Text that is not JSON is sent as a string, which the daemon reports as a fault.
-    let value = serde_json::from_str(&text).unwrap_or(Value::String(text));
+    let value = serde_json::from_str(&text).unwrap_or_else(|_| Value::String(text.clone()));
     let (status, body) = daemon.call("/admin/check", Some(value)).await?;
     if status != 200 {
         return Ok(print_error(&body));
     }
+    let edit = parse(&text).map_err(|faults| print_faults(&faults))?;
+    let (status, objects) = daemon.call("/admin/objects", None).await?;
+    if status != 200 {
+        return Ok(print_error(&objects));
+    }
+    let in_force: Stored = serde_json::from_value(objects).map_err(|error| {
+        eprintln!("wisteriawinch: the objects of the daemon: {error}");
+        Exit::Refused
+    })?;
+    let in_force = Set::from(in_force);
+    print_warnings(&lint::lint_edit(&edit));
+    let set = preview(&in_force, edit);
+    print_warnings(&lint::lint(&set));
+    print_differences(&difference::between_sets(&in_force, &set));
     println!("no faults against revision {}", body["revision"]);
     Ok(Exit::Success)
 }
 
 /// Checks a file as a complete configuration.
-fn check_offline(text: &str) -> Exit {
-    let faults = match parse(text) {
-        Ok(edit) => {
-            let change = winch_config::change::Change { puts: edit.puts, ..Default::default() };
-            check::check(&Set::default().preview(&change))
-        }
-        Err(faults) => faults,
+fn check_offline(text: &str, against: Option<&str>) -> Result<Exit, Exit> {
+    let parse = |text: &str| parse(text).map_err(|faults| print_faults(&faults));
+    let edit = parse(text)?;
+    let set = preview(&Set::default(), Edit { deletes: Vec::new(), ..edit.clone() });
+    let faults = check::check(&set);
+    if !faults.is_empty() {
+        return Err(print_faults(&faults));
+    }
+    print_warnings(&lint::lint_edit(&edit));
+    print_warnings(&lint::lint(&set));
+    if let Some(against) = against {
+        let edit = Edit { deletes: Vec::new(), ..parse(against)? };
+        print_differences(&difference::between_sets(&preview(&Set::default(), edit), &set));
+    }
+    Ok(Exit::Success)
+}
+
+fn preview(set: &Set, edit: Edit) -> Set {
+    set.preview(&Change { puts: edit.puts, deletes: edit.deletes, ..Change::default() })
+}
+
+/// Checks a configuration of `entry`.
+fn check_platform(text: &str, against: Option<&str>) -> Result<Exit, Exit> {
+    let print_fault = |fault: String| {
+        eprintln!("wisteriawinch: {fault}");
+        Exit::Refused
     };
-    for fault in &faults {
+    let warnings = document::lint_config(text.as_bytes()).map_err(print_fault)?;
+    print_warnings(&warnings);
+    if let Some(against) = against {
+        let differences = document::compare_configs(against.as_bytes(), text.as_bytes());
+        print_differences(&differences.map_err(print_fault)?);
+    }
+    Ok(Exit::Success)
+}
+
+fn print_faults(faults: &[check::Fault]) -> Exit {
+    for fault in faults {
         let number = u16::from(fault.code);
         eprintln!("{number} {} {}: {}", fault.object, fault.field, fault.reason);
     }
-    if faults.is_empty() { Exit::Success } else { Exit::Refused }
+    Exit::Refused
+}
+
+fn print_warnings(warnings: &[Warning]) {
+    for warning in warnings {
+        eprintln!("warning {warning}");
+    }
+}
+
+fn print_differences(differences: &[Difference]) {
+    for difference in differences {
+        println!("{difference}");
+    }
 }
 
 /// Runs `apply`: publishes a file. With `--wait`, the exit code is [`Exit::Unconfirmed`] if a
--- a/crates/wisteriawinch/tests/doc_tables.rs
+++ b/crates/wisteriawinch/tests/doc_tables.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use winch_config::check;
+use winch_config::{check, lint};
 use winch_relay::code as relay;
 use winch_roster::frame;
 use wisteriawinch::{
@@ -47,7 +47,8 @@
     let relay = |number: u16| relay::Code::ALL.iter().any(|code| *code as u16 == number);
     for number in rows.keys().filter(|number| **number >= 100 && !relay(**number)) {
         let fault = check::Code::ALL.iter().any(|fault| u16::from(*fault) == *number);
-        let is_known = fault || frame::Error::CODES.contains(number);
+        let warning = lint::Code::ALL.iter().any(|code| *code as u16 == *number);
+        let is_known = fault || warning || frame::Error::CODES.contains(number);
         assert!(is_known || Code::from_number(*number).is_some(), "{number} is not in the code");
     }
     for number in frame::Error::CODES {
@@ -56,6 +57,9 @@
     for fault in check::Code::ALL {
         assert!(rows.contains_key(&u16::from(fault)));
     }
+    for warning in lint::Code::ALL {
+        assert!(rows.contains_key(&(warning as u16)), "{warning:?} is not in the table");
+    }
 }
 
 #[test]
