winch-route: decide which streams are refused because no replica can start them in time

Streams were never refused: under three and six times the traffic they waited until their callers gave up. A gate in each daemon compares the expected wait at the best replica with what the target latency and the rank of the request allow.

What one daemon sees as room, all see.

--- a/crates/winch-route/src/lib.rs
+++ b/crates/winch-route/src/lib.rs
@@ -4,7 +4,7 @@
 //! [`router::Router`] holds the routing state of one daemon. A daemon combines it with
 //! [`urgency`], which sets the longest wait of a call, and [`suspect`], which restricts
 //! requests that may have crashed engines, and [`quarantine`], which finds the parts of prompts
-//! on which engines crash.
+//! on which engines crash. [`overload`] refuses streams that no engine can start in time.
 //!
 //! All types are plain state machines without I/O. Times are [`Duration`]s since
 //! an origin that the user of the crate chooses, and random numbers are passed in.
@@ -16,6 +16,7 @@
 pub mod candidate;
 pub mod choose;
 pub mod hash;
+pub mod overload;
 pub mod pace;
 pub mod pool;
 pub mod quarantine;
