winch-relay: keep the gates of a daemon, count their decisions and report saturated phases

Node::admit_stream is not called yet. It counts each decision by rank, and reports the first refusal of a service and the end of its refusals, when there was none for the length of the target, once each.

--- a/crates/winch-event/src/lib.rs
+++ b/crates/winch-event/src/lib.rs
@@ -128,6 +128,10 @@
     ServiceOutOfReach = 1121, Error, "replicas of the service out of reach";
     /// This daemon reaches replicas of the service again.
     ServiceReached = 1122, Info, "replicas of the service within reach again";
+    /// No replica of a service can start a request in time; this daemon refuses such requests.
+    ServiceSaturated = 1123, Warn, "service saturated, requests are refused";
+    /// This daemon has refused no request of the service for the length of the target latency.
+    ServiceRelieved = 1124, Info, "service no longer saturated";
     /// An order was sent, but its response was lost or did not arrive in time; the order
     /// may have taken effect.
     OrderOutcomeUnknown = 1201, Error, "outcome of an order is unknown";
--- a/crates/winch-relay/src/counter.rs
+++ b/crates/winch-relay/src/counter.rs
@@ -16,6 +16,12 @@
     counter!("winch_refused_total", "code" => code.name()).increment(1);
 }
 
+/// Counts a decision whether a stream is sent to a replica or refused because of the load of its
+/// service, by the rank of its priority. The result is `admitted` or `refused`.
+pub fn admission(result: &'static str, rank: u32) {
+    counter!("winch_admissions_total", "result" => result, "rank" => rank.to_string()).increment(1);
+}
+
 /// Counts an attempt that was refused or failed, by reason; usually a retry follows.
 pub fn retried(reason: &'static str) {
     counter!("winch_retries_total", "reason" => reason).increment(1);
--- a/crates/winch-relay/src/daemon.rs
+++ b/crates/winch-relay/src/daemon.rs
@@ -190,5 +190,6 @@
         sleep(SWEEP_INTERVAL).await;
         node.pool.sweep();
         node.expire();
+        node.sweep_gates();
     }
 }
--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -3,6 +3,7 @@
 //!
 //! Changes of that state are logged, recorded for followers and announced to subscribers.
 
+mod admission;
 mod listing;
 
 use std::{
@@ -25,7 +26,10 @@
 use tokio_util::task::TaskTracker;
 use winch_move::evidence::Cohort;
 use winch_roster::roster::Roster;
-use winch_route::budget::{self, Budget};
+use winch_route::{
+    budget::{self, Budget},
+    overload::Gate,
+};
 
 use crate::{
     catalog::{Catalog, Entry, Key},
@@ -94,6 +98,8 @@
     started_at: Instant,
     /// Retry budgets by service.
     budgets: Mutex<HashMap<Name, Budget>>,
+    /// Admission of streams by service.
+    gates: Mutex<HashMap<Name, Gate>>,
     stopping: Sender<bool>,
 }
 
@@ -127,6 +133,7 @@
             confirmed: Mutex::default(),
             started_at,
             budgets: Mutex::default(),
+            gates: Mutex::default(),
             stopping: Sender::new(false),
         })
     }
