--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -3,6 +3,7 @@
 //!
 //! Changes of that state are logged, recorded for followers and announced to subscribers.
 
+mod admission;
 mod listing;
 
 use std::{
@@ -25,7 +26,10 @@
 use tokio_util::task::TaskTracker;
 use winch_move::evidence::Cohort;
 use winch_roster::roster::Roster;
-use winch_route::budget::{self, Budget};
+use winch_route::{
+    budget::{self, Budget},
+    overload::Gate,
+};
 
 use crate::{
     catalog::{Catalog, Entry, Key},
@@ -109,6 +113,8 @@
     budgets: Mutex<HashMap<Name, RetryBudget>>,
     pub(crate) shedders: Shedders,
     pub(crate) backlogs: Backlogs,
+    /// Admission of streams by service.
+    gates: Mutex<HashMap<Name, Gate>>,
     stopping: Sender<bool>,
 }
 
@@ -144,6 +150,7 @@
             budgets: Mutex::default(),
             shedders: Shedders::default(),
             backlogs: Backlogs::default(),
+            gates: Mutex::default(),
             stopping: Sender::new(false),
         })
     }
