winch-route, winch-relay: estimate the speeds of replicas from the gaps of streams

Replicas of one service differ in speed, and some slow down long before they are full. A daemon sees a given replica too rarely to learn this alone. Each daemon now samples the gaps of its streams, followers report the samples, and the daemon that reads the store estimates and tells the followers which replicas differ. Replicas that differ by less than the noise keep slowness 1.

Ruled out: fixed weights, learning by each daemon alone, probes, gossip; see docs/design/speed.md.

--- a/crates/winch-event/src/lib.rs
+++ b/crates/winch-event/src/lib.rs
@@ -128,6 +128,10 @@
     ServiceOutOfReach = 1121, Error, "replicas of the service out of reach";
     /// This daemon reaches replicas of the service again.
     ServiceReached = 1122, Info, "replicas of the service within reach again";
+    /// Replicas of a service were found to differ in speed; requests are placed accordingly.
+    SpeedsDiffer = 1125, Info, "speeds of the service's replicas differ";
+    /// The replicas of a service no longer differ in speed by more than the noise.
+    SpeedsAlike = 1126, Info, "speeds of the service's replicas no longer differ";
     /// An order was sent, but its response was lost or did not arrive in time; the order
     /// may have taken effect.
     OrderOutcomeUnknown = 1201, Error, "outcome of an order is unknown";
--- a/crates/winch-relay/src/catalog.rs
+++ b/crates/winch-relay/src/catalog.rs
@@ -5,6 +5,7 @@
 //! the replicas of a service that may be used.
 
 mod departed;
+mod latencies;
 mod limits;
 
 use std::{
@@ -15,7 +16,7 @@
 use slotmap::{SlotMap, new_key_type};
 use winch_route::throttle::{Demand, Throttle};
 
-use self::departed::Departed;
+use self::{departed::Departed, latencies::Latencies};
 use crate::{prelude::*, store::Change};
 
 /// Time after an outage of the store within which removed entries of the list may be written
@@ -145,6 +146,9 @@
     /// Era of the store in which the list was last read; `None` before the first read.
     era: Option<u64>,
     departed: Departed,
+    latencies: Latencies,
+    /// Services and relative slowness of replicas that are not typical, by address.
+    slowness: HashMap<SocketAddr, (Name, f64)>,
     /// Entries that the store may only have from an older copy, by the ids of their replicas.
     returning: HashMap<Name, Replica>,
     /// When entries in `returning` are believed; `None` if no era has begun recently.
@@ -243,6 +247,7 @@
     /// Changes nothing during an outage of the store and during the grace period.
     pub fn expire(&mut self, now: Instant) -> Vec<Transition> {
         self.departed.expire(now);
+        self.latencies.expire(now);
         if !self.is_settled(now) {
             return Vec::new();
         }
@@ -334,7 +339,9 @@
             self.remove(&id);
         }
         let (id, address) = (replica.id.clone(), replica.address);
-        let key = self.entries.insert(Entry::new(replica));
+        let latency_ms = self.latencies.take(&replica);
+        let slowness = self.slowness_of(&replica);
+        let key = self.entries.insert(Entry { latency_ms, slowness, ..Entry::new(replica) });
         self.by_id.insert(id, key);
         self.by_address.insert(address, key);
         let replica = self.entries[key].replica.clone();
@@ -351,6 +358,7 @@
         if self.by_address.get(&entry.replica.address) == Some(&key) {
             self.by_address.remove(&entry.replica.address);
         }
+        self.latencies.insert(&entry);
         Some(Transition::Removed(entry.replica))
     }
 
@@ -365,6 +373,30 @@
         self.entries.get(key).map_or(1.0, |entry| entry.slowness)
     }
 
+    /// Sets [`Self::slowness()`] of the replicas that are not typical, with their services, by
+    /// address. All others are typical.
+    pub fn set_slowness(&mut self, slowness: HashMap<SocketAddr, (Name, f64)>) {
+        self.slowness = slowness;
+        let keys: Vec<Key> = self.entries.keys().collect();
+        for key in keys {
+            let slowness = self.slowness_of(&self.entries[key].replica);
+            self.entries[key].slowness = slowness;
+        }
+    }
+
+    fn slowness_of(&self, replica: &Replica) -> f64 {
+        let known = self.slowness.get(&replica.address);
+        known
+            .filter(|(service, _)| *service == replica.service)
+            .map_or(1.0, |(_, slowness)| *slowness)
+    }
+
+    /// Service of the replica at `address`; `None` if none is known there.
+    pub fn service_at(&self, address: SocketAddr) -> Option<&Name> {
+        let key = self.by_address.get(&address)?;
+        Some(&self.entries.get(*key)?.replica.service)
+    }
+
     /// Changes the entry with `key`, unless the replica was removed.
     pub fn update(&mut self, key: Key, change: impl FnOnce(&mut Entry)) {
         if let Some(entry) = self.entries.get_mut(key) {
--- a/crates/winch-relay/src/counter.rs
+++ b/crates/winch-relay/src/counter.rs
@@ -98,6 +98,20 @@
     counter!("winch_moves_total", "verdict" => verdict).increment(1);
 }
 
+/// Counts samples of the speed of replicas: `taken` of this daemon's streams, `received` from
+/// followers, and `sent` to the daemon that this one follows.
+pub fn speed_samples(stage: &'static str, count: usize) {
+    counter!("winch_speed_samples_total", "stage" => stage).increment(count as u64);
+}
+
+/// Sets the number of replicas of a service with an estimate of their speed, and the ratio of the
+/// upper quartile of the estimates to the lower one.
+pub fn speed_estimates(service: &Name, known: usize, quartile_ratio: f64) {
+    let service = service.to_string();
+    gauge!("winch_speed_estimates", "service" => service.clone()).set(known as f64);
+    gauge!("winch_speed_spread", "service" => service).set(quartile_ratio);
+}
+
 /// Sets the numbers of log lines that were omitted by a limit or dropped at the output.
 pub fn log_losses() {
     counter!("winch_log_omitted_total").absolute(winch_event::limit::omitted());
--- a/crates/winch-relay/src/lib.rs
+++ b/crates/winch-relay/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod replica;
 pub mod respond;
 pub mod settings;
+pub mod speed;
 pub mod sse;
 pub mod stall;
 pub mod store;
--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -38,6 +38,7 @@
     prelude::*,
     reach::Paths,
     settings::{Settings, Tuning},
+    speed::Speeds,
     strikes::Strikes,
     unary::MAX_BODY_BLOCKS,
     watch::Topic,
@@ -85,6 +86,7 @@
     strikes: Mutex<Strikes>,
     fleet: Mutex<Fleet>,
     paths: Mutex<Paths>,
+    speeds: Mutex<Speeds>,
     /// Requests that run in this daemon.
     pub running: Running,
     reads_store: AtomicBool,
@@ -121,6 +123,7 @@
             strikes: Strikes::new(started_at).into(),
             fleet: Mutex::default(),
             paths: Mutex::default(),
+            speeds: Mutex::default(),
             running: Running::default(),
             reads_store: AtomicBool::new(false),
             serves: AtomicBool::new(false),
@@ -241,6 +244,11 @@
         lock(&self.paths)
     }
 
+    /// Samples and speeds of replicas.
+    pub fn speeds(&self) -> MutexGuard<'_, Speeds> {
+        lock(&self.speeds)
+    }
+
     /// Number of daemons in the fleet.
     pub fn daemons(&self) -> u32 {
         self.fleet().daemons(self.serves() && self.reads_store(), Instant::now())
--- a/crates/winch-relay/src/peer.rs
+++ b/crates/winch-relay/src/peer.rs
@@ -15,6 +15,7 @@
 mod message;
 mod notice;
 mod serve;
+mod speeds;
 
 use std::{io, net::SocketAddr};
 
--- a/crates/winch-relay/src/peer/follow.rs
+++ b/crates/winch-relay/src/peer/follow.rs
@@ -12,18 +12,20 @@
     FramedStream, SEED_TIMEOUT, apply_notices, connect, interest,
     message::{Report, Request, Update},
     receive, report_decisive, send,
+    speeds::encode_samples,
 };
 use crate::{
     edition::Edition,
     node::Node,
     prelude::*,
+    speed::Told,
     store::{Listing, Store},
     watch::Topic,
 };
 
 /// Timeout for connecting to a seed that is to be followed.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
-/// Interval of a follower's reports while a service is being moved.
+/// Interval of a follower's reports while it has something to report.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Why a seed is no longer followed.
@@ -168,6 +170,10 @@
         let version = self.pending.last().map_or(0, |update| update.config_version);
         emit!(Event::SeedFollowed, seed = self.seed, version = version);
         report_decisive(node, self.seed).await?;
+        // A daemon of an earlier release tells no speeds.
+        if let Some(first) = self.pending.first_mut() {
+            first.speeds.get_or_insert_with(|| Told::nothing_known().into());
+        }
         for update in std::mem::take(&mut self.pending) {
             self.apply(node, store, update).await?;
         }
@@ -179,9 +185,11 @@
             let update = tokio::select! {
                 update = receive::<Update>(&mut self.framed, timeout_at) => update?,
                 _ = report_ticks.tick() => {
-                    if self.limits.serves || node.rollouts().any_open() {
-                        let report = send(&mut self.framed, build_report(node));
-                        timeout(SEED_TIMEOUT, report).await.map_err(io::Error::from)??;
+                    let report = build_report(node);
+                    let has_news = !report.samples.is_empty() || report.speeds.is_some();
+                    if has_news || self.limits.serves || node.rollouts().any_open() {
+                        let sent = send(&mut self.framed, report);
+                        timeout(SEED_TIMEOUT, sent).await.map_err(io::Error::from)??;
                     }
                     continue;
                 }
@@ -214,6 +222,7 @@
         for moving in std::mem::take(&mut update.moving) {
             node.apply_progress(moving.decode_at(self.received_at));
         }
+        let speeds = update.speeds.take();
         let edition = update.edition();
         install_config(node, std::mem::take(&mut update.config), edition.era);
         if node.edition().is_replaced_by(&edition) {
@@ -232,16 +241,24 @@
         let era = node.roster().position().era;
         let (listing, is_whole) = update.take_listing(era)?;
         node.apply_listing(listing, is_whole);
+        if let Some(speeds) = speeds {
+            node.speeds().apply(&speeds.into());
+            node.update_speeds();
+        }
         Ok(())
     }
 }
 
 fn build_report<P: Protocol>(node: &Node<P>) -> Report {
     let evidence = node.rollouts().evidence(Instant::now());
+    let daemons = node.daemons();
+    let mut speeds = node.speeds();
     Report {
         daemon: node.settings.name.to_string(),
         counted: evidence.into_iter().map(Into::into).collect(),
         followers: node.fleet().followers(),
+        samples: encode_samples(&speeds.take_samples(daemons, node.uptime())),
+        speeds: speeds.take_unknown_to_source().map(Into::into),
     }
 }
 
--- a/crates/winch-relay/src/peer/message.rs
+++ b/crates/winch-relay/src/peer/message.rs
@@ -14,7 +14,10 @@
 };
 use winch_wire::message::Tally;
 
-use super::notice::{ClearedPart, CrashStrike, millis};
+use super::{
+    notice::{ClearedPart, CrashStrike, millis},
+    speeds::Speeds,
+};
 use crate::{
     edition::Edition,
     moves::{Counts, Evidence, Progress, Spec},
@@ -144,6 +147,10 @@
     /// update on the connection.
     #[prost(message, optional, tag = "19")]
     pub relays: Option<Relays>,
+    /// Speeds of the receiver's replicas, if they have changed since the last update on the
+    /// connection.
+    #[prost(message, optional, tag = "20")]
+    pub speeds: Option<Speeds>,
 }
 
 /// The number of replicas of a service.
@@ -355,7 +362,7 @@
     }
 }
 
-/// The counts of a follower for the services that are being moved.
+/// What a follower has counted and measured.
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct Report {
     /// Name of the follower.
@@ -367,6 +374,12 @@
     /// Number of daemons that follow this follower.
     #[prost(uint32, tag = "3")]
     pub followers: u32,
+    /// Samples of the speed of replicas, its own and those of its followers.
+    #[prost(bytes = "vec", tag = "4")]
+    pub samples: Vec<u8>,
+    /// Speeds that the receiver did not tell although the sender knew them before.
+    #[prost(message, optional, tag = "5")]
+    pub speeds: Option<Speeds>,
 }
 
 /// The [`Evidence`] for one move on the wire.
--- a/crates/winch-relay/src/peer/serve.rs
+++ b/crates/winch-relay/src/peer/serve.rs
@@ -18,8 +18,11 @@
     message::{MoveProgress, Relays, Report, Request, ServiceSize, Update},
     notice::{ClearedPart, CrashStrike},
     send,
+    speeds::decode_samples,
+};
+use crate::{
+    edge, edition::Edition, fleet::FollowerKey, node::Node, prelude::*, speed, strikes::Notice,
 };
-use crate::{edge, edition::Edition, fleet::FollowerKey, node::Node, prelude::*, strikes::Notice};
 
 /// Largest number of connections that are served at once; further ones are closed.
 const MAX_CONNECTIONS: usize = 512;
@@ -48,6 +51,7 @@
     relays: Vec<SocketAddr>,
     /// Revision of the fleet for which the relays were chosen.
     fleet_revision: u64,
+    speeds: speed::Cursor,
 }
 
 impl Sent {
@@ -64,6 +68,7 @@
             address: request.address.parse().ok(),
             relays: Vec::new(),
             fleet_revision: 0,
+            speeds: speed::Cursor::default(),
         }
     }
 
@@ -146,6 +151,12 @@
         update.list_version = roster.position().version;
         update.list_era = Some(roster.position().era);
         let delta = self.cursor.advance(&roster, &moving);
+        if self.is_compact {
+            let added: Vec<_> = delta.put.iter().map(|listed| listed.replica.address).collect();
+            let is_known = |address| roster.id_at(address).is_some_and(|id| self.cursor.has(id));
+            let told = node.speeds().next_told(&mut self.speeds, &added, is_known);
+            update.speeds = told.map(Into::into);
+        }
         if self.is_compact {
             update.list = Some(frame::Delta::from(&delta));
         } else {
@@ -251,4 +262,10 @@
     for counted in report.counted {
         rollouts.apply_report(&name, counted.into(), now);
     }
+    drop(rollouts);
+    let mut speeds = node.speeds();
+    speeds.receive(decode_samples(&report.samples));
+    if let Some(told) = report.speeds {
+        speeds.restore(told.into());
+    }
 }
--- a/crates/winch-relay/src/stream/attempt.rs
+++ b/crates/winch-relay/src/stream/attempt.rs
@@ -18,6 +18,7 @@
     probe,
     protocol::{Dispatch, KvCopy},
     respond::Progress,
+    speed::Recorder,
     sse::{Event as StreamEvent, Splitter},
     strikes::{self, SURVIVAL_TIME},
 };
@@ -132,6 +133,7 @@
     ) -> Attempt {
         let mut starting = Some(starting);
         let mut splitter = Splitter::default();
+        let mut recorder = Recorder::new(self.node, &target.replica);
         loop {
             // Only progress restarts the detection of a stall; other bytes do not.
             let read = tokio::select! {
@@ -143,7 +145,10 @@
                 }
             };
             let Read { events, end } = read;
+            let advances = |event: &&StreamEvent| event.is_progress(self.last_event);
+            let count = events.iter().filter(advances).count();
             if self.buffer_events(events) {
+                recorder.record(count);
                 self.record_event(target, &mut starting);
             }
             if self.out.flush().await.is_err() {
--- a/crates/winch-roster/src/cursor.rs
+++ b/crates/winch-roster/src/cursor.rs
@@ -53,6 +53,11 @@
         Self { interest, sent: HashMap::new(), last: None }
     }
 
+    /// Whether the follower has the replica with this id.
+    pub fn has(&self, id: &str) -> bool {
+        self.sent.contains_key(id)
+    }
+
     /// Returns what the follower lacks, which counts as sent from then on.
     ///
     /// Of the `unlimited` services the follower gets all replicas: a version move compares two
--- a/crates/winch-roster/src/roster.rs
+++ b/crates/winch-roster/src/roster.rs
@@ -79,6 +79,11 @@
         self.position
     }
 
+    /// Id of the replica at `address`; `None` if none is listed there.
+    pub fn id_at(&self, address: SocketAddr) -> Option<&Name> {
+        self.by_address.get(&address)
+    }
+
     /// Number of changes so far.
     pub fn revision(&self) -> u64 {
         self.revision
--- a/crates/winch-route/src/lib.rs
+++ b/crates/winch-route/src/lib.rs
@@ -4,7 +4,7 @@
 //! [`router::Router`] holds the routing state of one daemon. A daemon combines it with
 //! [`urgency`], which sets the longest wait of a call, and [`suspect`], which restricts
 //! requests that may have crashed engines, and [`quarantine`], which finds the parts of prompts
-//! on which engines crash.
+//! on which engines crash. [`speed`] estimates how fast the replicas of a service are.
 //!
 //! All types are plain state machines without I/O. Times are [`Duration`]s since
 //! an origin that the user of the crate chooses, and random numbers are passed in.
@@ -21,6 +21,7 @@
 pub mod quarantine;
 pub mod reach;
 pub mod router;
+pub mod speed;
 pub mod suspect;
 pub mod throttle;
 pub mod urgency;
