--- a/crates/winch-event/src/lib.rs
+++ b/crates/winch-event/src/lib.rs
@@ -132,6 +132,10 @@
     ServiceSaturated = 1123, Warn, "service saturated, requests are refused";
     /// This daemon has refused no request of the service for the length of the target latency.
     ServiceRelieved = 1124, Info, "service no longer saturated";
+    /// Replicas of a service were found to differ in speed; requests are placed accordingly.
+    SpeedsDiffer = 1125, Info, "speeds of the service's replicas differ";
+    /// The replicas of a service no longer differ in speed by more than the noise.
+    SpeedsAlike = 1126, Info, "speeds of the service's replicas no longer differ";
     /// An order was sent, but its response was lost or did not arrive in time; the order
     /// may have taken effect.
     OrderOutcomeUnknown = 1201, Error, "outcome of an order is unknown";
--- a/crates/winch-relay/src/lib.rs
+++ b/crates/winch-relay/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod respond;
 pub mod settings;
 mod shed;
+pub mod speed;
 pub mod sse;
 pub mod stall;
 pub mod store;
--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -43,6 +43,7 @@
     reach::Paths,
     settings::{Settings, Tuning},
     shed::Shedders,
+    speed::Speeds,
     stream::admission::Backlogs,
     strikes::Strikes,
     unary::MAX_BODY_BLOCKS,
@@ -102,6 +103,7 @@
     strikes: Mutex<Strikes>,
     fleet: Mutex<Fleet>,
     paths: Mutex<Paths>,
+    speeds: Mutex<Speeds>,
     /// Requests that run in this daemon.
     pub running: Running,
     reads_store: AtomicBool,
@@ -142,6 +144,7 @@
             strikes: Strikes::new(started_at).into(),
             fleet: Mutex::default(),
             paths: Mutex::default(),
+            speeds: Mutex::default(),
             running: Running::default(),
             reads_store: AtomicBool::new(false),
             serves: AtomicBool::new(false),
@@ -265,6 +268,11 @@
         lock(&self.paths)
     }
 
+    /// Samples and speeds of replicas.
+    pub fn speeds(&self) -> MutexGuard<'_, Speeds> {
+        lock(&self.speeds)
+    }
+
     /// Number of daemons in the fleet.
     pub fn daemons(&self) -> u32 {
         self.fleet().daemons(self.serves() && self.reads_store(), Instant::now())
--- a/crates/winch-route/src/lib.rs
+++ b/crates/winch-route/src/lib.rs
@@ -4,8 +4,8 @@
 //! [`router::Router`] holds the routing state of one daemon. A daemon combines it with
 //! [`urgency`], which sets the longest wait of a call, and [`suspect`], which restricts
 //! requests that may have crashed engines, and [`quarantine`], which finds the parts of prompts
-//! on which engines crash. [`shed`] limits the requests to a service that is overloaded, and
-//! [`overload`] refuses streams that no engine can start in time.
+//! on which engines crash. [`speed`] estimates how fast the replicas of a service are. [`backlog`],
+//! [`overload`] and [`shed`] decide what waits or is refused while a service is overloaded.
 //!
 //! All types are plain state machines without I/O. Times are [`Duration`]s since
 //! an origin that the user of the crate chooses, and random numbers are passed in.
@@ -26,6 +26,7 @@
 pub mod reach;
 pub mod router;
 pub mod shed;
+pub mod speed;
 pub mod suspect;
 pub mod throttle;
 pub mod urgency;
