winch-bench: replay kinds of streams, unequal speeds, and preemption

Patterns name kinds of streams with priority, target and value, factors on the duration of steps, a wave, and the engine. An engine that allocates on demand prefills one prompt at a time, admits by priority, and preempts the newest of the least urgent runs. Refusals of the relay have their place in `Choice`; nothing refuses yet. Callers give up after 25 s and their runs end then; these ran on before. Slow requests of single streams, lost daemons and plain services are not modelled.

--- a/crates/winch-bench/src/replay.rs
+++ b/crates/winch-bench/src/replay.rs
@@ -6,8 +6,12 @@
 //! prefilled again if there is no copy. Replicas may be lost or slow and daemons may
 //! restart; the network has no faults.
 //!
-//! The result is the share of streams that completed, on time or late, with their mean
-//! duration and the prompt tokens that had to be prefilled again.
+//! Streams may be of several kinds, which differ in priority, target latency and value. Engines
+//! of unequal speed may allocate KV cache on demand and preempt runs when it is used up.
+//!
+//! The result is the share of streams that completed, on time or late, were refused or failed,
+//! of each kind and of all, with their value and mean duration, the number of preempted runs and
+//! the tokens that were prefilled in vain or again.
 
 pub mod choose;
 pub mod engine;
@@ -33,36 +37,81 @@
     let count = (seeds.end - seeds.start) as f64;
     let mut sum = Outcome::default();
     for seed in seeds {
-        let outcome = simulate(pattern, policy, seed);
-        sum.worth += outcome.worth / count;
-        sum.worst += outcome.worst / count;
-        sum.late += outcome.late / count;
-        sum.failed += outcome.failed / count;
-        sum.duration += outcome.duration / count;
-        sum.reread += outcome.reread / count;
+        sum.add(&simulate(pattern, policy, seed), 1.0 / count);
     }
     sum
 }
 
-/// Simulates all patterns with all policies and returns one row for each pair.
+/// Simulates all patterns with all policies.
+///
+/// Returns one row for each pair, and one for each kind of streams if the pattern has several,
+/// with its shares and the value that it made.
 pub fn run(seeds: std::ops::Range<u64>) -> Table {
-    let columns =
-        ["pattern", "policy", "worth", "worst 2 s", "late", "failed", "duration s", "reread"];
+    let columns = [
+        "pattern",
+        "policy",
+        "kind",
+        "worth",
+        "worst 2 s",
+        "late",
+        "failed",
+        "duration s",
+        "reread",
+        "in time",
+        "refused",
+        "value",
+        "preemptions",
+        "wasted",
+    ];
     let mut table = Table::new("replay", &columns);
+    let format_value = |value: f64| format!("{value:.3}");
     for pattern in pattern::all() {
         for policy in Policy::ALL {
             let outcome = mean(&pattern, policy, seeds.clone());
-            let format_value = |value: f64| format!("{value:.3}");
-            table.row(&[
-                pattern.name.clone(),
-                policy.name().to_owned(),
-                format_value(outcome.worth),
-                format_value(outcome.worst),
-                format_value(outcome.late),
-                format_value(outcome.failed),
-                format_value(outcome.duration),
-                format_value(outcome.reread),
-            ]);
+            let mut row = |kind: &str, values: [Option<f64>; 11]| {
+                let mut cells =
+                    vec![pattern.name.clone(), policy.name().to_owned(), kind.to_owned()];
+                cells.extend(values.map(|value| value.map_or("-".to_owned(), format_value)));
+                table.row(&cells);
+            };
+            row(
+                "all",
+                [
+                    Some(outcome.worth),
+                    Some(outcome.worst),
+                    Some(outcome.late),
+                    Some(outcome.failed),
+                    Some(outcome.duration),
+                    Some(outcome.reread),
+                    Some(1.0 - outcome.late - outcome.failed - outcome.refused),
+                    Some(outcome.refused),
+                    Some(outcome.kinds.iter().map(|kind| kind.value).sum()),
+                    Some(outcome.preemptions),
+                    Some(outcome.wasted),
+                ],
+            );
+            if outcome.kinds.len() < 2 {
+                continue;
+            }
+            for (kind, result) in pattern.kinds().iter().zip(&outcome.kinds) {
+                let share = |count: f64| Some(count / result.streams.max(1.0));
+                row(
+                    &kind.name,
+                    [
+                        share(result.value / kind.value),
+                        None,
+                        share(result.late),
+                        share(result.failed),
+                        None,
+                        None,
+                        share(result.in_time),
+                        share(result.refused),
+                        Some(result.value),
+                        None,
+                        None,
+                    ],
+                );
+            }
         }
     }
     table
--- a/crates/winch-bench/src/replay/choose.rs
+++ b/crates/winch-bench/src/replay/choose.rs
@@ -67,6 +67,17 @@
     pub copy_holder: Option<usize>,
 }
 
+/// What a daemon does with a stream.
+#[derive(Clone, Copy, Debug)]
+pub enum Choice {
+    /// It sends the stream to a replica.
+    Replica(Placement),
+    /// It tries again later, because all candidates are lost.
+    NoneLive,
+    /// It refuses the stream, and asks the caller to wait this long, in seconds.
+    Refused(f64),
+}
+
 /// Returns the number of a replica, which the simulation encodes as its port.
 pub fn replica_number(replica: &Replica) -> usize {
     usize::from(replica.address.port())
@@ -79,10 +90,9 @@
         Self { catalog, dc, next_turn: first_turn }
     }
 
-    /// Chooses a replica for a stream that reserves `kv_tokens` in the KV cache.
+    /// Chooses a replica for a stream that needs up to `kv_tokens` in the KV cache.
     ///
-    /// `None` if all candidates are lost. The relay's policy ejects lost candidates from the
-    /// catalog.
+    /// The relay's policy ejects lost candidates from the catalog.
     pub fn choose(
         &mut self,
         policy: Policy,
@@ -90,11 +100,12 @@
         kv_tokens: u64,
         now: Instant,
         rng: &mut SmallRng,
-    ) -> Option<Placement> {
-        match policy {
+    ) -> Choice {
+        let placement = match policy {
             Policy::Relay => self.choose_by_load(engines, kv_tokens, now, rng),
             _ => self.choose_naive(policy, engines, now, rng),
-        }
+        };
+        placement.map_or(Choice::NoneLive, Choice::Replica)
     }
 
     /// Chooses the holder of a copy for a stream that resumes at `replica`, where `lost` is
--- a/crates/winch-bench/src/replay/simulation.rs
+++ b/crates/winch-bench/src/replay/simulation.rs
@@ -1,6 +1,6 @@
 //! Discrete-event simulation of the streams, daemons and engines of one replay.
 
-use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
+use std::{cmp::Reverse, collections::BinaryHeap, f64::consts::TAU, time::Duration};
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use tokio::time::Instant;
@@ -8,15 +8,11 @@
 
 use super::{
     CALLER_TIMEOUT_S,
-    choose::{Daemon, Placement, Policy},
+    choose::{Choice, Daemon, Placement, Policy},
     engine::{Engine, Run},
-    pattern::Pattern,
+    pattern::{Kind, Pattern},
 };
 
-/// Tokens per event of a stream.
-const EVENT_TOKENS: u64 = 6;
-/// Longest time to the first event of a stream that is on time, in seconds.
-const FIRST_EVENT_TARGET_S: f64 = 4.5;
 /// Longest gap between events of a stream that is on time, in seconds.
 const MAX_GAP_S: f64 = 0.7;
 /// Time to detect a reset connection, in seconds.
@@ -32,12 +28,16 @@
 /// many.
 const COPY_LAG_TOKENS: u64 = 60;
 
-/// An event, which names streams, replicas, and losses, restarts and slow periods of the
+/// Share of the time left that a caller waits at most before it sends a refused stream again.
+const MAX_WAIT_SHARE: f64 = 1.0 / 3.0;
+
+/// An event, which names kinds, streams, replicas, and losses, restarts and slow periods of the
 /// pattern by their index.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
-    Arrive,
+    Arrive(usize),
     Place(usize),
+    GiveUp(usize),
     /// Stream, holder of its copy, and lost replica.
     ResumeFromCopy(usize, usize, usize),
     /// End of a step: replica, and incarnation of its engine when the step began.
@@ -53,6 +53,7 @@
 /// State of a stream.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Stream {
+    pub(super) kind: usize,
     daemon: usize,
     pub(super) arrived_at: f64,
     pub(super) prompt_tokens: u64,
@@ -61,21 +62,36 @@
     last_event_at: Option<f64>,
     pub(super) is_late: bool,
     pub(super) ended_at: Option<f64>,
+    /// Number of times that a daemon has refused the stream.
+    refusals: u32,
+    /// Whether the caller has given up after refusals.
+    pub(super) is_refused: bool,
     placement: Option<Placement>,
     /// Whether the copy holder of the placement had room for the copy.
     is_copied: bool,
 }
 
 impl Stream {
-    /// Tokens that the stream reserves in a KV cache.
+    /// Whether the stream completed before the caller's timeout.
+    pub(super) fn has_completed(&self) -> bool {
+        self.ended_at.is_some_and(|at| at <= self.arrived_at + CALLER_TIMEOUT_S)
+    }
+
+    /// Tokens that the whole stream takes in a KV cache.
     fn kv_tokens(&self) -> u64 {
         self.prompt_tokens + self.answer_tokens
     }
+
+    /// Tokens that the stream takes in a KV cache before its next token is generated.
+    fn context_tokens(&self) -> u64 {
+        self.prompt_tokens + self.produced_tokens
+    }
 }
 
 /// State of one replay.
 pub(super) struct Simulation<'a> {
     pub(super) pattern: &'a Pattern,
+    pub(super) kinds: Vec<Kind>,
     policy: Policy,
     rng: SmallRng,
     /// Instant of the simulated time 0.
@@ -93,6 +109,10 @@
     pub(super) streams: Vec<Stream>,
     /// Prompt tokens of the streams that had to be placed again without a copy.
     pub(super) reread_tokens: u64,
+    /// Number of preempted runs.
+    pub(super) preemptions: u64,
+    /// Tokens that were prefilled for runs that were preempted, lost without a copy, or given up.
+    pub(super) wasted_tokens: u64,
 }
 
 /// Returns a catalog of all replicas of the pattern.
@@ -107,7 +127,7 @@
             address: ([127, 0, 0, 1], number).into(),
             dc: format!("dc-{dc}").into(),
             version: "v1".into(),
-            slots: 64,
+            slots: pattern.engine.slots as u32,
             draining: false,
             started_at_ms: None,
         }));
@@ -124,19 +144,28 @@
             let turn = number * dcs.len() / pattern.daemons;
             Daemon::new(format!("dc-{}", number % pattern.replicas.len()), catalog(pattern), turn)
         };
+        let mut step_factors = pattern.step_factors.clone();
+        step_factors.extend(pattern.step_factors.is_empty().then_some(1.0));
+        let step_factors = step_factors.into_iter().cycle();
         Self {
             pattern,
+            kinds: pattern.kinds(),
             policy,
             rng: SmallRng::seed_from_u64(seed),
             base: Instant::now(),
             now: 0.0,
             events: BinaryHeap::new(),
             scheduled: 0,
-            engines: vec![Engine::default(); dcs.len()],
+            engines: step_factors
+                .take(dcs.len())
+                .map(|factor| Engine::new(pattern.engine, factor))
+                .collect(),
             daemons: (0..pattern.daemons).map(daemon).collect(),
             dcs,
             streams: Vec::new(),
             reread_tokens: 0,
+            preemptions: 0,
+            wasted_tokens: 0,
         }
     }
 
@@ -160,7 +189,9 @@
 
     fn schedule_pattern(&mut self) {
         let pattern = self.pattern;
-        self.schedule(0.0, Event::Arrive);
+        for kind in 0..self.kinds.len() {
+            self.schedule(0.0, Event::Arrive(kind));
+        }
         self.schedule(0.0, Event::RecordLoad);
         for (number, loss) in pattern.losses.iter().enumerate() {
             self.schedule(loss.at, Event::LoseReplicas(number));
@@ -177,7 +208,8 @@
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Arrive => self.arrive(),
+            Event::Arrive(kind) => self.arrive(kind),
+            Event::GiveUp(stream) => self.give_up(stream),
             Event::Place(stream) => self.place(stream),
             Event::ResumeFromCopy(stream, holder, lost) => {
                 self.resume_from_copy(stream, holder, lost)
@@ -196,17 +228,23 @@
         }
     }
 
-    fn arrive(&mut self) {
+    fn arrive(&mut self, kind: usize) {
         let pattern = self.pattern;
         let now = self.now;
-        let bursts = || pattern.bursts.iter().filter(|b| (b.at..b.at + b.lasts).contains(&now));
+        let Kind { name, streams, .. } = &self.kinds[kind];
+        let bursts = || {
+            let bursts = pattern.bursts.iter().filter(|b| (b.at..b.at + b.lasts).contains(&now));
+            bursts.filter(|burst| burst.kind.is_empty() || burst.kind == *name)
+        };
+        let wave = 1.0 + pattern.wave.amplitude * (now / pattern.wave.period * TAU).sin();
         let prompt_tokens: f64 =
             pattern.prompt * bursts().map(|burst| burst.prompt).product::<f64>();
-        let rate = pattern.streams * bursts().map(|burst| burst.streams).product::<f64>();
+        let rate = streams * wave * bursts().map(|burst| burst.streams).product::<f64>();
         let mut draw_around = |mean: f64, spread: f64| {
             (mean * self.rng.random_range(1.0 - spread..1.0 + spread)) as u64
         };
         let stream = Stream {
+            kind,
             prompt_tokens: draw_around(prompt_tokens, 0.5),
             answer_tokens: draw_around(pattern.answer, 0.35),
             daemon: self.rng.random_range(0..self.daemons.len()),
@@ -215,15 +253,19 @@
             last_event_at: None,
             is_late: false,
             ended_at: None,
+            refusals: 0,
+            is_refused: false,
             placement: None,
             is_copied: false,
         };
         self.streams.push(stream);
-        self.place(self.streams.len() - 1);
+        let number = self.streams.len() - 1;
+        self.schedule(now + CALLER_TIMEOUT_S, Event::GiveUp(number));
+        self.place(number);
         // The times between arrivals are exponentially distributed.
         let next = self.now - (1.0 - self.rng.random::<f64>()).ln() / rate;
         if next < pattern.seconds {
-            self.schedule(next, Event::Arrive);
+            self.schedule(next, Event::Arrive(kind));
         }
     }
 
@@ -239,18 +281,43 @@
         let now = self.instant();
         let daemon = &mut self.daemons[stream.daemon];
         let (policy, kv_tokens) = (self.policy, stream.kv_tokens());
-        let placement = daemon.choose(policy, &self.engines, kv_tokens, now, &mut self.rng);
-        let Some(placement) = placement else {
-            return self.schedule(self.now + RETRY_BACKOFF_S, Event::Place(number));
-        };
-        let to_prefill = stream.prompt_tokens + stream.produced_tokens;
-        self.submit(number, placement, to_prefill, false);
+        match daemon.choose(policy, &self.engines, kv_tokens, now, &mut self.rng) {
+            Choice::Replica(placement) => {
+                self.submit(number, placement, stream.context_tokens(), false);
+            }
+            Choice::NoneLive => self.schedule(self.now + RETRY_BACKOFF_S, Event::Place(number)),
+            Choice::Refused(wait_s) => self.refuse(number, wait_s),
+        }
+    }
+
+    /// Refuses a stream. Its caller sends it once more, to a random daemon.
+    fn refuse(&mut self, number: usize, wait_s: f64) {
+        let daemons = self.daemons.len();
+        let stream = &mut self.streams[number];
+        stream.refusals += 1;
+        stream.is_refused = stream.refusals > 1;
+        if !stream.is_refused {
+            stream.daemon = self.rng.random_range(0..daemons);
+            let left_s = stream.arrived_at + CALLER_TIMEOUT_S - self.now;
+            let placed_at = self.now + wait_s.min(left_s * MAX_WAIT_SHARE);
+            self.schedule(placed_at, Event::Place(number));
+        }
+    }
+
+    /// Ends the run of a stream whose caller has waited for too long.
+    fn give_up(&mut self, number: usize) {
+        let stream = self.streams[number];
+        let Some(placement) = stream.placement else { return };
+        self.wasted_tokens += self.engines[placement.replica].remove(number);
+        self.detach(number, stream.produced_tokens == 0);
     }
 
     /// Submits a run of a stream to its replica, and stores a copy at the copy holder.
     fn submit(&mut self, number: usize, placement: Placement, to_prefill: u64, from_copy: bool) {
         let stream = &mut self.streams[number];
-        let kv_tokens = stream.kv_tokens();
+        let on_demand = self.pattern.engine.on_demand;
+        let kv_tokens = if on_demand { stream.context_tokens() } else { stream.kv_tokens() };
+        let priority = self.kinds[stream.kind].priority;
         stream.placement = Some(placement);
         self.daemons[stream.daemon].catalog.update(placement.key, |entry| {
             entry.in_flight += 1;
@@ -259,12 +326,20 @@
         stream.is_copied = placement.copy_holder.is_some_and(|holder| {
             !self.engines[holder].lost && self.engines[holder].store_copy(number, kv_tokens)
         });
-        self.engines[placement.replica]
-            .submit(Run { stream: number, to_prefill, kv_tokens }, from_copy);
+        self.engines[placement.replica].submit(
+            Run { stream: number, to_prefill, prefilled: 0, kv_tokens, priority },
+            from_copy,
+        );
         self.begin_step(placement.replica);
     }
 
+    /// Starts the next step of an engine, for which it may preempt runs. These lose their copies.
     fn begin_step(&mut self, replica: usize) {
+        for run in self.engines[replica].preempt() {
+            self.preemptions += 1;
+            self.wasted_tokens += run.prefilled;
+            self.drop_copy(run.stream);
+        }
         let engine = &mut self.engines[replica];
         let incarnation = engine.incarnation;
         if let Some(step_s) = engine.begin_step() {
@@ -289,14 +364,22 @@
         let now = self.now;
         let stream = &mut self.streams[number];
         stream.produced_tokens += 1;
-        if stream.produced_tokens.is_multiple_of(EVENT_TOKENS)
+        if stream.produced_tokens.is_multiple_of(self.pattern.event_tokens)
             || stream.produced_tokens >= stream.answer_tokens
         {
             let is_first_event = stream.last_event_at.is_none();
             let waited_s = now - stream.last_event_at.unwrap_or(stream.arrived_at);
-            stream.is_late |=
-                waited_s > if is_first_event { FIRST_EVENT_TARGET_S } else { MAX_GAP_S };
+            let target_s = self.kinds[stream.kind].target;
+            stream.is_late |= waited_s > if is_first_event { target_s } else { MAX_GAP_S };
             stream.last_event_at = Some(now);
+            let holder = stream.placement.and_then(|placement| placement.copy_holder);
+            if let Some(holder) =
+                holder.filter(|_| stream.is_copied && self.pattern.engine.on_demand)
+            {
+                let context_tokens = stream.context_tokens();
+                // A restarted holder has lost the copy.
+                stream.is_copied = self.engines[holder].grow_copy(number, context_tokens);
+            }
         }
         let is_first_token = stream.produced_tokens == 1;
         if stream.produced_tokens >= stream.answer_tokens {
@@ -335,6 +418,15 @@
         }
     }
 
+    /// Drops the copy of a stream that keeps its replica.
+    fn drop_copy(&mut self, number: usize) {
+        let stream = &mut self.streams[number];
+        stream.is_copied = false;
+        if let Some(holder) = stream.placement.and_then(|placement| placement.copy_holder) {
+            self.engines[holder].drop_copy(number);
+        }
+    }
+
     /// Records the load of all engines, and schedules the next time until all callers have
     /// given up.
     fn record_load(&mut self) {
@@ -362,14 +454,15 @@
         for replica in &lost {
             interrupted.extend(self.engines[*replica].crash(dark));
         }
-        for stream in interrupted {
-            self.resume(stream, dark);
+        for run in interrupted {
+            self.resume(run, dark);
         }
     }
 
-    /// Ejects the lost replica of a stream, and schedules the resume of the stream for the time
+    /// Ejects the lost replica of a run, and schedules the resume of its stream for the time
     /// at which the loss is detected.
-    fn resume(&mut self, number: usize, dark: bool) {
+    fn resume(&mut self, run: Run, dark: bool) {
+        let number = run.stream;
         let stream = self.streams[number];
         let Some(placement) = stream.placement else { return };
         let now = self.instant();
@@ -385,6 +478,7 @@
             }
             None => {
                 self.reread_tokens += stream.prompt_tokens;
+                self.wasted_tokens += run.prefilled;
                 self.schedule(detected_at, Event::Place(number));
             }
         }
@@ -397,6 +491,9 @@
             self.reread_tokens += self.streams[number].prompt_tokens;
             return self.place(number);
         }
+        if self.now > self.streams[number].arrived_at + CALLER_TIMEOUT_S {
+            return;
+        }
         let (now, daemon) = (self.instant(), &self.daemons[self.streams[number].daemon]);
         let Some(key) = daemon.catalog.key(&format!("r-{holder}")) else { return };
         let copy_holder = daemon.choose_copy_holder(holder, self.dcs[lost], now, &mut self.rng);
@@ -418,7 +515,7 @@
                 .collect();
             for stream in interrupted {
                 let Some(placement) = self.streams[stream].placement else { continue };
-                self.engines[placement.replica].remove(stream);
+                self.wasted_tokens += self.engines[placement.replica].remove(stream);
                 self.reread_tokens += self.streams[stream].prompt_tokens;
                 self.detach(stream, false);
                 // The caller reconnects to a random daemon.
