--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -74,6 +74,8 @@
 /// What a stream has to expect at its target.
 #[derive(Clone, Copy, Debug)]
 struct Estimate {
+    /// Time to the first event if the replica had no other request.
+    unloaded: Duration,
     /// Time to the first event.
     first_event: Duration,
     /// The same without the queued requests that are less urgent.
--- a/crates/winch-relay/src/stream/admission.rs
+++ b/crates/winch-relay/src/stream/admission.rs
@@ -11,7 +11,7 @@
 
 use rand::Rng;
 use tokio::{io::AsyncWrite, time::sleep_until};
-use winch_route::backlog::Backlog;
+use winch_route::{backlog::Backlog, overload};
 
 use super::{Session, Target};
 use crate::{counter, job::Outcome, prelude::*};
@@ -111,6 +111,20 @@
         Admission::Passed
     }
 
+    /// The refusal of a request that `target`, the best replica that was found, cannot start in time;
+    /// `None` if the request is sent. A request that was sent before is never refused.
+    pub(super) fn check_admission(&self, target: Option<&Target>) -> Option<Outcome> {
+        let is_new = self.trace.sends == 0 && self.last_event.is_none();
+        let estimate = target?.estimate.filter(|_| is_new)?;
+        let estimate = overload::Estimate {
+            unloaded: estimate.unloaded,
+            start: estimate.first_event,
+            urgent_start: estimate.urgent_first_event,
+        };
+        let refusal = self.node.admit_stream(self.job, Some(estimate)).err()?;
+        Some(Outcome::Shed { code: Code::Overloaded, retry_after: refusal.retry_after })
+    }
+
     /// The refusal of a request that would start after `expected` only.
     fn refuse(&self, expected: Duration) -> Outcome {
         let longest = self.job.route.target_latency.mul_f64(MAX_RETRY_SHARE);
--- a/crates/winch-relay/src/stream/survey.rs
+++ b/crates/winch-relay/src/stream/survey.rs
@@ -38,6 +38,7 @@
             Duration::try_from_secs_f64(unit.as_secs_f64() * units).unwrap_or(Duration::MAX)
         };
         Estimate {
+            unloaded: to_time(forecast.unloaded),
             first_event: to_time(forecast.first_event),
             urgent_first_event: to_time(forecast.urgent_first_event),
             is_open: forecast.is_open,
@@ -106,6 +107,7 @@
         let mut asked: Vec<Key> = candidates.iter().map(|(key, _)| *key).collect();
         let mut survey = Survey { rated: Vec::new(), request, service };
         self.ask(candidates, &mut survey).await;
+        let may_ask_further = may_ask_further && !self.node.is_saturated(self.job);
         let mut further = 0;
         while may_ask_further && survey.needs_further_round(further) {
             let candidates = self.draw_further(&asked);
--- a/crates/winch-relay/src/stream/target.rs
+++ b/crates/winch-relay/src/stream/target.rs
@@ -2,6 +2,8 @@
 
 use tokio::{io::AsyncWrite, time::sleep};
 
+use winch_route::engine;
+
 use super::{
     Choice, Estimate, Session, Target,
     admission::Admission,
@@ -63,7 +65,13 @@
         match self.wait_for_room().await {
             Admission::Started(target) => Choice::Target(Some(target)),
             Admission::Refused(outcome) => Choice::Refused(outcome),
-            Admission::Passed => Choice::Target(self.place_with_retries().await),
+            Admission::Passed => {
+                let target = self.place_with_retries().await;
+                match self.check_admission(target.as_ref()) {
+                    Some(refused) => Choice::Refused(refused),
+                    None => Choice::Target(target),
+                }
+            }
         }
     }
 
@@ -166,10 +174,10 @@
     }
 
     /// Probes one round of candidates, and `further` ones if those are loaded; returns the best one
-    /// if the stream can start there without queueing.
+    /// if the stream can start there without queueing and leaves room to others.
     pub(super) async fn place_if_open(&self, further: bool) -> Option<Target> {
         let survey = self.survey(self.draw(0), further).await;
-        self.take_best(&survey, |rated| rated.forecast.is_open)
+        self.take_best(&survey, |rated| engine::is_open_to_patient(&rated.forecast))
     }
 
     /// The replica with the least cost among those that are eligible, and the holder of the copy.
--- a/crates/winch-route/src/engine.rs
+++ b/crates/winch-route/src/engine.rs
@@ -13,6 +13,8 @@
 /// Number of prompts at an engine from which on another one counts as queued. A single prompt is
 /// in prefill, and half done on average.
 const QUEUE: u32 = 2;
+/// Mean requests for which a run that can wait leaves KV cache: an urgent one and a copy.
+const PATIENT_RESERVE_RUNS: f64 = 2.0;
 /// Further rounds that one placement may take.
 const MAX_FURTHER_ROUNDS: u32 = 2;
 /// Cost of a run in the decode phase, relative to one in the prefill phase.
@@ -203,6 +205,11 @@
     pub cost: f64,
     /// Prompts at the engine, queued or in prefill.
     pub prompts: u32,
+    /// Time to the first event if the engine had no other request.
+    pub unloaded: f64,
+    /// KV cache that the run leaves uncommitted, in tokens of mean requests of the service; negative if
+    /// it has no room.
+    pub spare_runs: f64,
     /// Whether the engine has KV cache that is not committed for the whole run.
     pub has_room: bool,
     /// Whether the run can start without queueing behind other prompts.
@@ -248,6 +255,15 @@
         self.total_tokens as f64 - self.committed_tokens(service)
     }
 
+    /// Mean requests for which KV cache stays uncommitted beside a run that needs `tokens`.
+    fn spare_runs(&self, tokens: u64, service: &Service) -> f64 {
+        if self.total_tokens == 0 {
+            return f64::INFINITY;
+        }
+        let spare = self.uncommitted_tokens(service) - tokens as f64;
+        spare / service.typical.total_tokens().max(1.0)
+    }
+
     /// KV cache that a run that needs `tokens` lacks. A run that exceeds the capacity fits nowhere,
     /// which says nothing about the load.
     fn lacking_tokens(&self, tokens: u64, service: &Service) -> f64 {
@@ -322,12 +338,20 @@
         first_event: (wait + own_prefill) * position.slowness,
         urgent_first_event: (urgent_wait + own_prefill) * position.slowness,
         cost: work * position.slowness + remote_cost + room_cost - position.cached * CACHE_GAIN,
+        unloaded: own_prefill * position.slowness,
+        spare_runs: load.spare_runs(request.tokens, service),
         prompts: load.prompts(),
         has_room,
         is_open: load.prompts() < QUEUE && has_slot && has_room,
     }
 }
 
+/// Whether a run that can wait starts at an engine: it leaves room for more urgent runs and for copies,
+/// because a run that finds none preempts others or is not copied.
+pub fn is_open_to_patient(forecast: &Forecast) -> bool {
+    forecast.is_open && forecast.spare_runs >= PATIENT_RESERVE_RUNS
+}
+
 /// Whether a further round of candidates is worth its reports, after `further` such rounds.
 ///
 /// `best` has the least cost of `all`.
