winch-relay: draw as before where speeds do not differ, and count own sends beside the reported queue as before

Replicas of equal speed are drawn by the draw that was used before, and a stream's cost adds the reported queue to this daemon's own starting streams, so that placement with free room stays as it was.

--- a/crates/winch-relay/src/placement.rs
+++ b/crates/winch-relay/src/placement.rs
@@ -129,13 +129,16 @@
     replicas.extend(ordered.into_iter().map(|(_, pair)| pair));
 }
 
-/// Draws `count` replicas at random, in proportion to their speeds.
+/// Draws `count` replicas at random, in proportion to their speeds where these are known to differ.
 fn draw_by_speed<R: Rng>(
     catalog: &Catalog,
     mut replicas: Vec<(Key, Arc<Replica>)>,
     count: usize,
     rng: &mut R,
 ) -> Vec<(Key, Arc<Replica>)> {
+    if replicas.iter().all(|(key, _)| catalog.slowness(*key) == 1.0) {
+        return replicas.into_iter().choose_multiple(rng, count);
+    }
     sort_by_order(&mut replicas, |(key, _)| {
         engine::draw_order(rng.random(), catalog.slowness(*key))
     });
@@ -205,9 +208,8 @@
     now: Instant,
     rng: &mut R,
 ) -> Option<Arc<Replica>> {
-    let any = |_: &Replica| true;
-    let drawn = draw_copy_holders(catalog, source, excluded_dc, any, 1, now, rng);
-    drawn.into_iter().next().map(|(_, replica)| replica)
+    let eligible = eligible_holders(catalog, source, excluded_dc, now);
+    eligible.choose(rng).map(|(_, replica)| replica.clone())
 }
 
 /// As [`draw_copy_holder()`], but draws up to `count` replicas that satisfy `is_eligible`.
@@ -220,13 +222,24 @@
     now: Instant,
     rng: &mut R,
 ) -> Vec<(Key, Arc<Replica>)> {
+    let eligible = eligible_holders(catalog, source, excluded_dc, now);
+    let drawn = eligible.filter(|(_, replica)| is_eligible(replica)).choose_multiple(rng, count);
+    drawn.into_iter().map(|(key, replica)| (key, replica.clone())).collect()
+}
+
+/// Usable replicas of the version of `source` in other data centres than `source` and
+/// `excluded_dc`.
+fn eligible_holders<'a>(
+    catalog: &'a Catalog,
+    source: &'a Replica,
+    excluded_dc: &'a str,
+    now: Instant,
+) -> impl Iterator<Item = (Key, &'a Arc<Replica>)> {
     let usable = catalog.usable(&source.service, now).map(|(key, entry)| (key, &entry.replica));
-    let may_hold = |(_, replica): &(Key, &Arc<Replica>)| {
+    usable.filter(move |(_, replica)| {
         let is_elsewhere = replica.dc != source.dc && *replica.dc != *excluded_dc;
-        is_elsewhere && replica.version == source.version && is_eligible(replica)
-    };
-    let drawn = usable.filter(may_hold).choose_multiple(rng, count);
-    drawn.into_iter().map(|(key, replica)| (key, replica.clone())).collect()
+        is_elsewhere && replica.version == source.version
+    })
 }
 
 /// Chooses the replica for a unary request: the one with the least expected latency among
--- a/crates/winch-route/src/engine.rs
+++ b/crates/winch-route/src/engine.rs
@@ -211,13 +211,9 @@
 
 impl Load<'_> {
     /// Prompts that are queued or in prefill. A report may be too old to include those that this
-    /// daemon has sent.
+    /// daemon has sent; its queue is taken to be that of other daemons.
     pub fn prompts(&self) -> u32 {
-        self.reported_prompts().max(self.starting)
-    }
-
-    fn reported_prompts(&self) -> u32 {
-        self.waiting.saturating_add(self.prefilling)
+        self.prefilling.max(self.starting).saturating_add(self.waiting)
     }
 
     /// KV cache that the engine's requests will have taken when each has reached its end.
@@ -231,7 +227,7 @@
             waiting => first + f64::from(waiting - 1) * mean,
         };
         let in_prefill = f64::from(self.prefilling) * mean - self.prefill_tokens(mean);
-        let unreported = f64::from(self.prompts() - self.reported_prompts()) * mean;
+        let unreported = f64::from(self.starting.saturating_sub(self.prefilling)) * mean;
         self.used_tokens as f64 + growth + queued + in_prefill + unreported
     }
 
