winch-bench: replay the further rounds and the copy holders of the relay

The relay's policy in the replay asks further candidates and skips full replicas for copies as a daemon does, with the mean size of the requests.

--- a/crates/winch-bench/src/replay/choose.rs
+++ b/crates/winch-bench/src/replay/choose.rs
@@ -8,9 +8,9 @@
 use winch_relay::{
     catalog::{Catalog, Key},
     placement::{self, Draw},
-    replica::Replica,
+    replica::{Replica, Report},
 };
-use winch_route::engine::{Request, Service};
+use winch_route::engine::{self, Forecast, Request, Service};
 
 use super::engine::Engine;
 
@@ -68,6 +68,21 @@
     pub copy_holder: Option<usize>,
 }
 
+/// A candidate that is not lost.
+struct Answer {
+    key: Key,
+    replica: Arc<Replica>,
+    report: Report,
+    forecast: Forecast,
+}
+
+/// Whether a further round of candidates is asked; the best of `answers` is the first.
+fn needs_further_round(answers: &[Answer], further: u32) -> bool {
+    let forecasts: Vec<Forecast> = answers.iter().map(|answer| answer.forecast).collect();
+    let best = forecasts.first();
+    best.is_some_and(|best| engine::needs_further_round(best, &forecasts, further))
+}
+
 /// Returns the number of a replica, which the simulation encodes as its port.
 pub fn replica_number(replica: &Replica) -> usize {
     usize::from(replica.address.port())
@@ -125,40 +140,69 @@
     ) -> Option<Placement> {
         // No request of a pattern comes twice, so that each has a key of its own.
         let affinity = rng.random();
+        // A simulated engine reserves the KV cache of a run at its start, so that no run grows.
+        self.catalog.record_typical(&"s".into(), |typical| typical.record_size(kv_tokens, 0));
+        let service = Service { typical: self.catalog.typical("s"), ..Service::default() };
+        let request = Request { tokens: kv_tokens, prompt_units: 1.0, level: None };
         for round in 0..MAX_ROUNDS {
             let accept_any = |_: &Replica| true;
             let draw = Draw { service: "s", dc: &self.dc, affinity, round };
             let candidates = placement::draw_candidates(&self.catalog, draw, accept_any, now, rng);
-            let (lost, live): (Vec<_>, Vec<_>) = candidates
-                .into_iter()
-                .partition(|(_, replica)| engines[replica_number(replica)].lost);
-            for (key, _) in lost {
-                self.catalog.eject(key, now);
+            let mut asked: Vec<Key> = candidates.iter().map(|(key, _)| *key).collect();
+            let mut answers = Vec::new();
+            self.ask(candidates, engines, (&request, &service), now, &mut answers);
+            let mut further = 0;
+            while needs_further_round(&answers, further) {
+                let (catalog, accepts) = (&self.catalog, accept_any);
+                let more = placement::draw_further(catalog, "s", &asked, accepts, now, rng);
+                if more.is_empty() {
+                    break;
+                }
+                asked.extend(more.iter().map(|(key, _)| *key));
+                self.ask(more, engines, (&request, &service), now, &mut answers);
+                further += 1;
             }
-            let request = Request { tokens: kv_tokens, prompt_units: 1.0, level: None };
-            let service = Service::default();
-            let cost = |(key, replica): &(Key, Arc<Replica>)| {
-                let report = engines[replica_number(replica)].report();
-                let (candidate, dc) = ((*key, &**replica), &self.dc);
-                let (catalog, cached) = (&self.catalog, 0.0);
-                placement::forecast(catalog, candidate, &report, dc, cached, &request, &service)
-                    .cost
-            };
-            let best = live.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
-            let Some((key, replica)) = best else { continue };
-            let reports: Vec<_> = live
-                .iter()
-                .map(|(_, other)| (other, engines[replica_number(other)].report()))
-                .collect();
-            let reported = reports.iter().map(|(other, report)| (*other, report));
-            let holder = placement::choose_copy_holder(reported, replica, kv_tokens, &service)
-                .or_else(|| placement::draw_copy_holder(&self.catalog, replica, "", now, rng));
+            let Some(best) = answers.first() else { continue };
+            let reported = answers.iter().map(|answer| (&answer.replica, &answer.report));
+            let source = &best.replica;
+            let holder = placement::choose_copy_holder(reported, source, kv_tokens, &service);
+            let holder = holder.or_else(|| {
+                let accepts =
+                    |replica: &Replica| answers.iter().all(|a| a.replica.id != replica.id);
+                let catalog = &self.catalog;
+                let drawn = placement::draw_copy_holders(catalog, source, "", accepts, 1, now, rng);
+                drawn.into_iter().next().map(|(_, replica)| replica)
+            });
             let copy_holder = holder.as_deref().map(replica_number);
-            return Some(Placement { key: *key, replica: replica_number(replica), copy_holder });
+            return Some(Placement { key: best.key, replica: replica_number(source), copy_holder });
         }
         None
     }
 
+    /// Adds the answers of the live candidates, the best of all first, and ejects the lost ones.
+    fn ask(
+        &mut self,
+        candidates: Vec<(Key, Arc<Replica>)>,
+        engines: &[Engine],
+        (request, service): (&Request, &Service),
+        now: Instant,
+        answers: &mut Vec<Answer>,
+    ) {
+        for (key, replica) in candidates {
+            let engine = &engines[replica_number(&replica)];
+            if engine.lost {
+                self.catalog.eject(key, now);
+                continue;
+            }
+            let (report, candidate) = (engine.report(), (key, &*replica));
+            let (catalog, dc) = (&self.catalog, &self.dc);
+            let forecast =
+                placement::forecast(catalog, candidate, &report, dc, 0.0, request, service);
+            answers.push(Answer { key, replica, report, forecast });
+        }
+        answers.sort_by(|a, b| a.forecast.cost.total_cmp(&b.forecast.cost));
+    }
+
     fn choose_naive(
         &mut self,
         policy: Policy,
