wisteriawinch: soak checks that refused streams have not run

The soak checked this for orders only. Each attempt at a stream has an id of its own, so a reply that says `not_run` is held against the requests that the replicas ran.

--- a/crates/wisteriawinch/tests/fault_soak.rs
+++ b/crates/wisteriawinch/tests/fault_soak.rs
@@ -1,7 +1,7 @@
 //! Runs daemons as separate processes and injects random faults from outside.
 //!
 //! A seed determines a series of faults and the choices of the callers. The test
-//! fails if an order runs twice or after a refusal, a stream has a gap, a success is
+//! fails if an order runs twice, an order or stream runs after a refusal, a stream has a gap, a success is
 //! not signed by a replica, an answer belongs to another request, a daemon exits
 //! by itself or a graceful stop fails, or if a daemon does not serve again after the
 //! faults.
@@ -72,7 +72,7 @@
         violations.extend(report.violations);
         served += report.served;
     }
-    violations.extend(fleet.order_violations());
+    violations.extend(fleet.run_violations());
     fleet.wait_serving().await;
     eprintln!("seed {seed}: {served} served, {} guarantees violated", violations.len());
     violations
--- a/crates/wisteriawinch/tests/soak/caller.rs
+++ b/crates/wisteriawinch/tests/soak/caller.rs
@@ -87,11 +87,7 @@
                 .push(format!("{id} got the answer to another request: {}", response.body));
         }
     } else if is_order && matches!(response.status.as_u16(), 408 | 421 | 429 | 503) {
-        fleet
-            .refused_orders
-            .lock()
-            .expect("no thread panics while it holds this lock")
-            .insert(id.to_owned());
+        fleet.record_refusal(id);
     }
     true
 }
@@ -115,17 +111,18 @@
     let brief = format!("brief-{id}");
     let mut last = 0;
     let first_ended =
-        read_events(caller, Request::stream(id).body(&brief), &brief, &mut last, report).await;
+        read_events(fleet, caller, Request::stream(id).body(&brief), &mut last, report).await;
     let mut has_ended = first_ended;
     for resume in 0..MAX_RESUMES {
         if has_ended {
             break;
         }
         let Some(mut other) = fleet.caller(rng.random_range(0..3)).await else { continue };
+        // A new id, so that a refusal of the resumption is told from the earlier attempts.
         let request = Request::stream(&format!("{id}-r{resume}")).body(&brief);
         let request =
             if last > 0 { request.with("last-event-id", &last.to_string()) } else { request };
-        has_ended = read_events(&mut other, request, &brief, &mut last, report).await;
+        has_ended = read_events(fleet, &mut other, request, &mut last, report).await;
     }
     if has_ended && last != EVENTS {
         report.violations.push(format!("stream {id} ended after event {last} of {EVENTS}"));
@@ -139,15 +136,16 @@
 ///
 /// Returns true if the status is a success and the body ended without an error.
 async fn read_events(
+    fleet: &Fleet,
     caller: &mut Caller,
     request: Request,
-    brief: &str,
     last: &mut u64,
     report: &mut Report,
 ) -> bool {
     let Ok(Ok(reply)) = timeout(ANSWER_TIMEOUT, caller.send_for_head(&request)).await else {
         return false;
     };
+    let brief = &request.body;
     let mut text = String::new();
     let has_ended = loop {
         match timeout(ANSWER_TIMEOUT, caller.connection.chunk()).await {
@@ -157,6 +155,12 @@
         }
     };
     if !reply.status.is_success() {
+        let states_not_run = has_ended && text.contains("\"not_run\":true");
+        if let Some(Ok(id)) = request.headers.get("attempt-id").map(|id| id.to_str())
+            && states_not_run
+        {
+            fleet.record_refusal(id);
+        }
         return false;
     }
     let complete_len = text.rfind("\n\n").map_or(0, |at| at + 2);
--- a/crates/wisteriawinch/tests/soak/fleet.rs
+++ b/crates/wisteriawinch/tests/soak/fleet.rs
@@ -46,8 +46,8 @@
     pub(crate) store_proxy: Proxy,
     pub(crate) replicas: Vec<ProxiedReplica>,
     processes: Mutex<Vec<Process>>,
-    /// Ids of orders refused with a status that says the order never runs.
-    pub(crate) refused_orders: Mutex<HashSet<String>>,
+    /// Ids of orders and streams refused with a reply that says that they never run.
+    refused: Mutex<HashSet<String>>,
     /// Settings and logs.
     folder: PathBuf,
 }
@@ -120,8 +120,8 @@
             Process { child: Process::spawn(&settings, &log), settings, log, callers }
         });
         let processes = Mutex::new(processes.collect());
-        let refused_orders = Mutex::default();
-        Self { store, store_proxy, replicas, processes, refused_orders, folder }
+        let refused = Mutex::default();
+        Self { store, store_proxy, replicas, processes, refused, folder }
     }
 
     fn with_process<T>(&self, number: usize, f: impl FnOnce(&mut Process) -> T) -> T {
@@ -186,24 +186,33 @@
         }
     }
 
-    /// Orders that ran more than once, or ran although they were refused.
-    pub(crate) fn order_violations(&self) -> Vec<String> {
-        let mut runs: HashMap<String, u32> = HashMap::new();
-        let desks = self.replicas.iter().filter(|proxied| proxied.replica.service == "desk");
-        for request in desks.flat_map(|proxied| proxied.replica.received()) {
-            if request.executed && request.target.starts_with("/o/") {
+    /// Records that a daemon has stated that the order or stream with this id never runs.
+    pub(crate) fn record_refusal(&self, id: &str) {
+        self.refused
+            .lock()
+            .expect("no thread panics while it holds this lock")
+            .insert(id.to_owned());
+    }
+
+    /// Orders that ran more than once, and orders and streams that ran although they were
+    /// refused.
+    pub(crate) fn run_violations(&self) -> Vec<String> {
+        let mut orders: HashMap<String, u32> = HashMap::new();
+        let mut runs = HashSet::new();
+        for request in self.replicas.iter().flat_map(|proxied| proxied.replica.received()) {
+            if request.executed {
                 let id = request.header("attempt-id").unwrap_or("none").to_owned();
-                *runs.entry(id).or_default() += 1;
+                if request.target.starts_with("/o/") {
+                    *orders.entry(id.clone()).or_default() += 1;
+                }
+                runs.insert(id);
             }
         }
-        let refused =
-            self.refused_orders.lock().expect("no thread panics while it holds this lock");
-        let ran_twice = runs.iter().filter(|(_, count)| **count > 1);
+        let refused = self.refused.lock().expect("no thread panics while it holds this lock");
+        let ran_twice = orders.iter().filter(|(_, count)| **count > 1);
         let ran_twice = ran_twice.map(|(id, count)| format!("order {id} ran {count} times"));
-        let ran_after_refusal = refused.iter().filter(|id| runs.contains_key(*id));
-        ran_twice
-            .chain(ran_after_refusal.map(|id| format!("order {id} was refused and ran")))
-            .collect()
+        let ran_after_refusal = refused.intersection(&runs);
+        ran_twice.chain(ran_after_refusal.map(|id| format!("{id} was refused and ran"))).collect()
     }
 
     /// Ends all faults of the proxies and the store.
