--- a/crates/winch-relay/src/edge.rs
+++ b/crates/winch-relay/src/edge.rs
@@ -393,6 +393,9 @@
         result = result,
         sends = trace.sends,
         steps = trace.steps.join(" "),
+        first_event_ms =
+            trace.first_event.map_or("-".to_owned(), |time| time.as_millis().to_string()),
+        longest_gap_ms = trace.longest_gap.as_millis(),
         taken_ms = job.call.received_at.elapsed().as_millis()
     );
 }
--- a/crates/winch-relay/src/job.rs
+++ b/crates/winch-relay/src/job.rs
@@ -98,6 +98,10 @@
     /// Ids of the replicas that are not chosen again for the request, unless they hold the
     /// KV cache copy from which it continues.
     pub excluded: Vec<Name>,
+    /// Time from the receipt of the request to the first event of its stream.
+    pub first_event: Option<Duration>,
+    /// Longest time between two events of the stream.
+    pub longest_gap: Duration,
 }
 
 impl Trace {
--- a/crates/winch-relay/src/stream/attempt.rs
+++ b/crates/winch-relay/src/stream/attempt.rs
@@ -216,6 +216,11 @@
                 );
             }
         }
+        if self.has_forwarded {
+            self.trace.longest_gap = self.trace.longest_gap.max(now - self.last_event_at);
+        } else {
+            self.trace.first_event = Some(now - self.job.call.received_at);
+        }
         self.has_forwarded = true;
         let first_event_at = *self.first_event_at.get_or_insert(now);
         if now - first_event_at >= SURVIVAL_TIME {
--- a/crates/winch-relay/src/stream/target.rs
+++ b/crates/winch-relay/src/stream/target.rs
@@ -211,6 +211,8 @@
             request = self.job.call.label(),
             replica = replica.id,
             dc = replica.dc,
+            rank = self.job.priority.rank,
+            ranks = self.job.priority.ranks,
             asked = survey.rated.len(),
             waiting = report.waiting,
             running = report.running,
--- a/crates/winch-route/src/speed.rs
+++ b/crates/winch-route/src/speed.rs
@@ -16,9 +16,9 @@
 const MIN_SPAN: Duration = Duration::from_millis(200);
 /// Number of gaps in the first sample of a stream.
 const FIRST_GAPS: usize = 24;
-/// Number of gaps in further samples. They are longer, because samples of one stream tell less
-/// than those of different streams.
-const FURTHER_GAPS: usize = 96;
+/// Number of gaps in further samples of a stream, as many: at a replica that gets a stream every few
+/// seconds, one sample a stream would take half a minute to tell its speed.
+const FURTHER_GAPS: usize = FIRST_GAPS;
 /// The quantile that makes the sample, as the divisor of the number of gaps: the 20th percentile.
 /// Slower gaps include the prefill of other requests.
 const QUANTILE_DIVISOR: usize = 5;
