winch-relay: order requests by team, then by route, and judge the ranks between by their own queue

Only the last rank waits in the daemon. Services whose routes have one priority have one rank, whatever their teams have.

--- a/crates/winch-relay/src/node/admission.rs
+++ b/crates/winch-relay/src/node/admission.rs
@@ -18,8 +18,8 @@
         let Some(estimate) = estimate else { return Ok(()) };
         let now = Instant::now();
         let request = Request {
-            rank: job.priority.rank,
-            ranks: job.priority.ranks,
+            rank: gate_rank(job),
+            ranks: job.priority.ranks.min(2),
             target: job.route.target_latency,
             elapsed: now - job.call.received_at,
             time_left: job.deadline().saturating_duration_since(now),
@@ -42,7 +42,7 @@
     pub fn is_saturated(&self, job: &Job) -> bool {
         let gates = lock(&self.gates);
         let gate = gates.get(&job.service);
-        gate.is_some_and(|gate| gate.is_saturated(job.priority.rank, self.uptime()))
+        gate.is_some_and(|gate| gate.is_saturated(gate_rank(job), self.uptime()))
     }
 
     /// Reports saturated phases that have ended, and drops the gates of services that the
@@ -56,6 +56,12 @@
     }
 }
 
+/// Rank of a request at the gate, which only distinguishes the least urgent requests: those between
+/// pass the queued ones behind them, as the most urgent do.
+fn gate_rank(job: &Job) -> u32 {
+    u32::from(job.priority.is_last())
+}
+
 fn report_change(service: &str, gate: &mut Gate, now: Duration) {
     match gate.take_change(now) {
         None => {}
--- a/crates/winch-relay/src/priority.rs
+++ b/crates/winch-relay/src/priority.rs
@@ -1,7 +1,7 @@
 //! Priorities of requests within their service.
 //!
-//! Routes and teams state priorities as arbitrary numbers. [`Ranks`] orders those that requests of
-//! one service can have, and [`Priority`] is the place of a request in that order. Without any
+//! Routes and teams state priorities as arbitrary numbers. [`Ranks`] orders the requests of a service
+//! by them, and [`Priority`] is the place of a request in that order. Without any
 //! difference a request has no [level](Priority::level), and replicas serve it as before.
 
 use std::{
@@ -34,6 +34,11 @@
 }
 
 impl Priority {
+    /// Whether all other requests of the service are at least as urgent, and some are more urgent.
+    pub fn is_last(self) -> bool {
+        self.ranks > 1 && self.rank + 1 >= self.ranks
+    }
+
     /// Level at the replica, 0 (most urgent) to 9; `None` if the service has one rank only.
     ///
     /// The caller of a repeated request, which starts again from its prompt after a loss, has
@@ -48,53 +53,63 @@
     }
 }
 
-/// The priorities that requests of each service of model engines can have, in order.
+/// The place of a request in the order of its service: the priority of its team, which takes
+/// precedence, and then that of its route. A team without a priority counts with that of the route.
+type Order = (u32, u32);
+
+fn order(route: &Route, team: Option<u32>) -> Order {
+    (team.unwrap_or(route.priority), route.priority)
+}
+
+/// The order of the requests of each service of model engines whose routes differ in priority.
 #[derive(Clone, Debug, Default)]
 pub struct Ranks {
-    by_service: HashMap<Name, Vec<u32>>,
+    by_service: HashMap<Name, Vec<Order>>,
 }
 
 impl Ranks {
-    /// Ranks the priorities of `routes` and `teams` by service. Plain services have no ranks.
+    /// Ranks the requests that `routes` and `teams` allow, by service. Plain services have no ranks,
+    /// nor have services whose routes have the same priority: the priorities of teams alone change
+    /// nothing.
     ///
-    /// `teams` are those that have API keys; `None` if no route needs a key. A priority
-    /// counts only if a request can have it: that of a route does not if the route's callers all
-    /// belong to teams with priorities of their own.
+    /// `teams` are those that have API keys; `None` if no route needs a key.
     pub fn new<'a>(
         routes: impl Iterator<Item = &'a Route>,
         services: &HashMap<Name, Arc<Service>>,
         teams: Option<&HashMap<Name, Arc<Team>>>,
     ) -> Self {
-        let team_priorities: BTreeSet<u32> =
-            teams.into_iter().flat_map(HashMap::values).filter_map(|team| team.priority).collect();
-        let has_plain_team =
-            teams.is_none_or(|teams| teams.values().any(|team| team.priority.is_none()));
-        let mut by_service: HashMap<Name, BTreeSet<u32>> = HashMap::new();
+        let team_priorities: BTreeSet<Option<u32>> =
+            teams.into_iter().flat_map(HashMap::values).map(|team| team.priority).collect();
+        let mut by_service: HashMap<Name, BTreeSet<Order>> = HashMap::new();
         for route in routes {
             let shares = route.shares.iter().map(|share| &share.service);
             let is_engine =
                 |name: &&Name| services.get(*name).is_some_and(|service| service.engine.is_some());
             for service in shares.filter(is_engine) {
-                let priorities = by_service.entry(service.clone()).or_default();
-                priorities.extend(&team_priorities);
-                if has_plain_team || route.public {
-                    priorities.insert(route.priority);
+                let orders = by_service.entry(service.clone()).or_default();
+                orders.extend(team_priorities.iter().map(|team| order(route, *team)));
+                if teams.is_none() || route.public {
+                    orders.insert(order(route, None));
                 }
             }
         }
-        let sorted = |(service, priorities): (Name, BTreeSet<u32>)| {
-            (service, priorities.into_iter().collect())
-        };
+        by_service.retain(|_, orders| {
+            let mut priorities = orders.iter().map(|(_, route)| route);
+            let first = priorities.next();
+            priorities.any(|priority| Some(priority) != first)
+        });
+        let sorted =
+            |(service, orders): (Name, BTreeSet<Order>)| (service, orders.into_iter().collect());
         Self { by_service: by_service.into_iter().map(sorted).collect() }
     }
 
     /// The priority of a request of `service` that `route` matched, from a caller of `team`.
     pub fn priority(&self, service: &str, route: &Route, team: Option<&Team>) -> Priority {
-        let Some(priorities) = self.by_service.get(service) else { return Priority::default() };
-        let own = team.and_then(|team| team.priority).unwrap_or(route.priority);
-        let last = priorities.len().saturating_sub(1);
-        let rank = priorities.partition_point(|priority| *priority < own).min(last);
+        let Some(orders) = self.by_service.get(service) else { return Priority::default() };
+        let own = order(route, team.and_then(|team| team.priority));
+        let last = orders.len().saturating_sub(1);
+        let rank = orders.partition_point(|other| *other < own).min(last);
         let to_u32 = |number: usize| u32::try_from(number).unwrap_or(u32::MAX);
-        Priority { rank: to_u32(rank), ranks: to_u32(priorities.len().max(1)) }
+        Priority { rank: to_u32(rank), ranks: to_u32(orders.len().max(1)) }
     }
 }
--- a/crates/winch-relay/src/stream/admission.rs
+++ b/crates/winch-relay/src/stream/admission.rs
@@ -1,4 +1,4 @@
-//! Lets streams of less urgent ranks wait in this daemon while all replicas are loaded.
+//! Lets streams of the least urgent rank wait in this daemon while all replicas are loaded.
 //!
 //! A request that queues at a replica keeps its place there although another replica becomes free,
 //! and takes KV cache from the runs before it, which are preempted for it. Here it takes nothing, and
@@ -77,8 +77,7 @@
 impl<P: Protocol, W: AsyncWrite + Unpin> Session<'_, P, W> {
     /// Waits until a replica is open, if the request has to leave room to more urgent ones.
     pub(super) async fn wait_for_room(&mut self) -> Admission {
-        let priority = self.job.priority;
-        if self.has_forwarded || priority.rank == 0 {
+        if self.has_forwarded || !self.job.priority.is_last() {
             return Admission::Passed;
         }
         let received_at = self.job.call.received_at;
@@ -116,11 +115,11 @@
     pub(super) fn check_admission(&self, target: Option<&Target>) -> Option<Outcome> {
         let is_new = self.trace.sends == 0 && self.last_event.is_none();
         let estimate = target?.estimate.filter(|_| is_new)?;
-        let estimate = overload::Estimate {
-            unloaded: estimate.unloaded,
-            start: estimate.first_event,
-            urgent_start: estimate.urgent_first_event,
-        };
+        // Only requests of the last rank stand behind everything that is queued.
+        let is_last = self.job.priority.rank + 1 >= self.job.priority.ranks;
+        let urgent_start = estimate.urgent_first_event;
+        let start = if is_last { estimate.first_event } else { urgent_start };
+        let estimate = overload::Estimate { unloaded: estimate.unloaded, start, urgent_start };
         let refusal = self.node.admit_stream(self.job, Some(estimate)).err()?;
         Some(Outcome::Shed { code: Code::Overloaded, retry_after: refusal.retry_after })
     }
--- a/crates/winch-route/src/engine.rs
+++ b/crates/winch-route/src/engine.rs
@@ -276,14 +276,22 @@
         if service.slots == 0 { 0 } else { held.saturating_add(1).saturating_sub(service.slots) }
     }
 
-    /// The load without the queued requests that are less urgent than `level`. A report does not tell
-    /// the levels of queued requests; they are assumed to be distributed as those of the runs.
+    /// The load without the requests that are less urgent than `level`: the engine puts those that are
+    /// queued behind, and preempts those that run. A report does not tell the levels of queued
+    /// requests; they are assumed to be distributed as those of the runs.
     fn as_urgent_as(&self, level: Option<u8>) -> Self {
         let level = level.filter(|_| !self.runs.is_empty());
         let Some(level) = level else { return *self };
-        let ahead = self.runs.iter().filter(|run| run.level <= level).count();
-        let share = ahead as f64 / self.runs.len() as f64;
-        Self { waiting: (f64::from(self.waiting) * share).ceil() as u32, ..*self }
+        let (ahead, behind): (Vec<&Run>, Vec<&Run>) =
+            self.runs.iter().partition(|run| run.level <= level);
+        let share = ahead.len() as f64 / self.runs.len() as f64;
+        let preempted: u64 = behind.iter().map(|run| run.tokens).sum();
+        Self {
+            waiting: (f64::from(self.waiting) * share).ceil() as u32,
+            running: self.running.saturating_sub(u32::try_from(behind.len()).unwrap_or(u32::MAX)),
+            used_tokens: self.used_tokens.saturating_sub(preempted),
+            ..*self
+        }
     }
 
     /// Time until a run that needs `tokens` can enter prefill, in mean prompts.
