--- a/crates/winch-relay/src/catalog.rs
+++ b/crates/winch-relay/src/catalog.rs
@@ -26,8 +26,8 @@
 /// Time after an outage of the store within which removed entries of the list may be written
 /// again.
 pub const REMOVAL_GRACE: Duration = Duration::from_millis(2_500);
-/// Time after the beginning of an era of the store for which entries of replicas that had left before
-/// are not believed. Longer than the store keeps the entry of a replica that is silent.
+/// Time after the beginning of an era of the store for which entries of replicas that had left
+/// before are not believed. Longer than the store keeps the entry of a replica that is silent.
 pub const RETURN_DELAY: Duration = Duration::from_secs(8);
 /// Longest time for which an unlisted replica is used while the store is reachable.
 const UNLISTED_TTL: Duration = Duration::from_secs(5);
--- a/crates/winch-relay/src/counter.rs
+++ b/crates/winch-relay/src/counter.rs
@@ -63,7 +63,8 @@
     counter!("winch_probes_total", "result" => result).increment(1);
 }
 
-/// Counts a placement of a stream by the rounds of candidates that it took, 1 to 3.
+/// Counts a choice of a replica, including one that found none with room, by the rounds of load
+/// reports that it took, 1 to 3.
 pub fn placed(rounds: u32) {
     let rounds = match rounds {
         1 => "1",
@@ -78,15 +79,14 @@
     counter!("winch_placements_without_room_total").increment(1);
 }
 
-/// Counts a KV cache copy that was not requested when its run started, by reason: `no_room` if
-/// no holder had enough uncommitted KV cache, `priority` if what there was is left to more urgent
-/// requests.
+/// Counts a KV cache copy that was not requested when its run started, by reason: `no_room` if no
+/// holder had enough uncommitted KV cache.
 pub fn copy_skipped(reason: &'static str) {
     counter!("winch_copies_skipped_total", "reason" => reason).increment(1);
 }
 
-/// Counts a stream that waits in this daemon for a replica with room: `begun`, and then `started` or
-/// `expired`.
+/// Counts a stream that waits in this daemon for a replica with room: `begun`, and then `started`
+/// or `expired`.
 pub fn waited(result: &'static str) {
     counter!("winch_waits_total", "result" => result).increment(1);
 }
--- a/crates/winch-relay/src/daemon.rs
+++ b/crates/winch-relay/src/daemon.rs
@@ -22,8 +22,8 @@
 const STOP_ACCEPT_TIME: Duration = Duration::from_millis(3_000);
 /// Time before the end of the stop grace period at which the daemon aborts running requests.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
-/// Interval at which idle connections and expired replicas are removed, and the speeds of replicas
-/// are estimated.
+/// Interval at which idle connections, expired replicas and unused admission gates are removed, and
+/// the speeds of replicas are estimated.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval at which a stopping daemon looks if it still serves requests of other daemons.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
--- a/crates/winch-relay/src/node/admission.rs
+++ b/crates/winch-relay/src/node/admission.rs
@@ -8,14 +8,12 @@
 
 impl<P: Protocol> Node<P> {
     /// Decides whether a stream is sent to the replica of `estimate`, the best one that was found.
-    /// Without an estimate the load is not known, and the stream is admitted.
     ///
     /// The stream must not have run anywhere: a refusal states that it never will.
     ///
     /// # Errors
     /// A [`Refusal`] if no replica can start the stream in time.
-    pub fn admit_stream(&self, job: &Job, estimate: Option<Estimate>) -> Result<(), Refusal> {
-        let Some(estimate) = estimate else { return Ok(()) };
+    pub fn admit_stream(&self, job: &Job, estimate: Estimate) -> Result<(), Refusal> {
         let now = Instant::now();
         let request = Request {
             rank: gate_rank(job),
--- a/crates/winch-relay/src/placement.rs
+++ b/crates/winch-relay/src/placement.rs
@@ -1,10 +1,10 @@
 //! Chooses replicas for streams, for unary requests and for KV cache copies.
 //!
 //! A stream goes to the replica with the least [cost](forecast) among a few drawn candidates that
-//! have reported their load; further ones are drawn if the best of them is loaded. A [unary](crate::unary) request goes to the
-//! replica with the least expected latency, which this daemon's earlier requests have
-//! measured; no load report is requested for it. The functions take the [`Catalog`] and
-//! received [`Report`]s, and send nothing themselves.
+//! have reported their load; further ones are drawn if the best of them is loaded. A
+//! [unary](crate::unary) request goes to the replica with the least expected latency, which this
+//! daemon's earlier requests have measured; no load report is requested for it. The functions take
+//! the [`Catalog`] and received [`Report`]s, and send nothing themselves.
 
 use rand::{Rng, seq::IteratorRandom};
 use winch_route::{
@@ -62,8 +62,8 @@
 /// rendezvous hashing, in proportion to the replicas' speeds: after a restart of all daemons, which
 /// then know nothing of earlier runs, a repeated request is offered to replicas that may have read
 /// its prompt before. Remote
-/// replicas replace missing local ones. Replicas whose limit binds come first while this daemon has a
-/// slot. Replicas without a slot under the limit that they name are
+/// replicas replace missing local ones. Replicas whose limit binds come first while this daemon has
+/// a slot. Replicas without a slot under the limit that they name are
 /// drawn at random only. Ejected replicas are drawn only if no other one is
 /// eligible.
 pub fn draw_candidates<R: Rng>(
@@ -248,9 +248,9 @@
 /// Chooses the replica for a unary request: the one with the least expected latency among
 /// those that satisfy `is_eligible`.
 ///
-/// The cost of a replica also grows with its failure rate and if it was full, and an ejected replica is normally
-/// chosen only if there is no other one. `None` if no replica is eligible, or if none has a slot
-/// under the limit that it names.
+/// The cost of a replica also grows with its failure rate and if it was full, and an ejected
+/// replica is normally chosen only if there is no other one. `None` if no replica is eligible, or
+/// if none has a slot under the limit that it names.
 pub fn choose_replica<R: Rng>(
     catalog: &Catalog,
     service: &str,
--- a/crates/winch-relay/src/priority.rs
+++ b/crates/winch-relay/src/priority.rs
@@ -1,7 +1,7 @@
 //! Priorities of requests within their service.
 //!
-//! Routes and teams state priorities as arbitrary numbers. [`Ranks`] orders the requests of a service
-//! by them, and [`Priority`] is the place of a request in that order. Without any
+//! Routes and teams state priorities as arbitrary numbers. [`Ranks`] orders the requests of a
+//! service by them, and [`Priority`] is the place of a request in that order. Without any
 //! difference a request has no [level](Priority::level), and replicas serve it as before.
 
 use std::{
@@ -68,9 +68,9 @@
 }
 
 impl Ranks {
-    /// Ranks the requests that `routes` and `teams` allow, by service. Plain services have no ranks,
-    /// nor have services whose routes have the same priority: the priorities of teams alone change
-    /// nothing.
+    /// Ranks the requests that `routes` and `teams` allow, by service. Plain services have no
+    /// ranks, nor have services whose routes have the same priority: the priorities of teams alone
+    /// change nothing.
     ///
     /// `teams` are those that have API keys; `None` if no route needs a key.
     pub fn new<'a>(
--- a/crates/winch-relay/src/speed.rs
+++ b/crates/winch-relay/src/speed.rs
@@ -372,8 +372,8 @@
     }
 }
 
-/// Restores the estimates of a service that another daemon made. Replicas that it does not name were
-/// typical.
+/// Restores the estimates of a service that another daemon made. Replicas that it does not name
+/// were typical.
 fn restore(
     estimator: &mut Estimator<SocketAddr>,
     speeds: &ServiceSpeeds,
@@ -431,10 +431,3 @@
         }
     }
 }
-
-impl<P: Protocol> Drop for Recorder<'_, P> {
-    fn drop(&mut self) {
-        let sample = self.meter.finish();
-        self.add(sample);
-    }
-}
--- a/crates/winch-relay/src/stream/admission.rs
+++ b/crates/winch-relay/src/stream/admission.rs
@@ -1,8 +1,8 @@
 //! Lets streams of the least urgent rank wait in this daemon while all replicas are loaded.
 //!
 //! A request that queues at a replica keeps its place there although another replica becomes free,
-//! and takes KV cache from the runs before it, which are preempted for it. Here it takes nothing, and
-//! more urgent requests pass it.
+//! and takes KV cache from the runs before it, which are preempted for it. Here it takes nothing,
+//! and more urgent requests pass it.
 
 use std::{
     collections::HashMap,
@@ -16,8 +16,8 @@
 use super::{Session, Target};
 use crate::{counter, job::Outcome, prelude::*};
 
-/// Share of the target latency that a request may wait; it needs the rest for a replica that is
-/// loaded after all.
+/// Share of the target latency that a request may wait in the daemon. The rest is left for the
+/// prefill and a queue at the replica.
 const MAX_WAIT_SHARE: f64 = 0.55;
 /// Mean time between two rounds of reports of one waiting request.
 const POLL_INTERVAL: Duration = Duration::from_millis(350);
@@ -110,17 +110,17 @@
         Admission::Passed
     }
 
-    /// The refusal of a request that `target`, the best replica that was found, cannot start in time;
-    /// `None` if the request is sent. A request that was sent before is never refused.
+    /// The refusal of a request that `target`, the best replica that was found, cannot start in
+    /// time; `None` if the request is sent. A request that was sent before is never refused.
     pub(super) fn check_admission(&self, target: Option<&Target>) -> Option<Outcome> {
         let is_new = self.trace.sends == 0 && self.last_event.is_none();
         let estimate = target?.estimate.filter(|_| is_new)?;
-        // Only requests of the last rank stand behind everything that is queued.
-        let is_last = self.job.priority.rank + 1 >= self.job.priority.ranks;
-        let urgent_start = estimate.urgent_first_event;
-        let start = if is_last { estimate.first_event } else { urgent_start };
-        let estimate = overload::Estimate { unloaded: estimate.unloaded, start, urgent_start };
-        let refusal = self.node.admit_stream(self.job, Some(estimate)).err()?;
+        let estimate = overload::Estimate {
+            unloaded: estimate.unloaded,
+            start: estimate.first_event,
+            urgent_start: estimate.urgent_first_event,
+        };
+        let refusal = self.node.admit_stream(self.job, estimate).err()?;
         Some(Outcome::Shed { code: Code::Overloaded, retry_after: refusal.retry_after })
     }
 
--- a/crates/winch-relay/src/stream/survey.rs
+++ b/crates/winch-relay/src/stream/survey.rs
@@ -90,8 +90,8 @@
         placement::draw_further(&node.catalog(), service, asked, is_eligible, now, rng)
     }
 
-    /// Asks the candidates, and with `may_ask_further` further ones while those that have answered are
-    /// loaded.
+    /// Asks the candidates, and with `may_ask_further` further ones while those that have answered
+    /// are loaded.
     pub(super) async fn survey(
         &self,
         candidates: Vec<(Key, Arc<Replica>)>,
@@ -102,7 +102,7 @@
         let request = Request {
             tokens: self.kv_tokens(),
             prompt_units: service.typical.prompt_units(prompt_tokens),
-            level: self.rank().map(engine::level),
+            level: self.job.priority.level(false),
         };
         let mut asked: Vec<Key> = candidates.iter().map(|(key, _)| *key).collect();
         let mut survey = Survey { rated: Vec::new(), request, service };
--- a/crates/winch-relay/src/stream/target.rs
+++ b/crates/winch-relay/src/stream/target.rs
@@ -33,13 +33,6 @@
         self.job.call.size.map_or(DEFAULT_KV_TOKENS, |size| size.total())
     }
 
-    /// Rank of the request among the priorities of its service, 0 for the most urgent; `None` if
-    /// all its requests have the same priority.
-    pub(super) fn rank(&self) -> Option<u8> {
-        let priority = self.job.priority;
-        (priority.ranks > 1).then(|| u8::try_from(priority.rank).unwrap_or(u8::MAX))
-    }
-
     /// Capabilities of the service's engines; `None` for a plain service.
     pub(super) fn engine(&self) -> Option<Engine> {
         self.node.config()?.service(&self.job.service)?.engine
@@ -177,7 +170,7 @@
     /// if the stream can start there without queueing and leaves room to others.
     pub(super) async fn place_if_open(&self, further: bool) -> Option<Target> {
         let survey = self.survey(self.draw(0), further).await;
-        self.take_best(&survey, |rated| engine::is_open_to_patient(&rated.forecast))
+        self.take_best(&survey, |rated| engine::has_reserve(&rated.forecast))
     }
 
     /// The replica with the least cost among those that are eligible, and the holder of the copy.
--- a/crates/winch-relay/src/unary.rs
+++ b/crates/winch-relay/src/unary.rs
@@ -67,8 +67,8 @@
 /// Relays a request to one replica after another until one gives a final reply, unless it is shed
 /// because its service is overloaded.
 ///
-/// Returns [`Outcome::Answer`], [`Outcome::Error`] or [`Outcome::Shed`], which the function's caller
-/// sends.
+/// Returns [`Outcome::Answer`], [`Outcome::Error`] or [`Outcome::Shed`], which the function's
+/// caller sends.
 pub async fn relay<P: Protocol>(node: &Arc<Node<P>>, job: &Job, trace: &mut Trace) -> Outcome {
     if let Some(outcome) = shed::admit(node, job) {
         return outcome;
--- a/crates/winch-relay/tests/priority_ranks.rs
+++ b/crates/winch-relay/tests/priority_ranks.rs
@@ -126,6 +126,8 @@
     };
     assert_eq!(levels(0, 2), (1, 0));
     assert_eq!(levels(1, 2), (3, 2));
+    let level = |rank| Priority { rank, ranks: 10 }.level(false).unwrap();
+    assert_eq!([0, 1, 2, 4, 9].map(level), [1, 3, 5, 9, 9]);
     for ranks in 2..12 {
         for rank in 0..ranks {
             let (level, repeated) = levels(rank, ranks);
--- a/crates/winch-route/src/backlog.rs
+++ b/crates/winch-route/src/backlog.rs
@@ -1,8 +1,8 @@
 //! Requests that wait in a daemon until an upstream has room.
 //!
-//! A daemon does not see the requests that wait in others. It estimates the wait of a new one from the
-//! intervals between the starts of its own: those lengthen when all daemons compete for the same
-//! upstreams.
+//! A daemon does not see the requests that wait in others. It estimates the wait of a new one from
+//! the intervals between the starts of its own: those lengthen when all daemons compete for the
+//! same upstreams.
 
 use std::time::Duration;
 
@@ -21,11 +21,6 @@
 }
 
 impl Backlog {
-    /// Number of waiting requests.
-    pub fn waiting(&self) -> u32 {
-        self.waiting
-    }
-
     /// Time until a request that arrives now starts, behind those that wait.
     ///
     /// While none starts, the time since the last start counts as the interval if that is longer.
--- a/crates/winch-route/src/budget.rs
+++ b/crates/winch-route/src/budget.rs
@@ -34,8 +34,8 @@
         self.tokens = (self.tokens + self.options.ratio).min(self.options.burst);
     }
 
-    /// Adds retries that no first attempt has earned, such as this daemon's part of a slack that all
-    /// daemons share.
+    /// Adds retries that no first attempt has earned, such as this daemon's part of a slack that
+    /// all daemons share.
     pub fn add(&mut self, retries: f64) {
         self.tokens = (self.tokens + retries).min(self.options.burst);
     }
--- a/crates/winch-route/src/engine.rs
+++ b/crates/winch-route/src/engine.rs
@@ -13,8 +13,9 @@
 /// Number of prompts at an engine from which on another one counts as queued. A single prompt is
 /// in prefill, and half done on average.
 const QUEUE: u32 = 2;
-/// Mean requests for which a run that can wait leaves KV cache: an urgent one and a copy.
-const PATIENT_RESERVE_RUNS: f64 = 2.0;
+/// Mean requests for which KV cache stays free when a run of the least urgent rank starts: one more
+/// urgent run and one copy.
+const RESERVED_REQUESTS: f64 = 2.0;
 /// Further rounds that one placement may take.
 const MAX_FURTHER_ROUNDS: u32 = 2;
 /// Cost of a run in the decode phase, relative to one in the prefill phase.
@@ -33,12 +34,6 @@
 /// Time assumed for one mean prompt, and for one mean answer, before the first measurement.
 const DEFAULT_TIME: Duration = Duration::from_secs(1);
 
-/// Priority level of requests of a rank; the most urgent rank is zero. The levels between those of
-/// two ranks are left for requests that are sent again.
-pub fn level(rank: u8) -> u8 {
-    rank.saturating_mul(2).saturating_add(1).min(9)
-}
-
 /// A run that has yielded an event, as its engine reports it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Run {
@@ -207,8 +202,8 @@
     pub prompts: u32,
     /// Time to the first event if the engine had no other request.
     pub unloaded: f64,
-    /// KV cache that the run leaves uncommitted, in tokens of mean requests of the service; negative if
-    /// it has no room.
+    /// Number of mean requests for which KV cache stays uncommitted beside the run; negative if the
+    /// run has no room.
     pub spare_runs: f64,
     /// Whether the engine has KV cache that is not committed for the whole run.
     pub has_room: bool,
@@ -276,8 +271,8 @@
         if service.slots == 0 { 0 } else { held.saturating_add(1).saturating_sub(service.slots) }
     }
 
-    /// The load without the requests that are less urgent than `level`: the engine puts those that are
-    /// queued behind, and preempts those that run. A report does not tell the levels of queued
+    /// The load without the requests that are less urgent than `level`: the engine puts those that
+    /// are queued behind, and preempts those that run. A report does not tell the levels of queued
     /// requests; they are assumed to be distributed as those of the runs.
     fn as_urgent_as(&self, level: Option<u8>) -> Self {
         let level = level.filter(|_| !self.runs.is_empty());
@@ -350,10 +345,11 @@
     }
 }
 
-/// Whether a run that can wait starts at an engine: it leaves room for more urgent runs and for copies,
-/// because a run that finds none preempts others or is not copied.
-pub fn is_open_to_patient(forecast: &Forecast) -> bool {
-    forecast.is_open && forecast.spare_runs >= PATIENT_RESERVE_RUNS
+/// Whether a run of the least urgent rank may start at the engine: without queueing, and with KV
+/// cache left for a more urgent run and a copy. Without that, later runs preempt others or have no
+/// copy.
+pub fn has_reserve(forecast: &Forecast) -> bool {
+    forecast.is_open && forecast.spare_runs >= RESERVED_REQUESTS
 }
 
 /// Whether a further round of candidates is worth its reports, after `further` such rounds.
@@ -372,14 +368,6 @@
     -random.max(f64::MIN_POSITIVE).ln() * slowness
 }
 
-/// KV cache that the holder of a copy must have uncommitted for a run that needs `tokens`.
-///
-/// While memory is short, a copy for a run that is not of the most urgent `rank` has to leave
-/// room for another one.
-pub fn copy_room(tokens: u64, rank: u8) -> u64 {
-    if rank == 0 { tokens } else { tokens.saturating_mul(2) }
-}
-
 /// The engine that is to hold the copy of a run: the one with the most uncommitted KV cache
 /// among those with at least `room`. `None` if there is none.
 pub fn choose_holder<T>(engines: impl Iterator<Item = (T, f64)>, room: u64) -> Option<T> {
--- a/crates/winch-route/src/shed.rs
+++ b/crates/winch-route/src/shed.rs
@@ -2,8 +2,9 @@
 //!
 //! A daemon counts the requests for a service and those that the service accepted: its replicas
 //! neither refused them because they were full nor answered them too late. While more arrive than
-//! are accepted, the daemon sheds the excess before it is sent, less urgent requests first. It sends
-//! somewhat more than is accepted, so that it notices when the load falls or the capacity grows.
+//! are accepted, the daemon sheds the excess before it is sent, less urgent requests first. It
+//! sends somewhat more than is accepted, so that it notices when the load falls or the capacity
+//! grows.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -36,7 +37,8 @@
 /// Longest time after which a caller is asked to return, without jitter. Callers that return after
 /// the end of a burst prolong the overload.
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(600);
-/// Largest share of the time until a caller returns by which it is shortened or prolonged at random.
+/// Largest share of the time until a caller returns by which it is shortened or prolonged at
+/// random.
 const RETRY_JITTER: f64 = 0.25;
 
 /// A sum over the last seconds, which decays exponentially.
@@ -180,7 +182,8 @@
         let accepted = self.accepted.get(WINDOW, now);
         let excess = self.requests(now) - accepted;
         let time = WINDOW.mul_f64((excess / accepted.max(1.0)).clamp(0.0, 1.0));
-        // With the minimum applied before the jitter, callers return apart after the shortest time, too.
+        // With the minimum applied before the jitter, callers return apart after the shortest time,
+        // too.
         let min = MIN_RETRY_AFTER.div_f64(1.0 - RETRY_JITTER);
         let factor = 1.0 + RETRY_JITTER * (2.0 * jitter - 1.0);
         time.clamp(min, MAX_RETRY_AFTER).mul_f64(factor).max(MIN_RETRY_AFTER)
--- a/crates/winch-route/src/speed.rs
+++ b/crates/winch-route/src/speed.rs
@@ -2,8 +2,8 @@
 //!
 //! A [`Meter`] yields [`Level`]s of the gaps of one stream. An [`Estimator`] combines those of all
 //! streams into one estimate for each replica, relative to the median of the service. A replica
-//! counts as typical unless its estimate differs from the median by more than the noise: by
-//! [`MIN_DIFFERENCE`] and by [`NOISE_FACTOR`] standard errors of an estimate.
+//! counts as typical unless its estimate differs from the median by more than the noise: by half a
+//! doubling and by five standard errors of an estimate.
 
 use std::{collections::HashMap, hash::Hash, time::Duration};
 
@@ -14,11 +14,9 @@
 /// Time over which a gap is measured, unless that takes too many events. A daemon that shares a CPU
 /// may be paused for 100 ms and then reads events together that were made at different times.
 const MIN_SPAN: Duration = Duration::from_millis(200);
-/// Number of gaps in the first sample of a stream.
-const FIRST_GAPS: usize = 24;
-/// Number of gaps in further samples of a stream, as many: at a replica that gets a stream every few
-/// seconds, one sample a stream would take half a minute to tell its speed.
-const FURTHER_GAPS: usize = FIRST_GAPS;
+/// Number of gaps in one sample. A replica gets few streams, so a long stream yields several
+/// samples.
+const SAMPLE_GAPS: usize = 24;
 /// The quantile that makes the sample, as the divisor of the number of gaps: the 20th percentile.
 /// Slower gaps include the prefill of other requests.
 const QUANTILE_DIVISOR: usize = 5;
@@ -94,21 +92,13 @@
     /// Number of events so far.
     events: usize,
     /// Gaps since the last sample.
-    gaps: [Level; FURTHER_GAPS],
+    gaps: [Level; SAMPLE_GAPS],
     len: usize,
-    /// Number of gaps of the next sample.
-    wanted: usize,
 }
 
 impl Default for Meter {
     fn default() -> Self {
-        Self {
-            times: [0; MAX_WINDOW],
-            events: 0,
-            gaps: [Level(0); FURTHER_GAPS],
-            len: 0,
-            wanted: FIRST_GAPS,
-        }
+        Self { times: [0; MAX_WINDOW], events: 0, gaps: [Level(0); SAMPLE_GAPS], len: 0 }
     }
 }
 
@@ -125,7 +115,7 @@
             let Some(gap) = gap else { continue };
             self.gaps[self.len] = Level::from_gap(gap);
             self.len += 1;
-            if self.len == self.wanted {
+            if self.len == SAMPLE_GAPS {
                 sample = self.take();
             }
         }
@@ -143,15 +133,8 @@
         Some(span(window) / window as u32)
     }
 
-    /// Returns the sample of the gaps since the last one, if there are enough; called at the end of
-    /// the stream.
-    pub fn finish(&mut self) -> Option<Level> {
-        if self.len < FIRST_GAPS { None } else { self.take() }
-    }
-
     fn take(&mut self) -> Option<Level> {
         let len = std::mem::take(&mut self.len);
-        self.wanted = FURTHER_GAPS;
         let (_, quantile, _) = self.gaps[..len].select_nth_unstable(len / QUANTILE_DIVISOR);
         Some(*quantile)
     }
--- a/crates/wisteriawinch/src/command/operate.rs
+++ b/crates/wisteriawinch/src/command/operate.rs
@@ -181,8 +181,8 @@
     result.unwrap_or_else(|exit| exit)
 }
 
-/// Runs `check`: prints the faults and warnings of a file, as a change to a daemon's configuration or
-/// as a complete configuration, and what differs from that of the daemon or of another file.
+/// Runs `check`: prints the faults and warnings of a file, as a change to a daemon's configuration
+/// or as a complete configuration, and what differs from that of the daemon or of another file.
 ///
 /// Warnings do not change the exit code.
 pub async fn check(options: &Check) -> Exit {
--- a/crates/wisteriawinch/tests/fault_soak.rs
+++ b/crates/wisteriawinch/tests/fault_soak.rs
@@ -1,8 +1,8 @@
 //! Runs daemons as separate processes and injects random faults from outside.
 //!
 //! A seed determines a series of faults and the choices of the callers. The test
-//! fails if an order runs twice, an order or stream runs after a refusal, a stream has a gap, a success is
-//! not signed by a replica, an answer belongs to another request, a daemon exits
+//! fails if an order runs twice, an order or stream runs after a refusal, a stream has a gap, a
+//! success is not signed by a replica, an answer belongs to another request, a daemon exits
 //! by itself or a graceful stop fails, or if a daemon does not serve again after the
 //! faults.
 //!
