--- a/crates/winch-route/src/engine.rs
+++ b/crates/winch-route/src/engine.rs
@@ -104,6 +104,11 @@
         self.prompt_time.unwrap_or(DEFAULT_TIME)
     }
 
+    /// Whether [`Self::prompt_time()`] has been measured.
+    pub fn is_measured(&self) -> bool {
+        self.prompt_time.is_some()
+    }
+
     /// Size of a prompt in mean prompts; 1 if it is not known.
     pub fn prompt_units(&self, prompt_tokens: Option<u64>) -> f64 {
         match (prompt_tokens, self.prompt_tokens) {
