--- a/crates/winch-relay/src/stream/admission.rs
+++ b/crates/winch-relay/src/stream/admission.rs
@@ -77,7 +77,8 @@
 impl<P: Protocol, W: AsyncWrite + Unpin> Session<'_, P, W> {
     /// Waits until a replica is open, if the request has to leave room to more urgent ones.
     pub(super) async fn wait_for_room(&mut self) -> Admission {
-        if self.has_forwarded || !self.job.priority.is_last() {
+        let has_begun = self.has_forwarded || self.last_event.is_some();
+        if has_begun || !self.job.priority.is_last() {
             return Admission::Passed;
         }
         let received_at = self.job.call.received_at;
--- a/crates/winch-route/src/engine.rs
+++ b/crates/winch-route/src/engine.rs
@@ -278,13 +278,13 @@
 
     /// The load without the requests that are less urgent than `level`: the engine puts those that
     /// are queued behind, and preempts those that run. A report does not tell the levels of queued
-    /// requests; they are assumed to be distributed as those of the runs.
+    /// requests; they are assumed to be distributed as those of the runs, and to be less urgent if there
+    /// is no run: a request is not refused because of others that it may pass.
     fn as_urgent_as(&self, level: Option<u8>) -> Self {
-        let level = level.filter(|_| !self.runs.is_empty());
         let Some(level) = level else { return *self };
         let (ahead, behind): (Vec<&Run>, Vec<&Run>) =
             self.runs.iter().partition(|run| run.level <= level);
-        let share = ahead.len() as f64 / self.runs.len() as f64;
+        let share = ahead.len() as f64 / self.runs.len().max(1) as f64;
         let preempted: u64 = behind.iter().map(|run| run.tokens).sum();
         Self {
             waiting: (f64::from(self.waiting) * share).ceil() as u32,
