winch-relay: tell with the estimate whether its prefill time was measured

The remaining refusals of the urgent s-16 and s-8 in burst_refusal: the estimate was made with the assumed second, and another stream gave the first measurement before the gate was asked (traced with the request and the estimate in the log).

--- a/crates/winch-relay/src/stream/admission.rs
+++ b/crates/winch-relay/src/stream/admission.rs
@@ -116,8 +116,7 @@
     pub(super) fn check_admission(&self, target: Option<&Target>) -> Option<Outcome> {
         let is_new = self.trace.sends == 0 && self.last_event.is_none();
         // An assumed prefill time says nothing about the load.
-        let is_known = self.node.catalog().typical(&self.job.service).is_measured();
-        let estimate = target?.estimate.filter(|_| is_new && is_known)?;
+        let estimate = target?.estimate.filter(|estimate| is_new && estimate.is_measured)?;
         let estimate = overload::Estimate {
             unloaded: estimate.unloaded,
             start: estimate.first_event,
--- a/crates/winch-relay/src/stream/survey.rs
+++ b/crates/winch-relay/src/stream/survey.rs
@@ -41,6 +41,7 @@
             unloaded: to_time(forecast.unloaded),
             first_event: to_time(forecast.first_event),
             urgent_first_event: to_time(forecast.urgent_first_event),
+            is_measured: self.service.typical.is_measured(),
             is_open: forecast.is_open,
             is_idle: forecast.prompts == 0,
             prompt_units: self.request.prompt_units,
