--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -1,10 +1,10 @@
 //! One module a case; each returns whether its rule was broken.
 
+mod crashing_request;
 mod foreign_memory;
 mod leaving_replica;
 mod refused_head;
 mod silent_second;
-mod working_twice;
 
 use std::io;
 
@@ -28,11 +28,11 @@
 /// Runs a case and writes its record to `record`.
 pub fn run(name: &str, record: &str) -> io::Result<bool> {
     match name {
+        "crashing-request" => crashing_request::run(record),
         "foreign-memory" => foreign_memory::run(record),
         "leaving-replica" => leaving_replica::run(record),
         "refused-head" => refused_head::run(record),
         "silent-second" => silent_second::run(record),
-        "working-twice" => working_twice::run(record),
         _ => Err(io::Error::other(format!("no case {name:?}"))),
     }
 }
--- a/review/standin/replica.rs
+++ b/review/standin/replica.rs
@@ -312,6 +312,10 @@
         let signed = format!("{named}Replica-Signature: s.{own}.{id}\r\n");
         if !self.options.is_engine {
             self.log(&format!("RUN {id} {} from {}", request.word(0), peer(channel)));
+            if request.word(1).ends_with("/poison") {
+                self.log(&format!("CRASHES as it runs {id}"));
+                std::process::exit(1);
+            }
             thread::sleep(self.options.pace);
             let body = format!("done {id}");
             if request.word(0) == "HEAD" {
