winch-relay: check the replies to the daemon's own requests to replicas

Now an exchange takes a matcher.

Ruled out: handles that start again with a replica; none restarts in the case.

Old and new builds: no message between daemons and no stored row changes.

--- a/crates/winch-http/src/client.rs
+++ b/crates/winch-http/src/client.rs
@@ -58,6 +58,26 @@
     Error::Broken { source: kind.into() }
 }
 
+/// Tells the reply to a request from other replies that arrive on its connection, such as a
+/// late second reply to an earlier request.
+pub trait Matcher {
+    /// Whether `reply` answers the request; `is_first` states whether no other request was sent
+    /// on the connection before it.
+    fn matches(&self, reply: &Reply, is_first: bool) -> bool;
+}
+
+/// Matches every reply: for servers that reply to each request once and in order.
+///
+/// Not for replicas, which may send a reply twice.
+#[derive(Clone, Copy, Debug)]
+pub struct InOrder;
+
+impl Matcher for InOrder {
+    fn matches(&self, _: &Reply, _: bool) -> bool {
+        true
+    }
+}
+
 /// One connection to a server; it carries one request at a time.
 #[derive(Debug)]
 pub struct Connection {
@@ -122,7 +142,7 @@
     }
 
     /// Sends `request`, the encoded head and body of a request with `method`, and reads the
-    /// head of a reply for which `accepts` holds.
+    /// head of the reply that `matcher` finds to answer it.
     ///
     /// Informational replies are skipped, and other replies are read to their end and
     /// discarded, as long as they are few and short.
@@ -133,8 +153,9 @@
         &mut self,
         method: &Method,
         request: &[u8],
-        accepts: impl Fn(&Reply) -> bool,
+        matcher: &impl Matcher,
     ) -> Result<Reply, Error> {
+        let is_first = self.exchanges == 0;
         self.exchanges += 1;
         self.reusable = false;
         let (mut reader, mut writer) = self.io.split();
@@ -163,7 +184,7 @@
                     continue;
                 }
                 self.decoder = Decoder::new(Framing::of_reply(method, &reply)?);
-                if accepts(&reply) {
+                if matcher.matches(&reply, is_first) {
                     // After an early reply the server still expects the rest of the request.
                     self.reusable = written && reply.keeps_alive();
                     self.idle_limit = reply.idle_limit_s().map_or(DEFAULT_IDLE_LIMIT, |limit| {
--- a/crates/winch-http/tests/client_exchange.rs
+++ b/crates/winch-http/tests/client_exchange.rs
@@ -10,9 +10,19 @@
 };
 use winch_http::{
     Fault,
-    client::{Connection, Error},
+    client::{Connection, Error, Matcher},
+    head::Reply,
 };
 
+/// Matches replies that are not marked as old.
+struct NotOld;
+
+impl Matcher for NotOld {
+    fn matches(&self, reply: &Reply, _: bool) -> bool {
+        !reply.headers.contains_key("x-old")
+    }
+}
+
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Starts a server that reads part of a request and writes `text`. It then closes the
@@ -35,8 +45,7 @@
     let mut connection =
         Connection::open(server(text, closes).await, CONNECT_TIMEOUT).await.unwrap();
     let request = b"GET / HTTP/1.1\r\n\r\n";
-    let accepts = |reply: &winch_http::head::Reply| !reply.headers.contains_key("x-old");
-    let body = match connection.exchange(&Method::GET, request, accepts).await {
+    let body = match connection.exchange(&Method::GET, request, &NotOld).await {
         Ok(_) => connection.body(1_000).await,
         Err(error) => Err(error),
     };
@@ -106,9 +115,8 @@
         }
     });
     let mut connection = Connection::open(address, CONNECT_TIMEOUT).await.unwrap();
-    let accepts = |reply: &winch_http::head::Reply| !reply.headers.contains_key("x-old");
     let request = b"GET / HTTP/1.1\r\n\r\n";
-    let result = match connection.exchange(&Method::GET, request, accepts).await {
+    let result = match connection.exchange(&Method::GET, request, &NotOld).await {
         Ok(_) => connection.body(100_000).await.map(drop),
         Err(error) => Err(error),
     };
--- a/crates/winch-relay/src/forward.rs
+++ b/crates/winch-relay/src/forward.rs
@@ -21,7 +21,8 @@
 
 use crate::{
     counter,
-    job::{Job, Outcome, Trace, is_reply_to},
+    exchange::{CallReply, ForwardedReply},
+    job::{Job, Outcome, Trace},
     node::Node,
     peer,
     prelude::*,
@@ -159,10 +160,9 @@
     };
     let time_left = job.deadline().saturating_duration_since(Instant::now());
     let request = node.protocol.encode_forwarded(&job.call, time_left, after_event);
-    let id = job.call.id.as_ref();
-    let accepts =
-        |reply: &Reply| reply.headers.contains_key(CODE) || is_reply_to(node, id, true, reply);
-    let Ok(reply) = connection.exchange(&job.call.method, &request, accepts).await else {
+    let call_reply = CallReply { protocol: &node.protocol, id: job.call.id.as_ref() };
+    let matcher = ForwardedReply(call_reply);
+    let Ok(reply) = connection.exchange(&job.call.method, &request, &matcher).await else {
         counter::forwarded("broken");
         return Reached::Broken;
     };
--- a/crates/winch-relay/src/job.rs
+++ b/crates/winch-relay/src/job.rs
@@ -132,24 +132,3 @@
             .update(self.key, |entry| entry.in_flight = entry.in_flight.saturating_sub(1));
     }
 }
-
-/// Whether `reply` answers the request with `id`; `is_first_exchange` states that no other
-/// request was sent on the connection before.
-///
-/// On a reused connection a late second reply to an earlier request may arrive, with the id of that
-/// request or without any. There, a reply to a request with an id has to state it: a refusal
-/// that is taken for another request's claims that a request has not run which is running.
-pub fn is_reply_to<P: Protocol>(
-    node: &Node<P>,
-    id: Option<&Name>,
-    is_first_exchange: bool,
-    reply: &Reply,
-) -> bool {
-    let meta = node.protocol.decode_reply_meta(reply);
-    match (meta.id, id) {
-        (Some(reply_id), Some(request_id)) => reply_id == *request_id,
-        (Some(_), None) => false,
-        (None, Some(_)) => is_first_exchange,
-        (None, None) => is_first_exchange || !reply.status.is_success(),
-    }
-}
--- a/crates/winch-relay/src/kv_snapshot.rs
+++ b/crates/winch-relay/src/kv_snapshot.rs
@@ -14,7 +14,9 @@
 use winch_http::client::Error;
 use winch_route::engine::Service;
 
-use crate::{copy_holder::Wanted, counter, node::Node, prelude::*, protocol::KvCopy};
+use crate::{
+    copy_holder::Wanted, counter, exchange::Query, node::Node, prelude::*, protocol::KvCopy,
+};
 
 /// Timeout for making or freeing a snapshot.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -86,15 +88,10 @@
 /// Frees a snapshot at its source and its holder. A snapshot that is not freed expires.
 async fn release<P: Protocol>(node: &Node<P>, source: &Replica, name: &str) {
     let (method, request) = node.protocol.encode_release_request(name, source);
-    let released = async {
-        let mut connection = node.open(source).await?;
-        connection.exchange(&method, &request, |_| true).await?;
-        connection.body(MAX_BODY_BYTES).await?;
-        node.pool.put(source.address, connection);
-        Ok::<(), Error>(())
-    };
+    let query = Query { method, request, max_body_bytes: MAX_BODY_BYTES };
+    let released = query.ask_alone(node, source, |_, _| Some(())).await;
     // `left`: the snapshot is left to expire.
-    counter::snapshot(if released.await.is_ok() { "freed" } else { "left" });
+    counter::snapshot(if released.is_ok() { "freed" } else { "left" });
 }
 
 /// Makes one snapshot after another, until [`MAX_FAILURES`] attempts in a row have failed.
@@ -151,6 +148,9 @@
 
 /// Asks the source to copy the run to `holder`; returns the name of the snapshot, `None` if
 /// the source made none.
+///
+/// The name decides from whose KV cache a run continues, and the reply does not state the run. So
+/// the request gets a connection of its own, on which no other reply can be taken for this one.
 async fn request_snapshot<P: Protocol>(
     node: &Node<P>,
     run: &Run,
@@ -158,9 +158,6 @@
 ) -> Result<Option<Name>, Error> {
     let source = &run.source;
     let (method, request) = node.protocol.encode_snapshot_request(&run.id, source, holder.address);
-    let mut connection = node.open(source).await?;
-    let reply = connection.exchange(&method, &request, |_| true).await?;
-    let body = connection.body(MAX_BODY_BYTES).await?;
-    node.pool.put(source.address, connection);
-    Ok(node.protocol.decode_snapshot(&reply, &body))
+    let query = Query { method, request, max_body_bytes: MAX_BODY_BYTES };
+    query.ask_alone(node, source, |reply, body| node.protocol.decode_snapshot(reply, body)).await
 }
--- a/crates/winch-relay/src/lib.rs
+++ b/crates/winch-relay/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod daemon;
 pub mod edge;
 pub mod edition;
+pub mod exchange;
 pub mod exposition;
 pub mod fleet;
 pub mod forward;
--- a/crates/winch-relay/src/probe.rs
+++ b/crates/winch-relay/src/probe.rs
@@ -12,6 +12,7 @@
     call::{self, Part},
     catalog::Key,
     counter,
+    exchange::Query,
     prelude::*,
     replica::Report,
 };
@@ -70,29 +71,24 @@
     node.open_new(replica).await.is_ok()
 }
 
-async fn exchange<P: Protocol>(
-    node: &Node<P>,
-    replica: &Replica,
-    (method, request): (Method, Bytes),
-) -> Result<(Reply, Bytes), Error> {
-    let mut connection = node.open(replica).await?;
-    let reply = connection.exchange(&method, &request, |_| true).await?;
-    let body = connection.body(MAX_REPORT_BYTES).await?;
-    node.pool.put(replica.address, connection);
-    Ok((reply, body))
-}
-
 async fn fetch_report<P: Protocol>(
     node: &Node<P>,
     replica: &Replica,
 ) -> Result<Option<Report>, Error> {
-    let exchanged = exchange(node, replica, node.protocol.encode_report_request(replica)).await?;
-    let (reply, body) = exchanged;
-    let report = node.protocol.decode_report(&body);
-    if report.as_ref().is_some_and(|report| !report.is_from_other_incarnation(replica)) {
-        node.apply_limit(replica, node.protocol.decode_reply_meta(&reply).limit);
+    let query = query(node.protocol.encode_report_request(replica));
+    let decode = |reply: &Reply, body: &[u8]| {
+        let report = node.protocol.decode_report(body)?;
+        Some((report, node.protocol.decode_reply_meta(reply)))
+    };
+    let Some((report, meta)) = query.ask(node, replica, decode).await? else { return Ok(None) };
+    if !report.is_from_other_incarnation(replica) {
+        node.apply_limit(replica, meta.limit);
     }
-    Ok(report)
+    Ok(Some(report))
+}
+
+fn query((method, request): (Method, Bytes)) -> Query {
+    Query { method, request, max_body_bytes: MAX_REPORT_BYTES }
 }
 
 /// Inserts a restarted replica into the catalog before the list contains it.
@@ -104,10 +100,9 @@
     let Some(config) = node.config() else { return };
     let service = config.only_engine_service().filter(|service| service.name == former.service);
     let (Some(service), true) = (service, report.total_tokens > 0) else { return };
-    let request = node.protocol.encode_health_request(&service.health_path, former);
-    let exchanged = timeout(PROBE_TIMEOUT, exchange(node, former, request)).await;
-    let Ok(Ok((reply, _))) = exchanged else { return };
-    let Some(id) = node.protocol.decode_health(&reply) else { return };
+    let query = query(node.protocol.encode_health_request(&service.health_path, former));
+    let asked = query.ask(node, former, |reply, _| node.protocol.decode_health(reply));
+    let Ok(Ok(Some(id))) = timeout(PROBE_TIMEOUT, asked).await else { return };
     let replica =
         Replica { id, draining: false, started_at_ms: report.started_at_ms, ..former.clone() };
     node.insert_unlisted(replica);
@@ -118,9 +113,9 @@
     if prompt.is_empty() {
         return 0.0;
     }
-    let exchanged = exchange(node, replica, node.protocol.encode_cache_request(replica));
-    let received = timeout(PROBE_TIMEOUT, exchanged).await.ok().and_then(Result::ok);
-    let held = received.and_then(|(_, body)| node.protocol.decode_cache(&body));
+    let query = query(node.protocol.encode_cache_request(replica));
+    let asked = query.ask(node, replica, |_, body| node.protocol.decode_cache(body));
+    let held = timeout(PROBE_TIMEOUT, asked).await.ok().and_then(Result::ok).flatten();
     counter::probed(if held.is_some() { "cache_ok" } else { "cache_failed" });
     held.map_or(0.0, |held| call::cached_share(prompt, &held))
 }
--- a/crates/winch-relay/src/stream/attempt.rs
+++ b/crates/winch-relay/src/stream/attempt.rs
@@ -11,7 +11,8 @@
 use crate::{
     catalog::{Entry, Key},
     counter,
-    job::{InFlightGuard, is_reply_to},
+    exchange::CallReply,
+    job::InFlightGuard,
     kv_snapshot::{self, Refresher},
     node::Node,
     prelude::*,
@@ -116,12 +117,11 @@
         target: &Target,
         connection: &mut Connection,
     ) -> Result<Result<Reply, Error>, Unresponsive> {
-        let (node, id) = (self.node, self.job.call.id.as_ref());
-        let is_first_exchange = connection.exchanges() == 0;
-        let accepts = |reply: &Reply| is_reply_to(node, id, is_first_exchange, reply);
+        let node = self.node;
+        let matcher = CallReply { protocol: &node.protocol, id: self.job.call.id.as_ref() };
         tokio::select! {
             biased;
-            reply = connection.exchange(&self.job.call.method, request, accepts) => Ok(reply),
+            reply = connection.exchange(&self.job.call.method, request, &matcher) => Ok(reply),
             () = probe::wait_until_dead(node, &target.replica, FIRST_EVENT_PROBE_INTERVAL) => {
                 Err(Unresponsive)
             }
--- a/crates/winch-relay/src/unary.rs
+++ b/crates/winch-relay/src/unary.rs
@@ -18,8 +18,10 @@
 
 use crate::{
     catalog::Key,
-    counter, forward,
-    job::{InFlightGuard, Job, Outcome, Trace, is_reply_to},
+    counter,
+    exchange::CallReply,
+    forward,
+    job::{InFlightGuard, Job, Outcome, Trace},
     node::Node,
     placement,
     prelude::*,
@@ -224,7 +226,10 @@
             let meta = node.protocol.decode_reply_meta(&reply);
             node.apply_limit(replica, meta.limit);
             let latency = sent_at.elapsed();
-            node.pool.put(replica.address, connection);
+            // After a reply that no replica signs for, others may follow that nobody expects.
+            if meta.not_run || meta.signed {
+                node.pool.put(replica.address, connection);
+            }
             if meta.not_run {
                 // A replica that names a limit refuses requests although it has room for them.
                 let is_unavailable = reply.status == StatusCode::SERVICE_UNAVAILABLE;
@@ -284,10 +289,8 @@
         copy_from: None,
     };
     let request = node.protocol.encode_request(&job.call, &dispatch);
-    let is_first_exchange = connection.exchanges() == 0;
-    let id = job.call.id.as_ref();
-    let accepts = |reply: &Reply| is_reply_to(node, id, is_first_exchange, reply);
-    let reply = connection.exchange(&job.call.method, &request, accepts).await?;
+    let matcher = CallReply { protocol: &node.protocol, id: job.call.id.as_ref() };
+    let reply = connection.exchange(&job.call.method, &request, &matcher).await?;
     let body = read_body(node, connection).await?;
     Ok((reply, body))
 }
