winch-relay: do not take a silent replica for dead where nothing can take its place

Cause: after 140 ms without an event, one load report that did not come within 150 ms ended the attempt, whatever was lost by that. A sound replica may be silent for a second or so. The same held before the first event, on the last send, and for a service with a single replica.

Now an attempt leaves a silent replica early only if it can move: it may be repeated, sends and the retry budget are left, and another replica may take it. Else it waits until the connection ends, another incarnation answers at the address, the replica has left the list and is silent for three seconds, or the deadline passes.

Ruled out: the stop itself; once_outlasts_silence failed on the old code without a stop.

Old and new builds: no message between daemons and no stored row changes.

--- a/crates/winch-relay/src/catalog.rs
+++ b/crates/winch-relay/src/catalog.rs
@@ -426,6 +426,15 @@
         self.by_id.get(id).copied()
     }
 
+    /// Whether this incarnation of `replica` is known; false once it has left the list.
+    pub fn is_listed(&self, replica: &Replica) -> bool {
+        let entry = self.key(&replica.id).and_then(|key| self.get(key));
+        entry.is_some_and(|entry| {
+            entry.replica.started_at_ms == replica.started_at_ms
+                && entry.replica.address == replica.address
+        })
+    }
+
     /// Replicas of a service that take new requests: neither draining nor ejected.
     pub fn usable<'a>(
         &'a self,
--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -423,6 +423,12 @@
         self.with_budget(service, |budget| budget.spend_above(BEGUN_RESERVE))
     }
 
+    /// Whether the budget of `service` has a retry left for a stream that `has_begun` or has not.
+    pub fn has_retry(&self, service: &Name, has_begun: bool) -> bool {
+        let reserve = if has_begun { 0.0 } else { BEGUN_RESERVE };
+        self.with_budget(service, |budget| budget.has_above(reserve))
+    }
+
     fn with_budget<T>(&self, service: &Name, act: impl FnOnce(&mut Budget) -> T) -> T {
         let (tuning, now) = (self.tuning(), Instant::now());
         let refill_per_s = tuning.retry_slack_per_s / f64::from(self.daemons().max(1));
--- a/crates/winch-relay/src/probe.rs
+++ b/crates/winch-relay/src/probe.rs
@@ -37,24 +37,42 @@
     pub cached: f64,
 }
 
-/// Requests the report of one replica; `None` if no valid report arrives in time, or if
-/// another incarnation answers.
+/// What a probe has found.
+#[derive(Clone, Debug)]
+pub enum Finding {
+    /// The replica has sent its report.
+    Alive(Report),
+    /// No valid report has arrived in time; a sound replica may be silent for a second or so.
+    Silent,
+    /// Another incarnation answers at the replica's address, so that the known one is gone.
+    Replaced,
+}
+
+/// Requests the report of one replica.
 ///
-/// The other incarnation is inserted into the catalog if its service is certain and it is
-/// healthy.
-pub async fn request_report<P: Protocol>(node: &Node<P>, replica: &Replica) -> Option<Report> {
+/// Another incarnation that answers in its place is inserted into the catalog if its service is
+/// certain and it is healthy.
+pub async fn probe<P: Protocol>(node: &Node<P>, replica: &Replica) -> Finding {
     let received = timeout(PROBE_TIMEOUT, fetch_report(node, replica)).await;
     let report = received.ok().and_then(Result::ok).flatten();
     counter::probed(if report.is_some() { "ok" } else { "failed" });
-    if report.is_none() {
+    let Some(report) = report else {
         node.doubt_paths(&replica.service);
+        return Finding::Silent;
+    };
+    if report.is_from_other_incarnation(replica) {
+        insert_restarted(node, replica, &report).await;
+        return Finding::Replaced;
     }
-    match report {
-        Some(report) if report.is_from_other_incarnation(replica) => {
-            insert_restarted(node, replica, &report).await;
-            None
-        }
-        report => report,
+    Finding::Alive(report)
+}
+
+/// Requests the report of one replica; `None` if no valid report arrives in time, or if
+/// another incarnation answers. See [`probe()`].
+pub async fn request_report<P: Protocol>(node: &Node<P>, replica: &Replica) -> Option<Report> {
+    match probe(node, replica).await {
+        Finding::Alive(report) => Some(report),
+        Finding::Silent | Finding::Replaced => None,
     }
 }
 
@@ -155,16 +173,3 @@
     }
     answers
 }
-
-/// Completes when a replica seems dead: it is probed every `interval`, and two probes
-/// in a row fail.
-pub async fn wait_until_dead<P: Protocol>(node: &Node<P>, replica: &Replica, interval: Duration) {
-    loop {
-        tokio::time::sleep(interval).await;
-        if request_report(node, replica).await.is_none()
-            && request_report(node, replica).await.is_none()
-        {
-            return;
-        }
-    }
-}
--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -3,11 +3,13 @@
 //!
 //! [`relay`] takes an admitted request, writes the events to the caller's connection and
 //! returns the outcome. `target` chooses the replica of each attempt among those that `survey` has
-//! asked for their load; `attempt` sends the request to it and forwards the events.
+//! asked for their load; `attempt` sends the request to it and forwards the events, and `silence`
+//! decides when it leaves a replica that sends none.
 
 pub(crate) mod admission;
 mod attempt;
 mod passing;
+mod silence;
 mod survey;
 mod target;
 
@@ -293,6 +295,11 @@
         }
     }
 
+    /// Whether the budget of the service has a retry left for this stream.
+    fn has_retry(&self) -> bool {
+        self.node.has_retry(&self.job.service, self.has_forwarded)
+    }
+
     /// Whether a part of the prompt was quarantined since the request was admitted.
     fn is_quarantined(&self) -> bool {
         let is_trial = self.job.is_trial && self.trace.sends == 0;
--- a/crates/winch-relay/src/stream/attempt.rs
+++ b/crates/winch-relay/src/stream/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt of a stream at one replica: sends the request and forwards the events.
 
 use http::StatusCode;
-use tokio::{io::AsyncWrite, time::sleep_until};
+use tokio::io::AsyncWrite;
 use winch_http::{
     client::{Connection, Error},
     head::Reply,
@@ -16,7 +16,6 @@
     kv_snapshot::{self, Refresher},
     node::Node,
     prelude::*,
-    probe,
     protocol::{Dispatch, KvCopy},
     respond::Progress,
     speed::Recorder,
@@ -24,11 +23,6 @@
     strikes::{self, SURVIVAL_TIME},
 };
 
-/// Interval of liveness probes while the stream waits for its first event.
-const FIRST_EVENT_PROBE_INTERVAL: Duration = Duration::from_millis(500);
-/// Interval of liveness probes while a stalled stream waits for its replica instead of failing
-/// over.
-const STALL_PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// Largest total size of consecutive events that do not advance a stream, in bytes.
 const MAX_PASSIVE_BYTES: usize = 64 * 1024;
 /// Largest body of a reply that is not a stream.
@@ -110,7 +104,7 @@
     }
 
     /// Sends the request and reads the head of the reply; fails with [`Unresponsive`] if
-    /// the replica stops answering liveness probes first.
+    /// the attempt is to leave its replica first.
     async fn await_head(
         &self,
         request: &[u8],
@@ -122,9 +116,7 @@
         tokio::select! {
             biased;
             reply = connection.exchange(&self.job.call.method, request, &matcher) => Ok(reply),
-            () = probe::wait_until_dead(node, &target.replica, FIRST_EVENT_PROBE_INTERVAL) => {
-                Err(Unresponsive)
-            }
+            () = self.wait_until_unresponsive(target) => Err(Unresponsive),
         }
     }
 
@@ -145,7 +137,7 @@
             let read = tokio::select! {
                 biased;
                 read = read_events(connection, &mut splitter, self.last_event) => read,
-                () = self.wait_until_stalled(target, starting.is_some()) => {
+                () = self.wait_until_silent(target, starting.is_some()) => {
                     let idle_ms = self.stall.idle_time(Instant::now()).as_millis();
                     return Attempt::Broken(format!("no event for {idle_ms} ms"));
                 }
@@ -283,23 +275,12 @@
         self.refresher = Some(Refresher::start(self.node, run));
     }
 
-    /// Completes when the attempt is to be given up because its replica seems dead or has
-    /// sent no event for too long.
-    async fn wait_until_stalled(&self, target: &Target, before_first_event: bool) {
+    async fn wait_until_silent(&self, target: &Target, before_first_event: bool) {
         if before_first_event {
-            return probe::wait_until_dead(self.node, &target.replica, FIRST_EVENT_PROBE_INTERVAL)
-                .await;
-        }
-        sleep_until(self.stall.probe_at()).await;
-        if probe::request_report(self.node, &target.replica).await.is_none() {
-            return;
-        }
-        // On the last attempt, or without a copy, the stream waits for its live replica, which
-        // may still continue. A failover without a copy would start again from the prompt.
-        if self.copy.is_some() && self.trace.sends < self.job.route.max_attempts {
-            return sleep_until(self.stall.failover_at()).await;
+            self.wait_until_unresponsive(target).await;
+        } else {
+            self.wait_until_stalled(target).await;
         }
-        probe::wait_until_dead(self.node, &target.replica, STALL_PROBE_INTERVAL).await;
     }
 }
 
@@ -355,7 +336,7 @@
     }
 }
 
-/// The replica does not answer liveness probes.
+/// The replica has fallen silent, and the attempt leaves it.
 struct Unresponsive;
 
 /// Records that a replica answered, without a sample of its latency.
--- /dev/null
+++ b/crates/winch-relay/src/stream/silence.rs
@@ -0,0 +1,124 @@
+//! Decides when an attempt leaves a replica that has fallen silent.
+//!
+//! A sound replica may be silent for a second or so and go on. An attempt that can move to another
+//! replica leaves early, because a failover costs less than a long pause. One that cannot loses
+//! all by leaving: it waits until its replica is known to be gone, its connection ends or its
+//! deadline passes.
+
+use tokio::{
+    io::AsyncWrite,
+    time::{sleep, sleep_until},
+};
+
+use super::{Session, Target};
+use crate::{
+    prelude::*,
+    probe::{self, Finding},
+};
+
+/// Interval of liveness probes while the stream waits for its first event.
+const FIRST_EVENT_PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval of liveness probes while a stalled stream waits for its replica.
+const STALL_PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// Missed probes in a row after which a movable attempt leaves a replica that it has no other
+/// reason to doubt.
+const MAX_MISSES: u32 = 2;
+/// Silence after which a replica that is no longer listed is gone. Longer than a sound replica is
+/// silent: one that is not listed any more may still serve.
+const GONE_SILENCE: Duration = Duration::from_secs(3);
+
+/// The probes in a row that a replica has missed.
+#[derive(Clone, Copy, Debug, Default)]
+struct Silence {
+    misses: u32,
+    since: Option<Instant>,
+}
+
+impl Silence {
+    fn record_miss(&mut self, now: Instant) {
+        self.misses += 1;
+        self.since.get_or_insert(now);
+    }
+
+    fn length(&self, now: Instant) -> Duration {
+        self.since.map_or(Duration::ZERO, |since| now - since)
+    }
+}
+
+impl<P: Protocol, W: AsyncWrite + Unpin> Session<'_, P, W> {
+    /// Completes when the attempt is to leave its replica, which has sent no event yet.
+    pub(super) async fn wait_until_unresponsive(&self, target: &Target) {
+        let mut silence = Silence::default();
+        loop {
+            sleep(FIRST_EVENT_PROBE_INTERVAL).await;
+            if self.is_to_leave(target, &mut silence, MAX_MISSES).await
+                || (silence.misses > 0 && self.is_to_leave(target, &mut silence, MAX_MISSES).await)
+            {
+                return;
+            }
+        }
+    }
+
+    /// Completes when the attempt is to leave its replica, which has sent events: the replica
+    /// seems dead or has sent none for too long.
+    pub(super) async fn wait_until_stalled(&self, target: &Target) {
+        sleep_until(self.stall.probe_at()).await;
+        let mut silence = Silence::default();
+        // The missing events are the first sign of a silence.
+        let mut max_misses = 1;
+        loop {
+            if self.is_to_leave(target, &mut silence, max_misses).await {
+                return;
+            }
+            if silence.misses == 0 {
+                max_misses = MAX_MISSES;
+                // Without a copy, the failover would start again from the prompt: the stream waits
+                // for its live replica, which may still continue.
+                if self.copy.is_some() && self.can_move(target) {
+                    return sleep_until(self.stall.failover_at()).await;
+                }
+            }
+            sleep(STALL_PROBE_INTERVAL).await;
+        }
+    }
+
+    /// Probes the replica once; returns whether the attempt is to leave it.
+    async fn is_to_leave(&self, target: &Target, silence: &mut Silence, max_misses: u32) -> bool {
+        match probe::probe(self.node, &target.replica).await {
+            Finding::Replaced => true,
+            Finding::Alive(_) => {
+                *silence = Silence::default();
+                false
+            }
+            Finding::Silent => {
+                let now = Instant::now();
+                silence.record_miss(now);
+                let is_gone = silence.length(now) >= GONE_SILENCE
+                    && !self.node.catalog().is_listed(&target.replica);
+                is_gone || (silence.misses >= max_misses && self.can_move(target))
+            }
+        }
+    }
+
+    /// Whether the stream can go on, or start again, at another replica.
+    fn can_move(&self, target: &Target) -> bool {
+        self.job.route.semantics.may_repeat()
+            && self.trace.sends < self.job.route.max_attempts
+            && self.has_retry()
+            && self.has_alternative(target)
+    }
+
+    /// Whether another replica may take the stream.
+    fn has_alternative(&self, target: &Target) -> bool {
+        let rule = self.node.rule(&self.job.service, self.job.cohort);
+        let (catalog, now) = (self.node.catalog(), Instant::now());
+        let is_holder = |replica: &Replica| {
+            self.copy.as_ref().is_some_and(|copy| copy.replica.id == replica.id)
+        };
+        catalog.usable(&self.job.service, now).any(|(key, entry)| {
+            let replica = &entry.replica;
+            let is_excluded = self.trace.excluded.contains(&replica.id) && !is_holder(replica);
+            key != target.key && rule.allows(replica) && !is_excluded
+        })
+    }
+}
--- a/crates/winch-route/src/budget.rs
+++ b/crates/winch-route/src/budget.rs
@@ -47,10 +47,15 @@
 
     /// Takes one retry, unless less than `reserve` would be left for retries that matter more.
     pub fn spend_above(&mut self, reserve: f64) -> bool {
-        let is_allowed = self.tokens >= 1.0 + reserve;
+        let is_allowed = self.has_above(reserve);
         if is_allowed {
             self.tokens -= 1.0;
         }
         is_allowed
     }
+
+    /// Whether a retry is left above `reserve`.
+    pub fn has_above(&self, reserve: f64) -> bool {
+        self.tokens >= 1.0 + reserve
+    }
 }
