winch-relay: heed what a replica says of itself in any reply

Cause: only the list of replicas took a replica out of use. `Server-Leaving`, the `Retry-After` of a 503 and `Server-Brittle` were read nowhere, and `Server-Limit` at three places.

Now a reply is decoded with a `Statement`, and one function takes it for all kinds of exchanges. A replica that leaves drains for as long as its incarnation lives; followers report it to the daemon that they follow, and a daemon that passes a reply on names the replica. A pause that a replica asks for is kept, and a brittle replica gets nothing for a share of a second after it has refused a request. If all replicas leave, those that have only just said so still serve, shorter than the list would take.

--- a/crates/winch-relay/src/catalog.rs
+++ b/crates/winch-relay/src/catalog.rs
@@ -6,6 +6,7 @@
 
 mod departed;
 mod latencies;
+mod leaving;
 mod limits;
 mod typical;
 
@@ -20,6 +21,7 @@
     throttle::{Demand, Throttle},
 };
 
+pub use self::leaving::Leaving;
 use self::{departed::Departed, latencies::Latencies};
 use crate::{prelude::*, store::Change};
 
@@ -76,6 +78,13 @@
     throttle: Option<Throttle>,
     /// When the replica was inserted before it was listed; `None` if it is listed.
     unlisted_since: Option<Instant>,
+    /// Whether the replica has said that it leaves, and the list does not say so yet.
+    says_leaving: bool,
+    /// Until when the replica serves what no other one can serve although it has said that it
+    /// leaves.
+    last_resort_until: Option<Instant>,
+    /// Until when the replica wants no requests of this daemon.
+    paused_until: Option<Instant>,
 }
 
 impl Entry {
@@ -94,6 +103,9 @@
             held_by_source: false,
             throttle: None,
             unlisted_since: None,
+            says_leaving: false,
+            last_resort_until: None,
+            paused_until: None,
         }
     }
 
@@ -327,16 +339,18 @@
             let was_held = std::mem::take(&mut entry.removed_in_outage)
                 | std::mem::take(&mut entry.held_by_source);
             entry.unlisted_since = None;
-            if *entry.replica == replica {
-                return was_held.then(|| Transition::Changed(entry.replica.clone()));
-            }
             let same_incarnation = entry.replica.started_at_ms == replica.started_at_ms
                 && entry.replica.address == replica.address;
             let starts_draining = !entry.replica.draining && replica.draining;
             if same_incarnation {
+                entry.says_leaving &= !replica.draining;
                 // An incarnation that drains never takes new requests again.
                 let draining = replica.draining || entry.replica.draining;
-                entry.replica = Replica { draining, ..replica }.into();
+                let replica = Replica { draining, ..replica };
+                if *entry.replica == replica {
+                    return was_held.then(|| Transition::Changed(entry.replica.clone()));
+                }
+                entry.replica = replica.into();
                 let replica = entry.replica.clone();
                 return Some(if starts_draining {
                     Transition::Draining(replica)
@@ -435,13 +449,14 @@
         })
     }
 
-    /// Replicas of a service that take new requests: neither draining nor ejected.
+    /// Replicas of a service that take new requests: neither draining nor ejected, and not paused.
     pub fn usable<'a>(
         &'a self,
         service: &'a str,
         now: Instant,
     ) -> impl Iterator<Item = (Key, &'a Entry)> {
-        self.serving(service).filter(move |(_, entry)| !entry.is_ejected(now))
+        let is_usable = move |entry: &Entry| !entry.is_ejected(now) && !entry.is_paused(now);
+        self.serving(service).filter(move |(_, entry)| is_usable(entry))
     }
 
     /// Replicas of a service that are not draining, including ejected ones.
--- a/crates/winch-relay/src/exchange.rs
+++ b/crates/winch-relay/src/exchange.rs
@@ -74,6 +74,9 @@
 impl Query {
     /// Sends the request on `connection` and decodes the reply; `None` if `decode` does not accept
     /// it. Only a connection whose reply was accepted is kept for further requests.
+    ///
+    /// What the replica says of itself is left to `decode`, which may know that another incarnation
+    /// has answered.
     async fn send<P: Protocol, T>(
         &self,
         node: &Node<P>,
--- a/crates/winch-relay/src/forward.rs
+++ b/crates/winch-relay/src/forward.rs
@@ -14,7 +14,7 @@
 };
 
 use bytes::Bytes;
-use http::HeaderName;
+use http::{HeaderName, HeaderValue};
 use rand::seq::SliceRandom;
 use tokio::time::{timeout, timeout_at};
 use winch_http::{client::Connection, head::Reply};
@@ -31,6 +31,9 @@
 /// Header of a reply to a forwarded request that the daemon itself made: its result code.
 pub const CODE: HeaderName = HeaderName::from_static("winch-code");
 
+/// Header of a reply to a forwarded request that a replica made: the replica's id.
+pub const REPLICA: HeaderName = HeaderName::from_static("winch-replica");
+
 /// Number of daemons that are asked to take a request.
 const MAX_DAEMONS: usize = 4;
 /// Timeout for opening a connection to another daemon.
@@ -168,6 +171,7 @@
     };
     match decode_code(&reply) {
         None => {
+            node.heed_forwarded(&reply);
             counter::forwarded("taken");
             Reached::Reply(reply, Box::new(connection))
         }
@@ -190,6 +194,21 @@
     Some(text.parse().ok().and_then(Code::from_number).unwrap_or(Code::Broken))
 }
 
+/// States in a reply which replica made it, for the daemon that has passed the request on.
+pub fn name_replica(reply: &mut Reply, replica: &Replica) {
+    match HeaderValue::from_str(&replica.id) {
+        Ok(id) => drop(reply.headers.insert(REPLICA, id)),
+        // Not a name that the replica may have set itself.
+        Err(_) => drop(reply.headers.remove(REPLICA)),
+    }
+}
+
+/// Id of the replica that has made a forwarded reply; `None` if a daemon of an earlier release
+/// has passed it on.
+pub fn decode_replica(reply: &Reply) -> Option<&str> {
+    reply.headers.get(REPLICA)?.to_str().ok()
+}
+
 /// Passes a lookup or an order on to other daemons; `None` if none takes it.
 pub async fn relay<P: Protocol>(node: &Node<P>, job: &Job, trace: &mut Trace) -> Option<Outcome> {
     trace.was_forwarded = true;
--- a/crates/winch-relay/src/kv_snapshot.rs
+++ b/crates/winch-relay/src/kv_snapshot.rs
@@ -11,7 +11,7 @@
     task::AbortHandle,
     time::{sleep, timeout},
 };
-use winch_http::client::Error;
+use winch_http::{client::Error, head::Reply};
 use winch_route::engine::Service;
 
 use crate::{
@@ -89,7 +89,11 @@
 async fn release<P: Protocol>(node: &Node<P>, source: &Replica, name: &str) {
     let (method, request) = node.protocol.encode_release_request(name, source);
     let query = Query { method, request, max_body_bytes: MAX_BODY_BYTES };
-    let released = query.ask_alone(node, source, |_, _| Some(())).await;
+    let decode = |reply: &Reply, _: &[u8]| {
+        node.heed(source, &node.protocol.decode_reply_meta(reply), reply);
+        Some(())
+    };
+    let released = query.ask_alone(node, source, decode).await;
     // `left`: the snapshot is left to expire.
     counter::snapshot(if released.is_ok() { "freed" } else { "left" });
 }
@@ -159,5 +163,9 @@
     let source = &run.source;
     let (method, request) = node.protocol.encode_snapshot_request(&run.id, source, holder.address);
     let query = Query { method, request, max_body_bytes: MAX_BODY_BYTES };
-    query.ask_alone(node, source, |reply, body| node.protocol.decode_snapshot(reply, body)).await
+    let decode = |reply: &Reply, body: &[u8]| {
+        node.heed(source, &node.protocol.decode_reply_meta(reply), reply);
+        node.protocol.decode_snapshot(reply, body)
+    };
+    query.ask_alone(node, source, decode).await
 }
--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod listing;
+mod statement;
 
 use std::{
     collections::HashMap,
@@ -32,7 +33,7 @@
 };
 
 use crate::{
-    catalog::{Catalog, Entry, Key},
+    catalog::{Catalog, Key},
     config::Config,
     edition::Edition,
     fleet::Fleet,
@@ -278,40 +279,6 @@
         self.fleet().daemons(self.serves() && self.reads_store(), Instant::now())
     }
 
-    /// Expected number of daemons that use a replica of `service`: those that know it.
-    fn sharers(&self, service: &str, known: usize) -> f64 {
-        let daemons = f64::from(self.daemons());
-        let total = self.fleet().replicas(service).map_or(known as f64, f64::from);
-        daemons * (known as f64 / total.max(1.0)).min(1.0)
-    }
-
-    /// Records the limit that a replica has named, in requests a second from all daemons together;
-    /// `None` if it names none.
-    pub fn apply_limit(&self, replica: &Replica, limit: Option<f64>) {
-        let key = {
-            let catalog = self.catalog();
-            let Some(key) = catalog.key(&replica.id) else { return };
-            let is_limited = catalog.get(key).is_some_and(Entry::is_limited);
-            if limit.is_none() && !is_limited {
-                return;
-            }
-            key
-        };
-        let known = self.catalog().serving(&replica.service).count();
-        let sharers = self.sharers(&replica.service, known);
-        let (now, phase) = (Instant::now(), self.rng().random());
-        let was_limited = self.catalog().set_limit(key, limit, sharers, now, phase);
-        if was_limited != limit.is_some() {
-            let limit = limit.map_or("-".to_owned(), |limit| limit.to_string());
-            emit!(Event::ReplicaLimited, replica = replica.id, limit = limit, sharers = sharers);
-        }
-    }
-
-    /// Whether replicas of `service` are limited, so that a request may find none to use.
-    pub fn is_limited(&self, service: &str) -> bool {
-        self.catalog().serving(service).any(|(_, entry)| entry.is_limited())
-    }
-
     /// Draws whether the old or the new version serves a new request while its service is
     /// being moved; [`Cohort::Old`] if it is not.
     pub fn draw_cohort(&self, service: &str) -> Cohort {
--- a/crates/winch-relay/src/node/listing.rs
+++ b/crates/winch-relay/src/node/listing.rs
@@ -56,7 +56,7 @@
     }
 
     /// Records transitions for followers, announces and logs them.
-    fn record(&self, transitions: Vec<Transition>) {
+    pub(super) fn record(&self, transitions: Vec<Transition>) {
         if transitions.is_empty() {
             return;
         }
--- a/crates/winch-relay/src/peer/follow.rs
+++ b/crates/winch-relay/src/peer/follow.rs
@@ -186,7 +186,9 @@
                 update = receive::<Update>(&mut self.framed, timeout_at) => update?,
                 _ = report_ticks.tick() => {
                     let report = build_report(node);
-                    let has_news = !report.samples.is_empty() || report.speeds.is_some();
+                    let has_news = !report.samples.is_empty()
+                        || report.speeds.is_some()
+                        || !report.leaving.is_empty();
                     if has_news || self.limits.serves || node.rollouts().any_open() {
                         let sent = send(&mut self.framed, report);
                         timeout(SEED_TIMEOUT, sent).await.map_err(io::Error::from)??;
@@ -252,6 +254,7 @@
 fn build_report<P: Protocol>(node: &Node<P>) -> Report {
     let evidence = node.rollouts().evidence(Instant::now());
     let daemons = node.daemons();
+    let leaving = node.catalog().unlisted_leaving().map(Into::into).collect();
     let mut speeds = node.speeds();
     Report {
         daemon: node.settings.name.to_string(),
@@ -259,6 +262,7 @@
         followers: node.fleet().followers(),
         samples: encode_samples(&speeds.take_samples(daemons, node.uptime())),
         speeds: speeds.take_unknown_to_source().map(Into::into),
+        leaving,
     }
 }
 
--- a/crates/winch-relay/src/peer/message.rs
+++ b/crates/winch-relay/src/peer/message.rs
@@ -19,6 +19,7 @@
     speeds::Speeds,
 };
 use crate::{
+    catalog::Leaving,
     edition::Edition,
     moves::{Counts, Evidence, Progress, Spec},
     prelude::*,
@@ -380,6 +381,33 @@
     /// Speeds that the receiver did not tell although the sender knew them before.
     #[prost(message, optional, tag = "5")]
     pub speeds: Option<Speeds>,
+    /// Replicas that have said that they leave, and that the receiver's list does not call draining
+    /// yet. Earlier releases do not know them.
+    #[prost(message, repeated, tag = "6")]
+    pub leaving: Vec<LeavingReplica>,
+}
+
+/// A [`Leaving`] on the wire.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub(super) struct LeavingReplica {
+    /// See [`Leaving::id`].
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// See [`Leaving::started_at_ms`].
+    #[prost(uint64, optional, tag = "2")]
+    pub started_at_ms: Option<u64>,
+}
+
+impl From<Leaving> for LeavingReplica {
+    fn from(leaving: Leaving) -> Self {
+        Self { id: leaving.id.to_string(), started_at_ms: leaving.started_at_ms }
+    }
+}
+
+impl From<LeavingReplica> for Leaving {
+    fn from(leaving: LeavingReplica) -> Self {
+        Self { id: leaving.id.into(), started_at_ms: leaving.started_at_ms }
+    }
 }
 
 /// The [`Evidence`] for one move on the wire.
--- a/crates/winch-relay/src/peer/serve.rs
+++ b/crates/winch-relay/src/peer/serve.rs
@@ -263,6 +263,9 @@
         rollouts.apply_report(&name, counted.into(), now);
     }
     drop(rollouts);
+    for leaving in report.leaving {
+        node.heed_leaving(&leaving.into());
+    }
     let mut speeds = node.speeds();
     speeds.receive(decode_samples(&report.samples));
     if let Some(told) = report.speeds {
--- a/crates/winch-relay/src/placement.rs
+++ b/crates/winch-relay/src/placement.rs
@@ -99,8 +99,8 @@
     let missing = total - drawn.len();
     drawn.extend(draw_by_speed(catalog, others, missing.min(RANDOM_CANDIDATES), rng));
     if drawn.is_empty() {
-        let serving = catalog.serving(service).filter(is_eligible).map(to_pair);
-        drawn = serving.choose_multiple(rng, total);
+        let accepting = catalog.accepting(service, now).into_iter().filter(is_eligible);
+        drawn = accepting.map(to_pair).choose_multiple(rng, total);
     }
     drawn
 }
@@ -276,7 +276,8 @@
     };
     let demand = catalog.demand_per_replica(service, now);
     let entries = catalog
-        .serving(service)
+        .accepting(service, now)
+        .into_iter()
         .filter(|(_, entry)| is_eligible(&entry.replica) && catalog.has_slot(entry, demand, now));
     let costs: Vec<_> = entries.map(|(key, e)| (cost(e, rng), key, &e.replica)).collect();
     let best = costs.into_iter().min_by(|a, b| a.0.total_cmp(&b.0));
--- a/crates/winch-relay/src/probe.rs
+++ b/crates/winch-relay/src/probe.rs
@@ -96,13 +96,14 @@
     let query = query(node.protocol.encode_report_request(replica));
     let decode = |reply: &Reply, body: &[u8]| {
         let report = node.protocol.decode_report(body)?;
-        Some((report, node.protocol.decode_reply_meta(reply)))
+        if !report.is_from_other_incarnation(replica) {
+            let mut meta = node.protocol.decode_reply_meta(reply);
+            meta.statement.leaving |= report.draining;
+            node.heed(replica, &meta, reply);
+        }
+        Some(report)
     };
-    let Some((report, meta)) = query.ask(node, replica, decode).await? else { return Ok(None) };
-    if !report.is_from_other_incarnation(replica) {
-        node.apply_limit(replica, meta.limit);
-    }
-    Ok(Some(report))
+    query.ask(node, replica, decode).await
 }
 
 fn query((method, request): (Method, Bytes)) -> Query {
--- a/crates/winch-relay/src/protocol.rs
+++ b/crates/winch-relay/src/protocol.rs
@@ -56,9 +56,22 @@
     pub not_run: bool,
     /// Whether the body has a content encoding other than `identity`.
     pub encoded: bool,
-    /// Requests a second that the replica takes from all daemons together; `None` if it names
-    /// no limit.
+    /// What the replica says of itself.
+    pub statement: Statement,
+}
+
+/// What a replica says of itself in a reply, whatever the reply answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Statement {
+    /// Whether it is about to stop and takes no new requests.
+    pub leaving: bool,
+    /// Requests a second that it takes from all daemons together; `None` if it names no limit.
     pub limit: Option<f64>,
+    /// How long it wants no request of this daemon; `None` if it does not say so.
+    pub pause: Option<Duration>,
+    /// Requests that it can refuse within a second for want of room without failing; `None` if
+    /// it names no such number.
+    pub max_refusals: Option<f64>,
 }
 
 /// A row of the store that shows operators the state of a version move.
--- a/crates/winch-relay/src/respond.rs
+++ b/crates/winch-relay/src/respond.rs
@@ -12,7 +12,10 @@
     server::Writer,
 };
 
-use crate::{forward::CODE, prelude::*};
+use crate::{
+    forward::{CODE, REPLICA},
+    prelude::*,
+};
 
 /// Progress of the reply to the current request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -96,6 +99,15 @@
         put_reply(self.writer.buffer(), status, &headers);
     }
 
+    /// Removes what only daemons tell each other from the headers of a replica's reply.
+    fn strip_daemon_headers(&self, headers: &mut HeaderMap) {
+        // A replica must not pass for a daemon.
+        headers.remove(CODE);
+        if !self.states_code {
+            headers.remove(REPLICA);
+        }
+    }
+
     /// Sends a complete reply that a replica has made.
     ///
     /// # Errors
@@ -106,8 +118,7 @@
         mut headers: HeaderMap,
         body: &[u8],
     ) -> io::Result<()> {
-        // A replica must not pass for a daemon.
-        headers.remove(CODE);
+        self.strip_daemon_headers(&mut headers);
         self.send_whole(status, headers, body).await
     }
 
@@ -157,7 +168,7 @@
     /// Starts a stream and buffers its head, made from the head of a replica's reply; the
     /// next [`flush`](Self::flush) sends it.
     pub fn begin_stream(&mut self, status: StatusCode, mut headers: HeaderMap) {
-        headers.remove(CODE);
+        self.strip_daemon_headers(&mut headers);
         self.put_head(status, headers, ("transfer-encoding", "chunked"));
         self.progress = Progress::Streaming;
     }
--- a/crates/winch-relay/src/stream/attempt.rs
+++ b/crates/winch-relay/src/stream/attempt.rs
@@ -12,6 +12,7 @@
     catalog::{Entry, Key},
     counter,
     exchange::CallReply,
+    forward,
     job::InFlightGuard,
     kv_snapshot::{self, Refresher},
     node::Node,
@@ -71,7 +72,7 @@
             self.copy = Some(KvCopy { replica: replica.clone(), lookup_address, name });
         }
         let starting = StartingGuard::new(self.node, target.key);
-        let reply = match self.await_head(&request, target, connection).await {
+        let mut reply = match self.await_head(&request, target, connection).await {
             Ok(Ok(reply)) => reply,
             Ok(Err(error)) => return Attempt::Broken(error.to_string()),
             Err(Unresponsive) => {
@@ -79,7 +80,10 @@
             }
         };
         let meta = self.node.protocol.decode_reply_meta(&reply);
-        self.node.apply_limit(&target.replica, meta.limit);
+        self.node.heed(&target.replica, &meta, &reply);
+        if self.job.is_forwarded {
+            forward::name_replica(&mut reply, &target.replica);
+        }
         if meta.not_run {
             // The connection can be reused only after the body of the reply has been read.
             let read = connection.body(MAX_BODY_BYTES).await;
--- a/crates/winch-relay/src/stream/target.rs
+++ b/crates/winch-relay/src/stream/target.rs
@@ -84,7 +84,7 @@
             let mut catalog = self.node.catalog();
             let key = catalog.key(&copy.replica.id)?;
             let entry = catalog.get(key)?;
-            if entry.replica.draining || entry.is_ejected(now) {
+            if entry.replica.draining || entry.is_ejected(now) || entry.is_paused(now) {
                 return None;
             }
             let replica = entry.replica.clone();
@@ -154,11 +154,14 @@
         let survey = self.survey(candidates, true).await;
         let now = Instant::now();
         let Some(target) = self.take_best(&survey, |_| true) else {
-            // A single candidate may still serve without a report in time or while it
-            // drains, unless it has left the catalog, for example because another
-            // incarnation has replaced it.
+            // A single candidate may still serve without a report in time, unless it has left
+            // the catalog, for example because another incarnation has replaced it, or wants no
+            // more requests.
             let (key, replica) = only_candidate?;
-            if !self.node.catalog().take_slot(key, now) {
+            let mut catalog = self.node.catalog();
+            let accepting = catalog.accepting(&self.job.service, now);
+            let is_accepting = accepting.iter().any(|(accepting, _)| *accepting == key);
+            if !is_accepting || !catalog.take_slot(key, now) {
                 return None;
             }
             return Some(Target { key, replica, copy_from: None, copy_to: None, estimate: None });
--- a/crates/winch-relay/src/unary.rs
+++ b/crates/winch-relay/src/unary.rs
@@ -222,9 +222,12 @@
             node.eject(key, replica, &error.to_string());
             Attempt::Broken(error.to_string())
         }
-        Ok(Ok((reply, body))) => {
+        Ok(Ok((mut reply, body))) => {
             let meta = node.protocol.decode_reply_meta(&reply);
-            node.apply_limit(replica, meta.limit);
+            node.heed(replica, &meta, &reply);
+            if job.is_forwarded {
+                forward::name_replica(&mut reply, replica);
+            }
             let latency = sent_at.elapsed();
             // After a reply that no replica signs for, others may follow that nobody expects.
             if meta.not_run || meta.signed {
@@ -233,7 +236,7 @@
             if meta.not_run {
                 // A replica that names a limit refuses requests although it has room for them.
                 let is_unavailable = reply.status == StatusCode::SERVICE_UNAVAILABLE;
-                let is_full = is_unavailable && meta.limit.is_none();
+                let is_full = is_unavailable && meta.statement.limit.is_none();
                 if is_full {
                     node.catalog().record_full(key, Instant::now());
                 }
