winch-relay: keep refused requests in the platform's table

Cause: parts of prompts that crash replicas had rows in the platform's table, whole requests did not, so that they were found anew after the loss of all daemons.

Now a refused request has a row, 200 at most, until its strikes no longer count. Rows are written as soon as something is refused and read as soon as the store can be read; requests that arrive just after a start wait up to 250 ms for them.

--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -68,6 +68,9 @@
 /// Time after the start during which requests wait until the daemon has a configuration
 /// and replicas.
 const STARTUP_WAIT: Duration = Duration::from_millis(1_500);
+/// Longest time for which a request that arrives within `STARTUP_WAIT` waits until the daemon
+/// knows what was refused before its start.
+const STRIKES_WAIT: Duration = Duration::from_millis(250);
 
 /// A configuration and the document from which it was decoded.
 #[derive(Clone, Debug)]
@@ -337,19 +340,29 @@
         lock(&self.config).is_some() && !self.catalog().is_empty()
     }
 
-    /// Waits until the daemon has a configuration and at least one replica, but only for a
-    /// short time after its start.
+    /// Waits until the daemon has a configuration, at least one replica and the strikes of before,
+    /// but only for a short time after its start.
     pub async fn wait_initialized(&self) {
+        let startup_end = self.started_at + STARTUP_WAIT;
+        if Instant::now() >= startup_end {
+            return;
+        }
+        self.wait_for(startup_end, Self::is_initialized).await;
+        let deadline = startup_end.min(Instant::now() + STRIKES_WAIT);
+        self.wait_for(deadline, |node| node.strikes().is_known()).await;
+    }
+
+    /// Waits until `condition` holds, at most until `deadline`.
+    async fn wait_for(&self, deadline: Instant, condition: impl Fn(&Self) -> bool) {
         let mut changes = self.changed.subscribe();
-        let initialized = async {
-            while !self.is_initialized() {
+        let holds = async {
+            while !condition(self) {
                 // Cannot fail: this node owns the sender.
                 let _ = changes.changed().await;
             }
         };
-        // A timeout is not an error: a request that still lacks a configuration or a replica is
-        // refused later.
-        let _ = timeout_at(self.started_at + STARTUP_WAIT, initialized).await;
+        // A timeout is not an error: a request that still lacks something is refused later.
+        let _ = timeout_at(deadline, holds).await;
     }
 
     /// Whether the daemon can serve callers: it is initialized and not stopping.
--- a/crates/winch-relay/src/peer/follow.rs
+++ b/crates/winch-relay/src/peer/follow.rs
@@ -221,6 +221,10 @@
         }
         let cleared = std::mem::take(&mut update.cleared);
         apply_notices(node, cleared, std::mem::take(&mut update.strikes));
+        if update.knows_strikes.unwrap_or(true) && !node.strikes().is_known() {
+            node.strikes().mark_known();
+            node.announce_strike();
+        }
         for moving in std::mem::take(&mut update.moving) {
             node.apply_progress(moving.decode_at(self.received_at));
         }
--- a/crates/winch-relay/src/peer/message.rs
+++ b/crates/winch-relay/src/peer/message.rs
@@ -152,6 +152,10 @@
     /// connection.
     #[prost(message, optional, tag = "20")]
     pub speeds: Option<Speeds>,
+    /// Whether the sender knows what was refused before its start; unset by earlier releases, which
+    /// do not wait for it.
+    #[prost(bool, optional, tag = "21")]
+    pub knows_strikes: Option<bool>,
 }
 
 /// The number of replicas of a service.
--- a/crates/winch-relay/src/peer/serve.rs
+++ b/crates/winch-relay/src/peer/serve.rs
@@ -79,6 +79,7 @@
             age_ms: node.state_age_ms(),
             reads_store: node.reads_store(),
             daemons: node.daemons(),
+            knows_strikes: Some(node.strikes().is_known()),
             ..Update::default()
         };
         if let Some(published) = node.published() {
--- a/crates/winch-relay/src/quarantine.rs
+++ b/crates/winch-relay/src/quarantine.rs
@@ -1,20 +1,30 @@
-//! Keeps the quarantined parts of prompts in the platform's table.
+//! Keeps what is refused because it crashes replicas in the platform's table: parts of prompts and
+//! whole requests.
 //!
-//! So they outlast the loss of all daemons at once, and reach daemons that reach the store but no
+//! So it outlasts the loss of all daemons at once, and reaches daemons that reach the store but no
 //! other daemon. Those that read the store write and read the rows; their followers are told as of
-//! any strike. A row stays until a request with its part survives.
+//! any strike. The row of a part stays until a request with the part survives, that of a request
+//! until its strikes no longer count.
 
-use std::collections::{HashMap, HashSet};
+use std::{
+    collections::{HashMap, HashSet},
+    time::SystemTime,
+};
 
 use serde::{Deserialize, Serialize};
-use tokio::time::sleep;
+use tokio::time::timeout_at;
 use winch_platform::table::{Error, Row, Table, Transaction};
 use winch_route::{
     quarantine::Part,
-    suspect::{Crash, Fingerprint},
+    suspect::{Crash, Disposition, Fingerprint},
 };
 
-use crate::{counter, node::Node, prelude::*, strikes::Strike};
+use crate::{
+    counter,
+    node::Node,
+    prelude::*,
+    strikes::{Strike, Strikes},
+};
 
 /// Interval at which the rows are read.
 const SYNC_INTERVAL: Duration = Duration::from_secs(1);
@@ -22,28 +32,73 @@
 const MAX_AGE_MS: u64 = 2_000;
 /// Largest number of rows that are read.
 const MAX_ROWS: usize = 500;
+/// Largest number of requests that have a row. Their rows come last, so that these leave the other
+/// rows in sight.
+const MAX_REQUESTS: usize = 200;
 /// Largest number of rows that one transaction changes.
 const MAX_WRITES: usize = 80;
-/// Prefix of the keys of the rows.
+/// Prefix of the keys of all rows.
 const PREFIX: &str = "quarantine/";
+/// Text before the fingerprint in the keys of requests. No daemon of an earlier release takes such
+/// a key for that of a part, which is hexadecimal.
+const REQUEST_PREFIX: &str = "request-";
 /// Topic in the metrics of calls to the store.
 const TOPIC: &str = "quarantine";
 
-/// A row: the strikes for which a part is quarantined.
+/// A row: the strikes for which something is refused.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 struct QuarantineRow {
     /// Fingerprint of the request and hash of the crash of each strike.
     strikes: Vec<(u64, u64)>,
+    /// When the newest strike was observed, in Unix milliseconds; zero in rows of earlier releases.
+    #[serde(default)]
+    struck_at_ms: u64,
+}
+
+impl QuarantineRow {
+    /// Time since the newest strike. A clock that was set back gives zero.
+    fn age(&self, now_ms: u64) -> Duration {
+        Duration::from_millis(now_ms.saturating_sub(self.struck_at_ms))
+    }
 }
 
-fn encode_key(part: Part) -> String {
-    format!("{PREFIX}{:016x}", part.0)
+/// What a row refuses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Subject {
+    /// All requests whose prompts have this part.
+    Part(Part),
+    /// One request.
+    Request(Fingerprint),
 }
 
-fn decode_key(key: &str) -> Option<Part> {
-    u64::from_str_radix(key.strip_prefix(PREFIX)?, 16).ok().map(Part)
+impl Subject {
+    fn encode_key(self) -> String {
+        match self {
+            Self::Part(part) => format!("{PREFIX}{:016x}", part.0),
+            Self::Request(request) => format!("{PREFIX}{REQUEST_PREFIX}{:016x}", request.0),
+        }
+    }
+
+    fn decode_key(key: &str) -> Option<Self> {
+        let name = key.strip_prefix(PREFIX)?;
+        let decode = |text| u64::from_str_radix(text, 16).ok();
+        match name.strip_prefix(REQUEST_PREFIX) {
+            Some(request) => decode(request).map(|hash| Self::Request(Fingerprint(hash))),
+            None => decode(name).map(|hash| Self::Part(Part(hash))),
+        }
+    }
+
+    fn part(self) -> Option<Part> {
+        match self {
+            Self::Part(part) => Some(part),
+            Self::Request(_) => None,
+        }
+    }
 }
 
+/// The rows that were read, by what they refuse.
+type Found<'a> = HashMap<Subject, &'a Row>;
+
 /// The parts that had a row when the rows were last read.
 #[derive(Debug, Default)]
 struct Stored {
@@ -64,22 +119,41 @@
 }
 
 /// Keeps the rows and this daemon's strikes in sync for as long as the daemon runs.
+///
+/// The rows are read as soon as the store can be read, and written as soon as something new is
+/// refused.
 pub async fn run<P: Protocol, T: Table>(node: Arc<Node<P>>, table: T) {
     let mut stored = Stored::default();
+    let mut changes = node.subscribe();
+    let (mut next_at, mut refused) = (Instant::now(), 0);
     loop {
-        sleep(SYNC_INTERVAL).await;
+        // A timeout is not an error: the rows are read at intervals without any change.
+        let _ = timeout_at(next_at, changes.changed()).await;
+        let now = Instant::now();
+        let is_known = node.strikes().is_known();
+        if now < next_at && is_known && node.strikes().refused_count(now) == refused {
+            continue;
+        }
+        if now >= next_at {
+            next_at = now + SYNC_INTERVAL;
+        }
         let is_current = node.state_age_ms().is_some_and(|age| age <= MAX_AGE_MS);
         if !node.reads_store() || !is_current {
             continue;
         }
-        let started_at = Instant::now();
         let synced = sync(&node, &table, &mut stored).await;
+        refused = node.strikes().refused_count(now);
         // The next round repeats what failed.
         let outcome = if synced.is_ok() { "ok" } else { "unavailable" };
-        counter::store_called(TOPIC, outcome, started_at.elapsed());
+        counter::store_called(TOPIC, outcome, now.elapsed());
     }
 }
 
+fn now_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Applies the rows, and writes what they lack.
 async fn sync<P: Protocol, T: Table>(
     node: &Node<P>,
@@ -87,13 +161,14 @@
     stored: &mut Stored,
 ) -> Result<(), Error> {
     let rows = table.scan(PREFIX, "", MAX_ROWS).await?;
-    let found: HashMap<Part, &Row> =
-        rows.iter().filter_map(|row| Some((decode_key(&row.key)?, row))).collect();
+    let found: Found<'_> =
+        rows.iter().filter_map(|row| Some((Subject::decode_key(&row.key)?, row))).collect();
     // With more rows than are read, a missing one may only have moved out of sight.
     let sees_all = rows.len() < MAX_ROWS;
-    let mut gone = stored.replace(found.keys().copied().collect(), table.era());
+    let mut gone = stored.replace(found.keys().filter_map(|key| key.part()).collect(), table.era());
     gone.retain(|_| sees_all);
-    if apply_rows(node, &found, &gone) {
+    let is_first = !node.strikes().is_known();
+    if apply_rows(node, &found, &gone) || is_first {
         node.announce_strike();
     }
     let transaction = missing_writes(node, &found);
@@ -105,38 +180,75 @@
 
 /// Applies the rows that are new to this daemon, and clears the parts whose rows another daemon has
 /// deleted; returns whether anything has changed.
-fn apply_rows<P: Protocol>(node: &Node<P>, found: &HashMap<Part, &Row>, gone: &[Part]) -> bool {
-    let (now, mut strikes) = (Instant::now(), node.strikes());
+fn apply_rows<P: Protocol>(node: &Node<P>, found: &Found<'_>, gone: &[Part]) -> bool {
+    let (now, now_ms, mut strikes) = (Instant::now(), now_ms(), node.strikes());
     let mut has_changed = !strikes.clear(gone, now).is_empty();
-    for (part, row) in found {
-        if strikes.is_cleared(*part, now) || strikes.quarantined_part(&[*part], now).is_some() {
+    for (subject, row) in found {
+        if is_settled(&strikes, *subject, now) {
             continue;
         }
-        // A row of another writer quarantines nothing.
+        // A row of another writer refuses nothing.
         let row: QuarantineRow = serde_json::from_str(&row.value).unwrap_or_default();
+        let (parts, at): (Arc<[Part]>, _) = match subject {
+            Subject::Part(part) => ([*part].into(), now),
+            Subject::Request(_) => {
+                (Arc::default(), now.checked_sub(row.age(now_ms)).unwrap_or(now))
+            }
+        };
         for (request, crash) in row.strikes {
-            let (request, crash) = (Fingerprint(request), Crash(crash));
-            has_changed |= strikes.apply(Strike { request, crash, parts: [*part].into(), at: now });
+            let (request, crash, parts) = (Fingerprint(request), Crash(crash), parts.clone());
+            has_changed |= strikes.apply(Strike { request, crash, parts, at });
         }
     }
+    strikes.mark_known();
     has_changed
 }
 
-/// The writes that bring the rows up to date: parts that are quarantined here get one, and those
-/// that were cleared lose it.
-fn missing_writes<P: Protocol>(node: &Node<P>, found: &HashMap<Part, &Row>) -> Transaction {
-    let (now, strikes) = (Instant::now(), node.strikes());
-    let mut missing: HashMap<Part, QuarantineRow> = HashMap::new();
+/// Whether the row of `subject` can add nothing to what this daemon knows.
+fn is_settled(strikes: &Strikes, subject: Subject, now: Instant) -> bool {
+    match subject {
+        Subject::Part(part) => {
+            strikes.is_cleared(part, now) || strikes.quarantined_part(&[part], now).is_some()
+        }
+        Subject::Request(request) => strikes.disposition(request, &[], now) == Disposition::Refused,
+    }
+}
+
+/// The writes that bring the rows up to date: what is refused here gets one, and parts that were
+/// cleared and requests whose strikes no longer count lose it.
+fn missing_writes<P: Protocol>(node: &Node<P>, found: &Found<'_>) -> Transaction {
+    let (now, now_ms, strikes) = (Instant::now(), now_ms(), node.strikes());
+    let mut missing: HashMap<Subject, QuarantineRow> = HashMap::new();
+    let is_request = |subject: &Subject| subject.part().is_none();
+    let mut requests = found.keys().filter(|subject| is_request(subject)).count();
     for strike in strikes.decisive(now) {
-        for part in strike.parts.iter().filter(|part| !found.contains_key(part)) {
-            let row = missing.entry(*part).or_default();
+        let whole = strike.parts.is_empty().then_some(Subject::Request(strike.request));
+        let subjects = strike.parts.iter().map(|part| Subject::Part(*part)).chain(whole);
+        for subject in subjects.filter(|subject| !found.contains_key(subject)) {
+            if is_request(&subject) && !missing.contains_key(&subject) {
+                requests += 1;
+                if requests > MAX_REQUESTS {
+                    continue;
+                }
+            }
+            let row = missing.entry(subject).or_default();
             row.strikes.push((strike.request.0, strike.crash.0));
+            let age = now.saturating_duration_since(strike.at);
+            let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+            row.struck_at_ms = row.struck_at_ms.max(now_ms.saturating_sub(age_ms));
         }
     }
-    let cleared = found.iter().filter(|(part, _)| strikes.is_cleared(**part, now));
-    let deletes = cleared.map(|(_, row)| (row.key.clone(), None));
+    let is_over = |subject: Subject, row: &Row| match subject {
+        Subject::Part(part) => strikes.is_cleared(part, now),
+        Subject::Request(_) => {
+            let row: QuarantineRow = serde_json::from_str(&row.value).unwrap_or_default();
+            row.age(now_ms) >= strikes.lifetime()
+        }
+    };
+    let over = found.iter().filter(|(subject, row)| is_over(**subject, row));
+    let deletes = over.map(|(_, row)| (row.key.clone(), None));
     let encode = |row| serde_json::to_string(row).expect("numbers are valid JSON");
-    let puts = missing.iter().map(|(part, row)| (encode_key(*part).into(), Some(encode(row))));
+    let puts = missing.iter().map(|(key, row)| (key.encode_key().into(), Some(encode(row))));
     deletes.chain(puts).take(MAX_WRITES).fold(Transaction::default(), |txn, write| match write {
         (key, None) => txn.delete(key),
         (key, Some(value)) => txn.put(key, value),
--- a/crates/winch-relay/src/strikes.rs
+++ b/crates/winch-relay/src/strikes.rs
@@ -57,6 +57,8 @@
     recent: VecDeque<Notice>,
     /// Number of notices that were removed from `recent`.
     dropped: usize,
+    /// Whether what was refused before this daemon's start has been read or told.
+    is_known: bool,
 }
 
 impl Strikes {
@@ -64,7 +66,22 @@
     pub fn new(origin: Instant) -> Self {
         let tracker = Tracker::new(Options::default());
         let parts = Ledger::new(quarantine::Options::default());
-        Self { tracker, parts, origin, recent: VecDeque::new(), dropped: 0 }
+        Self { tracker, parts, origin, recent: VecDeque::new(), dropped: 0, is_known: false }
+    }
+
+    /// Whether what was refused before this daemon's start has been read or told.
+    pub fn is_known(&self) -> bool {
+        self.is_known
+    }
+
+    /// Records that what was refused before this daemon's start has been read or told.
+    pub fn mark_known(&mut self) {
+        self.is_known = true;
+    }
+
+    /// How long a strike against a request counts.
+    pub fn lifetime(&self) -> Duration {
+        self.tracker.lifetime()
     }
 
     /// The time that the tracker and the ledger use; strikes from before the start of this daemon
@@ -208,6 +225,12 @@
         decisive
     }
 
+    /// Number of requests and parts that are refused at `now`.
+    pub fn refused_count(&self, now: Instant) -> usize {
+        let at = self.since_origin(now);
+        self.tracker.refused(at).count() + self.parts.quarantined(at).count()
+    }
+
     /// The notices that followed the first `count` ones, as far as they are kept, and the
     /// number of all notices so far; the next call takes this number as its `count`.
     pub fn after(&self, count: usize) -> (Vec<Notice>, usize) {
--- a/crates/winch-route/src/suspect.rs
+++ b/crates/winch-route/src/suspect.rs
@@ -193,6 +193,11 @@
         strikes.map(|(request, strikes)| (*request, &**strikes))
     }
 
+    /// How long a strike counts.
+    pub fn lifetime(&self) -> Duration {
+        self.options.lifetime
+    }
+
     /// Number of fingerprints kept.
     pub fn len(&self) -> usize {
         self.strikes.len()
