winch-relay: leave a live replica that has lost a stream or holds its events back

Cause: before the first event an attempt was given up only if its replica answered no probes. A replica that had lost the request, or whose answer was stuck, was waited for until the deadline.

Now an attempt that can move leaves after three reports in a row by which the first event will not come.

Ruled out: queued streams (queued_stream_waits), streams that may run once (stuck_stream_runs_once).

Old and new builds: no message between daemons and no stored row changes.

--- a/crates/winch-event/src/lib.rs
+++ b/crates/winch-event/src/lib.rs
@@ -136,6 +136,8 @@
     SpeedsDiffer = 1125, Info, "speeds of the service's replicas differ";
     /// The replicas of a service no longer differ in speed by more than the noise.
     SpeedsAlike = 1126, Info, "speeds of the service's replicas no longer differ";
+    /// A stream waits long for its first event; logged once for each attempt.
+    FirstEventLate = 1127, Info, "first event of a stream is late";
     /// An order was sent, but its response was lost or did not arrive in time; the order
     /// may have taken effect.
     OrderOutcomeUnknown = 1201, Error, "outcome of an order is unknown";
--- a/crates/winch-relay/src/replica.rs
+++ b/crates/winch-relay/src/replica.rs
@@ -1,7 +1,10 @@
 //! Descriptions of replicas: entries of the platform's list, and the replicas' load reports.
 
 pub use winch_roster::replica::Replica;
-use winch_route::engine::{Load, Run};
+use winch_route::{
+    engine::{Load, Run},
+    hash,
+};
 
 /// Load report of a replica; its figures can be some hundred milliseconds old.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -22,6 +25,8 @@
     pub copies: u32,
     /// Running requests that have sent an event, if stated.
     pub runs: Vec<Run>,
+    /// Hashes of the ids of `runs`, in the same order.
+    pub run_ids: Vec<u64>,
     /// Whether the replica drains.
     pub draining: bool,
     /// Start time of the reporting incarnation, in Unix milliseconds, if stated.
@@ -40,6 +45,13 @@
             && self.started_at_ms != listed.started_at_ms
     }
 
+    /// Number of events that the run with this id has made; `None` if it has made none.
+    pub fn events_of(&self, id: &str) -> Option<u64> {
+        let hash = hash::name(id);
+        let index = self.run_ids.iter().position(|run| *run == hash)?;
+        self.runs.get(index).map(|run| run.events)
+    }
+
     /// The reported load; `starting` is the number of this daemon's own streams there without a
     /// first event, which the report may be too old to include.
     pub fn load(&self, starting: u32) -> Load<'_> {
--- a/crates/winch-relay/src/stream/silence.rs
+++ b/crates/winch-relay/src/stream/silence.rs
@@ -14,6 +14,7 @@
 use crate::{
     prelude::*,
     probe::{self, Finding},
+    replica::Report,
 };
 
 /// Interval of liveness probes while the stream waits for its first event.
@@ -27,11 +28,19 @@
 /// silent: one that is not listed any more may still serve.
 const GONE_SILENCE: Duration = Duration::from_secs(3);
 
-/// The probes in a row that a replica has missed.
+/// Time without a first event after which this is logged.
+const LATE_TIME: Duration = Duration::from_secs(2);
+
+/// Reports in a row by which the first event will not come, after which a movable attempt leaves
+/// its replica. Reports may be older than the request.
+const MAX_HOPELESS: u32 = 3;
+
+/// The probes in a row that a replica has missed, or by which the first event will not come.
 #[derive(Clone, Copy, Debug, Default)]
 struct Silence {
     misses: u32,
     since: Option<Instant>,
+    hopeless: u32,
 }
 
 impl Silence {
@@ -49,8 +58,12 @@
     /// Completes when the attempt is to leave its replica, which has sent no event yet.
     pub(super) async fn wait_until_unresponsive(&self, target: &Target) {
         let mut silence = Silence::default();
+        let (started_at, mut is_reported) = (Instant::now(), false);
         loop {
             sleep(FIRST_EVENT_PROBE_INTERVAL).await;
+            if started_at.elapsed() >= LATE_TIME && !std::mem::replace(&mut is_reported, true) {
+                self.report_late(target, started_at.elapsed()).await;
+            }
             if self.is_to_leave(target, &mut silence, MAX_MISSES).await
                 || (silence.misses > 0 && self.is_to_leave(target, &mut silence, MAX_MISSES).await)
             {
@@ -82,13 +95,34 @@
         }
     }
 
+    /// Logs that the first event is late, with the load of the replica.
+    async fn report_late(&self, target: &Target, waited: Duration) {
+        let report = probe::request_report(self.node, &target.replica).await;
+        let has_report = report.is_some();
+        let report = report.unwrap_or_default();
+        emit!(
+            Event::FirstEventLate,
+            request = self.job.call.label(),
+            replica = target.replica.id,
+            waited_ms = waited.as_millis(),
+            has_report = has_report,
+            waiting = report.waiting,
+            running = report.running,
+            prefilling = report.prefilling,
+            events_made =
+                self.job.call.id.as_deref().and_then(|id| report.events_of(id)).unwrap_or(0),
+            can_move = self.can_move(target)
+        );
+    }
+
     /// Probes the replica once; returns whether the attempt is to leave it.
     async fn is_to_leave(&self, target: &Target, silence: &mut Silence, max_misses: u32) -> bool {
         match probe::probe(self.node, &target.replica).await {
             Finding::Replaced => true,
-            Finding::Alive(_) => {
-                *silence = Silence::default();
-                false
+            Finding::Alive(report) => {
+                let hopeless = if self.is_hopeless(&report) { silence.hopeless + 1 } else { 0 };
+                *silence = Silence { hopeless, ..Silence::default() };
+                hopeless >= MAX_HOPELESS && self.can_move(target)
             }
             Finding::Silent => {
                 let now = Instant::now();
@@ -100,6 +134,19 @@
         }
     }
 
+    /// Whether the first event will not come, by a report of the live replica: it has made events
+    /// of this run, and none has arrived; or it knows nothing of the run, which is neither queued
+    /// nor in prefill nor running.
+    fn is_hopeless(&self, report: &Report) -> bool {
+        let Some(id) = self.job.call.id.as_deref().filter(|_| self.first_event_at.is_none()) else {
+            return false;
+        };
+        match report.events_of(id) {
+            Some(events) => events > 0,
+            None => report.waiting == 0 && report.prefilling == 0,
+        }
+    }
+
     /// Whether the stream can go on, or start again, at another replica.
     fn can_move(&self, target: &Target) -> bool {
         self.job.route.semantics.may_repeat()
