winch-relay: close idle connections by the longest limit in force, and read nothing after it

Callers saw: a request on a kept connection that ends with its channel, beside a change that raises the idle limit.

Cause: a connection waited under the limit of the moment at which the wait began, while callers follow a new one at once. After the close the daemon went on reading for a second, so that a request that crossed the close was read and got nothing.

Now the longest limit that was in force during the wait holds, and three seconds more, and after an idle close nothing is read.

Old and new builds: nothing between daemons changes.

--- a/crates/winch-relay/src/edge.rs
+++ b/crates/winch-relay/src/edge.rs
@@ -7,7 +7,7 @@
 use http::header;
 use tokio::{
     io::{AsyncRead, AsyncWrite},
-    time::timeout,
+    time::{sleep_until, timeout},
 };
 use winch_http::{
     Fault,
@@ -29,6 +29,9 @@
     stream, strikes, unary,
 };
 
+/// Time by which callers may know a new limit before this daemon does: a connection stays open for
+/// this much longer than the limit says.
+const IDLE_MARGIN: Duration = Duration::from_secs(3);
 /// Time within which the body of a request must arrive after its head.
 const BODY_TIMEOUT: Duration = Duration::from_secs(20);
 /// How long remaining input is read before a connection is closed.
@@ -90,7 +93,7 @@
 
 /// Serves one caller's connection until it is closed.
 ///
-/// Each request is read under the limits in force when the daemon starts to wait for it.
+/// Each request is read under the limits in force when it arrives.
 pub async fn serve<P, R, W>(node: Arc<Node<P>>, read: R, write: W)
 where
     P: Protocol,
@@ -101,10 +104,12 @@
     let mut out = Responder::new(write);
     let origin = Origin::Caller;
     loop {
-        let limits = current_limits(&node);
-        if !wait_for_request(&node, &mut reader, limits.idle_timeout).await {
-            break;
+        if !wait_for_request(&node, &mut reader).await {
+            // No reply is outstanding. A request that crosses the close stays unread, so that its
+            // caller knows that it has not run.
+            return;
         }
+        let limits = current_limits(&node);
         match read_request(&mut reader, &mut out, &limits).await {
             Ok((request, body, received_at)) => {
                 let request = Received { request, body, received_at, origin };
@@ -133,7 +138,7 @@
 }
 
 /// Waits for the next request; `false` if the connection is to be closed.
-async fn wait_for_request<P, R>(node: &Node<P>, reader: &mut Reader<R>, idle: Duration) -> bool
+async fn wait_for_request<P, R>(node: &Node<P>, reader: &mut Reader<R>) -> bool
 where
     P: Protocol,
     R: AsyncRead + Unpin,
@@ -144,8 +149,26 @@
     };
     tokio::select! {
         biased;
-        arrived = timeout(idle, reader.wait()) => matches!(arrived, Ok(Ok(true))),
+        arrived = reader.wait() => matches!(arrived, Ok(true)),
         () = stopping => false,
+        () = idle_for_too_long(node) => false,
+    }
+}
+
+/// Completes when a connection that is idle from now on is to be closed.
+///
+/// Callers reuse a connection by the limit that they know, which may have been raised or lowered
+/// meanwhile: the longest one that was in force holds.
+async fn idle_for_too_long<P: Protocol>(node: &Node<P>) {
+    let since = Instant::now();
+    let mut limit = current_limits(node).idle_timeout;
+    loop {
+        sleep_until(since + limit + IDLE_MARGIN).await;
+        let current = current_limits(node).idle_timeout;
+        if current <= limit {
+            return;
+        }
+        limit = current;
     }
 }
 
