winch-relay: give what still runs at the end of a stop its final reply, and refuse what cannot end

Cause: at the end of the grace the connections were closed without a word, whatever had become of their requests; and a request was taken although its deadline was after the end of the grace.

Now the grace ends 0.4 s before the platform's, and what still runs gets its reply within 0.2 s: 503 (607) if nothing was sent to a replica or another daemon, else 502 (620). A stopping daemon refuses at once a request whose deadline is after the end of its grace.

Beside it: the listeners for readiness, metrics and peers no longer end at their first failed accept (seen by the review; the loop has no test).

Evidence: running_order_answered, stream_without_event_answered, unsent_stream_refused and late_order_refused failed on and pass; short_order_served passes on both.

Old and new builds: a daemon that passes a request on takes 607 as not run and asks another one, as before.

--- a/crates/winch-relay/src/call.rs
+++ b/crates/winch-relay/src/call.rs
@@ -84,6 +84,11 @@
         self.target.split_once('?').map_or(&self.target, |(path, _)| path)
     }
 
+    /// The earlier of the caller's deadline and that of a route with this timeout.
+    pub fn deadline(&self, route_timeout: Duration) -> Instant {
+        self.received_at + self.timeout.map_or(route_timeout, |limit| limit.min(route_timeout))
+    }
+
     /// The id for log lines; `-` if the caller gave none.
     pub fn label(&self) -> &str {
         self.id.as_deref().unwrap_or("-")
--- a/crates/winch-relay/src/code.rs
+++ b/crates/winch-relay/src/code.rs
@@ -54,7 +54,8 @@
     UnknownKey = 605, "unknown_key", UNAUTHORIZED, false;
     /// The daemon has not received a configuration yet.
     NoConfig = 606, "no_plan", SERVICE_UNAVAILABLE, false;
-    /// The daemon is stopping and takes no new stream, which could outlast it.
+    /// The daemon is stopping and takes no new stream, nor another request that could outlast it;
+    /// or it has stopped before it could send the request to a replica.
     Stopping = 607, "stopping", SERVICE_UNAVAILABLE, false;
     /// No replica of the service is available.
     NoReplica = 608, "no_replica", SERVICE_UNAVAILABLE, false;
--- a/crates/winch-relay/src/daemon.rs
+++ b/crates/winch-relay/src/daemon.rs
@@ -7,28 +7,28 @@
 use tokio::{
     net::TcpListener,
     task::JoinSet,
-    time::{sleep, timeout_at},
+    time::{sleep, timeout, timeout_at},
 };
 
 use winch_platform::table::Table;
 
 use crate::{
-    controller, edge, exposition, node::Node, peer, prelude::*, quarantine, reach,
+    controller, edge, exposition, listen, node::Node, peer, prelude::*, quarantine, reach,
     settings::Settings, store::Access, watch,
 };
 
 /// Time after the stop signal during which new connections are still accepted, so
 /// that the platform's load balancer stops using the daemon first.
 const STOP_ACCEPT_TIME: Duration = Duration::from_millis(3_000);
-/// Time before the end of the stop grace period at which the daemon aborts running requests.
-const STOP_MARGIN: Duration = Duration::from_millis(300);
+/// Time before the end of the stop grace period at which what still runs gets its final reply.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// Longest time that the final replies take.
+const FINAL_REPLY_TIME: Duration = Duration::from_millis(200);
 /// Interval at which idle connections, expired replicas and unused admission gates are removed, and
 /// the speeds of replicas are estimated.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval at which a stopping daemon looks if it still serves requests of other daemons.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-/// Delay before the next attempt after a connection could not be accepted.
-const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
 /// An address on which the daemon cannot listen.
 #[derive(Debug, Snafu)]
@@ -110,19 +110,16 @@
         () = accepting => {}
     }
     let stop_deadline = Instant::now() + node.tuning().stop_grace.saturating_sub(STOP_MARGIN);
-    node.stop();
+    node.stop(stop_deadline);
     emit!(Event::Stopping, open = connections.len());
     let accepting = accept(&node, &sockets.callers, &mut connections);
     let _ = timeout_at(stop_deadline.min(Instant::now() + STOP_ACCEPT_TIME), accepting).await;
     drop(sockets.callers);
-    let joined = async {
-        while connections.join_next().await.is_some() {}
-        while !node.running.serves_no_daemon() {
-            sleep(DRAIN_CHECK_INTERVAL).await;
-        }
-    };
-    if timeout_at(stop_deadline, joined).await.is_err() {
+    if timeout_at(stop_deadline, join_all(&node, &mut connections)).await.is_err() {
         emit!(Event::GraceExpired, open = connections.len());
+        node.end();
+        // Whose reply cannot be sent in time is cut off.
+        let _ = timeout(FINAL_REPLY_TIME, join_all(&node, &mut connections)).await;
     }
     connections.shutdown().await;
     background_tasks.shutdown().await;
@@ -132,28 +129,32 @@
     log::logger().flush();
 }
 
+/// Completes when no request of a caller or of another daemon runs any more.
+async fn join_all<P: Protocol>(node: &Node<P>, connections: &mut JoinSet<()>) {
+    while connections.join_next().await.is_some() {}
+    while !node.running.serves_no_daemon() {
+        sleep(DRAIN_CHECK_INTERVAL).await;
+    }
+}
+
 async fn accept<P: Protocol>(
     node: &Arc<Node<P>>,
     listener: &TcpListener,
     connections: &mut JoinSet<()>,
 ) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                while connections.try_join_next().is_some() {}
-                let _ = stream.set_nodelay(true);
-                let (read, write) = stream.into_split();
-                connections.spawn(edge::serve(node.clone(), read, write));
-            }
-            // Transient: no file descriptors left, or the peer closed the connection first.
-            Err(_) => sleep(ACCEPT_BACKOFF).await,
-        }
+        let stream = listen::accept(listener).await;
+        while connections.try_join_next().is_some() {}
+        let _ = stream.set_nodelay(true);
+        let (read, write) = stream.into_split();
+        connections.spawn(edge::serve(node.clone(), read, write));
     }
 }
 
 async fn serve_ready<P: Protocol>(node: Arc<Node<P>>, listener: TcpListener) {
     let mut connections = JoinSet::new();
-    while let Ok((stream, _)) = listener.accept().await {
+    loop {
+        let stream = listen::accept(&listener).await;
         while connections.try_join_next().is_some() {}
         let (read, write) = stream.into_split();
         let node = node.clone();
@@ -174,7 +175,8 @@
 async fn serve_metrics(listener: TcpListener) {
     let Some(handle) = exposition::install_recorder() else { return };
     let mut connections = JoinSet::new();
-    while let Ok((stream, _)) = listener.accept().await {
+    loop {
+        let stream = listen::accept(&listener).await;
         while connections.try_join_next().is_some() {}
         let (read, write) = stream.into_split();
         let handle = handle.clone();
--- a/crates/winch-relay/src/edge.rs
+++ b/crates/winch-relay/src/edge.rs
@@ -251,12 +251,23 @@
     }
     let outcome = tokio::select! {
         biased;
-        outcome = relay(node, &job, out, &mut trace) => outcome,
-        () = reader.closed() => Outcome::CallerGone,
+        outcome = relay(node, &job, out, &mut trace) => Some(outcome),
+        () = reader.closed() => Some(Outcome::CallerGone),
+        () = node.end_requested() => None,
     };
+    let outcome = outcome.unwrap_or_else(|| cut_short(out.progress(), &trace));
     finish(node, &job, out, outcome, &trace).await;
 }
 
+/// The outcome of a request that still runs when the daemon ends.
+fn cut_short(progress: Progress, trace: &Trace) -> Outcome {
+    if progress != Progress::Waiting {
+        return Outcome::Aborted(Code::Stopping);
+    }
+    let may_have_run = trace.sends > 0 || trace.was_forwarded;
+    Outcome::Error(if may_have_run { Code::Broken } else { Code::Stopping })
+}
+
 /// What the configuration assigns to a request.
 struct Admitted {
     route: Arc<Route>,
@@ -287,7 +298,8 @@
     if team.is_none() && config.needs_key(&route) {
         return Err(Code::UnknownKey);
     }
-    if node.is_stopping() && matches!(route.semantics, Semantics::Stream { .. }) {
+    let is_stream = matches!(route.semantics, Semantics::Stream { .. });
+    if (node.is_stopping() && is_stream) || node.stops_before(call.deadline(route.timeout)) {
         return Err(Code::Stopping);
     }
     if is_quarantined(node, call, team.as_deref()) {
--- a/crates/winch-relay/src/job.rs
+++ b/crates/winch-relay/src/job.rs
@@ -42,8 +42,7 @@
 impl Job {
     /// The earlier of the caller's deadline and the route's.
     pub fn deadline(&self) -> Instant {
-        let timeout = self.route.timeout;
-        self.call.received_at + self.call.timeout.map_or(timeout, |limit| limit.min(timeout))
+        self.call.deadline(self.route.timeout)
     }
 
     /// The key under which strikes against the request are counted.
--- a/crates/winch-relay/src/lib.rs
+++ b/crates/winch-relay/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod job;
 pub mod kv_snapshot;
 pub mod lint;
+pub mod listen;
 pub mod moves;
 pub mod node;
 pub mod peer;
--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod listing;
 mod statement;
+mod stopping;
 
 use std::{
     collections::HashMap,
@@ -32,6 +33,7 @@
     overload::Gate,
 };
 
+use self::stopping::Stage;
 use crate::{
     catalog::{Catalog, Key},
     config::Config,
@@ -121,7 +123,7 @@
     pub(crate) backlogs: Backlogs,
     /// Admission of streams by service.
     gates: Mutex<HashMap<Name, Gate>>,
-    stopping: Sender<bool>,
+    stage: Sender<Stage>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -158,7 +160,7 @@
             shedders: Shedders::default(),
             backlogs: Backlogs::default(),
             gates: Mutex::default(),
-            stopping: Sender::new(false),
+            stage: Sender::new(Stage::Running),
         })
     }
 
@@ -370,23 +372,6 @@
         !self.is_stopping() && self.is_initialized()
     }
 
-    /// Whether a stop was requested.
-    pub fn is_stopping(&self) -> bool {
-        *self.stopping.borrow()
-    }
-
-    /// Requests a graceful stop.
-    pub fn stop(&self) {
-        self.stopping.send_replace(true);
-    }
-
-    /// Completes when a stop is requested.
-    pub async fn stop_requested(&self) {
-        let mut stopping = self.stopping.subscribe();
-        // Cannot fail: this node owns the sender.
-        let _ = stopping.wait_for(|stopping| *stopping).await;
-    }
-
     /// Adds the share of a retry that one caller's request earns to the budget of `service`.
     pub fn earn_retry(&self, service: &Name) {
         self.with_budget(service, Budget::earn);
--- /dev/null
+++ b/crates/winch-relay/src/node/stopping.rs
@@ -0,0 +1,60 @@
+//! Stages of a daemon's graceful stop.
+
+use crate::prelude::*;
+
+/// Stage of a daemon's life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Stage {
+    /// It serves requests.
+    Running,
+    /// It finishes what it has taken.
+    Stopping {
+        /// When the grace period is over.
+        deadline: Instant,
+    },
+    /// The grace period is over: what still runs gets its final reply.
+    Ending,
+}
+
+impl<P: Protocol> Node<P> {
+    /// Whether a stop was requested.
+    pub fn is_stopping(&self) -> bool {
+        *self.stage.borrow() != Stage::Running
+    }
+
+    /// Requests a graceful stop, whose grace period is over at `deadline`.
+    pub fn stop(&self, deadline: Instant) {
+        self.stage.send_replace(Stage::Stopping { deadline });
+    }
+
+    /// Ends the grace period of a stop.
+    pub fn end(&self) {
+        self.stage.send_replace(Stage::Ending);
+    }
+
+    /// Whether the daemon stops before `deadline`, so that it cannot promise to finish a request
+    /// that may last until then.
+    pub fn stops_before(&self, deadline: Instant) -> bool {
+        match *self.stage.borrow() {
+            Stage::Running => false,
+            Stage::Stopping { deadline: end } => end < deadline,
+            Stage::Ending => true,
+        }
+    }
+
+    /// Completes when a stop is requested.
+    pub async fn stop_requested(&self) {
+        self.wait_for_stage(|stage| *stage != Stage::Running).await;
+    }
+
+    /// Completes when the grace period of a stop is over.
+    pub async fn end_requested(&self) {
+        self.wait_for_stage(|stage| *stage == Stage::Ending).await;
+    }
+
+    async fn wait_for_stage(&self, is_reached: impl FnMut(&Stage) -> bool) {
+        let mut stage = self.stage.subscribe();
+        // Cannot fail: this node owns the sender.
+        let _ = stage.wait_for(is_reached).await;
+    }
+}
--- a/crates/winch-relay/src/peer/serve.rs
+++ b/crates/winch-relay/src/peer/serve.rs
@@ -21,7 +21,8 @@
     speeds::decode_samples,
 };
 use crate::{
-    edge, edition::Edition, fleet::FollowerKey, node::Node, prelude::*, speed, strikes::Notice,
+    edge, edition::Edition, fleet::FollowerKey, listen, node::Node, prelude::*, speed,
+    strikes::Notice,
 };
 
 /// Largest number of connections that are served at once; further ones are closed.
@@ -169,7 +170,8 @@
 /// Accepts connections of other daemons and serves them, for as long as the daemon runs.
 pub async fn serve<P: Protocol>(node: Arc<Node<P>>, listener: TcpListener) {
     let mut connections = JoinSet::new();
-    while let Ok((stream, _)) = listener.accept().await {
+    loop {
+        let stream = listen::accept(&listener).await;
         while connections.try_join_next().is_some() {}
         if connections.len() >= MAX_CONNECTIONS {
             continue;
