winch-http: bound the idle limit that a server states

Callers saw: nothing yet; the task of an exchange ended when a reply stated a Keep-Alive of more seconds than the clock has (seen by the review). Cause: the limit was added to the time unchecked. Now it is at most an hour.

Evidence: huge_idle_limit_bounded panicked on (overflow when adding duration to instant) and passes.

--- a/crates/winch-http/src/client.rs
+++ b/crates/winch-http/src/client.rs
@@ -27,6 +27,8 @@
 const READ_BYTES: usize = 4 * 1024;
 /// How long an idle connection may be reused if the server states no limit.
 const DEFAULT_IDLE_LIMIT: Duration = Duration::from_secs(3);
+/// Longest time for which an idle connection may be reused, whatever the server states.
+const MAX_IDLE_LIMIT: Duration = Duration::from_secs(3_600);
 /// How long before the server's stated idle limit a connection is no longer reused, so
 /// that a request does not meet the server's close.
 const IDLE_MARGIN: Duration = Duration::from_millis(800);
@@ -188,7 +190,7 @@
                     // After an early reply the server still expects the rest of the request.
                     self.reusable = written && reply.keeps_alive();
                     self.idle_limit = reply.idle_limit_s().map_or(DEFAULT_IDLE_LIMIT, |limit| {
-                        Duration::from_secs(limit).saturating_sub(IDLE_MARGIN)
+                        Duration::from_secs(limit).saturating_sub(IDLE_MARGIN).min(MAX_IDLE_LIMIT)
                     });
                     return Ok(reply);
                 }
--- a/crates/winch-http/tests/client_exchange.rs
+++ b/crates/winch-http/tests/client_exchange.rs
@@ -76,6 +76,17 @@
     assert!(!connection.is_reusable());
 }
 
+// Guards against an idle limit that is beyond all times of the clock.
+#[tokio::test]
+async fn huge_idle_limit_bounded() {
+    let text = "HTTP/1.1 200 X\r\nKeep-Alive: timeout=18446744073709551615\r\n\
+                Content-Length: 2\r\n\r\nab";
+    let (mut connection, body) = exchange(text, false).await;
+    assert_eq!(body.unwrap(), "ab");
+    connection.start_idle();
+    assert!(connection.is_usable());
+}
+
 #[tokio::test]
 async fn unaccepted_reply_skipped() {
     let text = "HTTP/1.1 200 X\r\nX-Old: 1\r\nContent-Length: 3\r\n\r\nold\
