winch-relay: let all replies share one bound of memory

Callers would see: requests that end with their machine, because one replica sends bytes without end (report of another operator).

Cause: each reply had a bound, and only the bodies of plain services had one together. Error replies to streams, events that do not end, load reports and replies passed on by another daemon could add up to more than a machine has.

First messages of daemons, reports of followers and replies of the store have smaller bounds of their own.

Old and new builds: messages keep their form; a first message of more than 128 KiB would be refused, theirs have some KiB.

--- a/crates/winch-relay/src/exchange.rs
+++ b/crates/winch-relay/src/exchange.rs
@@ -12,7 +12,7 @@
     head::Reply,
 };
 
-use crate::{forward::CODE, prelude::*};
+use crate::{forward::CODE, memory, prelude::*};
 
 /// Matches the reply to a caller's request, by the request's id.
 ///
@@ -86,7 +86,8 @@
     ) -> Result<Option<T>, Error> {
         let matcher = OwnReply(&node.protocol);
         let reply = connection.exchange(&self.method, &self.request, &matcher).await?;
-        let body = connection.body(self.max_body_bytes).await?;
+        let body =
+            memory::read_body(&mut connection, &node.body_blocks, self.max_body_bytes).await?;
         let decoded = decode(&reply, &body);
         if decoded.is_some() {
             node.pool.put(replica.address, connection);
--- a/crates/winch-relay/src/forward.rs
+++ b/crates/winch-relay/src/forward.rs
@@ -13,7 +13,6 @@
     },
 };
 
-use bytes::Bytes;
 use http::{HeaderName, HeaderValue};
 use rand::seq::SliceRandom;
 use tokio::time::{timeout, timeout_at};
@@ -23,6 +22,7 @@
     counter,
     exchange::{CallReply, ForwardedReply},
     job::{Job, Outcome, Trace},
+    memory,
     node::Node,
     peer,
     prelude::*,
@@ -248,13 +248,11 @@
         Reached::NotTaken => Asked::NotTaken,
         Reached::Broken => Asked::Broken,
         Reached::Error(code) => Asked::Ended(Outcome::Error(code)),
-        Reached::Reply(reply, mut connection) => match read_body(&mut connection).await {
-            Some(body) => Asked::Ended(Outcome::Answer { reply, body }),
-            None => Asked::Broken,
-        },
+        Reached::Reply(reply, mut connection) => {
+            match memory::read_body(&mut connection, &node.body_blocks, MAX_BODY_BYTES).await {
+                Ok(body) => Asked::Ended(Outcome::Answer { reply, body }),
+                Err(_) => Asked::Broken,
+            }
+        }
     }
 }
-
-async fn read_body(connection: &mut Connection) -> Option<Bytes> {
-    connection.body(MAX_BODY_BYTES).await.ok()
-}
--- a/crates/winch-relay/src/lib.rs
+++ b/crates/winch-relay/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod kv_snapshot;
 pub mod lint;
 pub mod listen;
+pub mod memory;
 pub mod moves;
 pub mod node;
 pub mod peer;
--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -40,6 +40,7 @@
     edition::Edition,
     fleet::Fleet,
     forward::Running,
+    memory::MAX_BLOCKS,
     moves::{Progress, Rollouts, Rule, Spec},
     pool::Pool,
     prelude::*,
@@ -49,7 +50,6 @@
     speed::Speeds,
     stream::admission::Backlogs,
     strikes::Strikes,
-    unary::MAX_BODY_BLOCKS,
     watch::Topic,
 };
 
@@ -95,8 +95,8 @@
     pub protocol: P,
     /// Idle connections to replicas.
     pub pool: Pool,
-    /// Memory for the long bodies of replies.
-    pub body_blocks: Semaphore,
+    /// Memory for long replies.
+    pub body_blocks: Arc<Semaphore>,
     /// Short tasks of the request path; the daemon joins them when it stops.
     pub tasks: TaskTracker,
     catalog: Mutex<Catalog>,
@@ -140,7 +140,7 @@
             settings,
             protocol,
             pool: Pool::default(),
-            body_blocks: Semaphore::new(MAX_BODY_BLOCKS),
+            body_blocks: Arc::new(Semaphore::new(MAX_BLOCKS)),
             tasks: TaskTracker::new(),
             catalog: Mutex::default(),
             config: Mutex::default(),
--- a/crates/winch-relay/src/peer.rs
+++ b/crates/winch-relay/src/peer.rs
@@ -43,8 +43,8 @@
 
 /// Timeout for connecting to a peer, and for receiving the request of a peer.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(400);
-/// Largest frame, in bytes.
-const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
+/// Largest update that is accepted from a daemon that is followed or asked, in bytes.
+const MAX_UPDATE_BYTES: usize = 8 * 1024 * 1024;
 /// Time without an update after which a seed is no longer followed. Also the timeout for
 /// sending an update to a follower or a report to a seed, and for receiving the state of a seed
 /// that is not followed.
@@ -52,8 +52,9 @@
 
 type FramedStream = Framed<TcpStream, LengthDelimitedCodec>;
 
-fn frame_stream(stream: TcpStream) -> FramedStream {
-    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_framed(stream)
+/// Frames of at most `max_bytes` are accepted on the stream, and longer ones may be sent.
+fn frame_stream(stream: TcpStream, max_bytes: usize) -> FramedStream {
+    LengthDelimitedCodec::builder().max_frame_length(max_bytes).new_framed(stream)
 }
 
 async fn send(framed: &mut FramedStream, message: impl Message) -> io::Result<()> {
@@ -74,7 +75,7 @@
     let connected = async {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        let mut framed = frame_stream(stream);
+        let mut framed = frame_stream(stream, MAX_UPDATE_BYTES);
         send(&mut framed, request).await?;
         Ok(framed)
     };
--- a/crates/winch-relay/src/peer/serve.rs
+++ b/crates/winch-relay/src/peer/serve.rs
@@ -27,6 +27,10 @@
 
 /// Largest number of connections that are served at once; further ones are closed.
 const MAX_CONNECTIONS: usize = 512;
+/// Largest first frame of a connection, in bytes: a request, or strikes and cleared parts.
+const MAX_REQUEST_BYTES: usize = 128 * 1024;
+/// Largest report of a follower, in bytes.
+const MAX_REPORT_BYTES: usize = 1024 * 1024;
 /// Delay of an update after a change, so that it also carries the changes that follow.
 const COALESCE_DELAY: Duration = Duration::from_millis(150);
 /// Largest configuration in an update to followers, in bytes. They read a larger one from
@@ -185,7 +189,7 @@
 }
 
 async fn serve_connection<P: Protocol>(node: &Arc<Node<P>>, stream: TcpStream) -> io::Result<()> {
-    let mut framed = frame_stream(stream);
+    let mut framed = frame_stream(stream, MAX_REQUEST_BYTES);
     let received = timeout(REQUEST_TIMEOUT, framed.next()).await?.transpose()?;
     let Some(request) = received else { return Ok(()) };
     let mut request = Request::decode(request).map_err(io::Error::other)?;
@@ -215,6 +219,7 @@
     framed: &mut FramedStream,
     mut sent: Sent,
 ) -> io::Result<()> {
+    framed.codec_mut().set_max_frame_length(MAX_REPORT_BYTES);
     let follower = Follower::new(node, sent.address);
     let mut changes = node.subscribe();
     while node.serves() {
--- a/crates/winch-relay/src/sse.rs
+++ b/crates/winch-relay/src/sse.rs
@@ -41,6 +41,11 @@
 }
 
 impl Splitter {
+    /// Number of bytes of the event that has not ended yet.
+    pub fn pending_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Appends received bytes; `false` if the pending bytes now exceed the size limit of an
     /// event.
     pub fn push(&mut self, data: &[u8]) -> bool {
--- a/crates/winch-relay/src/stream/attempt.rs
+++ b/crates/winch-relay/src/stream/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt of a stream at one replica: sends the request and forwards the events.
 
+use bytes::Bytes;
 use http::StatusCode;
 use tokio::io::AsyncWrite;
 use winch_http::{
@@ -15,6 +16,7 @@
     forward,
     job::InFlightGuard,
     kv_snapshot::{self, Refresher},
+    memory::{self, Share},
     node::Node,
     prelude::*,
     protocol::{Dispatch, KvCopy},
@@ -86,7 +88,7 @@
         }
         if meta.not_run {
             // The connection can be reused only after the body of the reply has been read.
-            let read = connection.body(MAX_BODY_BYTES).await;
+            let read = self.read_body(connection).await;
             return read.map_or_else(|e| Attempt::Broken(e.to_string()), |_| Attempt::Refused);
         }
         if !meta.signed || meta.encoded {
@@ -96,7 +98,7 @@
             ));
         }
         if !reply.status.is_success() {
-            return match connection.body(MAX_BODY_BYTES).await {
+            return match self.read_body(connection).await {
                 Ok(body) => Attempt::ErrorReply(reply, body),
                 Err(error) => Attempt::Broken(error.to_string()),
             };
@@ -107,6 +109,11 @@
         self.forward_events(target, connection, starting).await
     }
 
+    /// Reads the body of a reply that is not a stream.
+    async fn read_body(&self, connection: &mut Connection) -> Result<Bytes, Error> {
+        memory::read_body(connection, &self.node.body_blocks, MAX_BODY_BYTES).await
+    }
+
     /// Sends the request and reads the head of the reply; fails with [`Unresponsive`] if
     /// the attempt is to leave its replica first.
     async fn await_head(
@@ -135,12 +142,13 @@
     ) -> Attempt {
         let mut starting = Some(starting);
         let mut splitter = Splitter::default();
+        let mut share = Share::new(&self.node.body_blocks);
         let mut recorder = Recorder::new(self.node, &target.replica);
         loop {
             // Only progress restarts the detection of a stall; other bytes do not.
             let read = tokio::select! {
                 biased;
-                read = read_events(connection, &mut splitter, self.last_event) => read,
+                read = read_events(connection, &mut splitter, &mut share, self.last_event) => read,
                 () = self.wait_until_silent(target, starting.is_some()) => {
                     let idle_ms = self.stall.idle_time(Instant::now()).as_millis();
                     return Attempt::Broken(format!("no event for {idle_ms} ms"));
@@ -308,6 +316,7 @@
 pub(super) async fn read_events(
     connection: &mut Connection,
     splitter: &mut Splitter,
+    share: &mut Share,
     last: Option<u64>,
 ) -> Read {
     let mut events = Vec::new();
@@ -317,7 +326,10 @@
             Ok(Some(data)) if !splitter.push(&data) => {
                 Some(End::Failed("event exceeds the size limit".to_owned()))
             }
-            Ok(Some(_)) => None,
+            Ok(Some(_)) => {
+                let room = share.grow_to(splitter.pending_bytes());
+                room.err().map(|_| End::Failed("no memory for a long event".to_owned()))
+            }
             Ok(None) if splitter.has_partial() => {
                 Some(End::Failed("stream ended inside an event".to_owned()))
             }
@@ -330,6 +342,9 @@
             passive_bytes += event.bytes.len();
             events.push(event);
         }
+        if splitter.pending_bytes() == 0 {
+            share.clear();
+        }
         if has_progress || end.is_some() {
             return Read { events, end };
         }
--- a/crates/winch-relay/src/stream/passing.rs
+++ b/crates/winch-relay/src/stream/passing.rs
@@ -13,6 +13,7 @@
 use crate::{
     forward::{self, Reached},
     job::Outcome,
+    memory::{self, Share},
     prelude::*,
     respond::Progress,
     sse::Splitter,
@@ -83,7 +84,7 @@
         if self.out.progress() != Progress::Waiting {
             return Forwarded::Ended(self.give_up(Code::Broken));
         }
-        match connection.body(MAX_BODY_BYTES).await {
+        match memory::read_body(&mut connection, &self.node.body_blocks, MAX_BODY_BYTES).await {
             Ok(body) => Forwarded::Ended(Outcome::Answer { reply, body }),
             Err(_) => Forwarded::Broken,
         }
@@ -92,9 +93,10 @@
     /// Forwards the events on `connection` until the stream ends or breaks off.
     async fn forward_all(&mut self, connection: &mut Connection) -> Forwarded {
         let mut splitter = Splitter::default();
+        let mut share = Share::new(&self.node.body_blocks);
         loop {
             let Read { events, end } =
-                read_events(connection, &mut splitter, self.last_event).await;
+                read_events(connection, &mut splitter, &mut share, self.last_event).await;
             let had_forwarded = self.has_forwarded;
             self.has_forwarded |= self.buffer_events(events);
             if self.has_forwarded && !had_forwarded {
--- a/crates/winch-relay/src/unary.rs
+++ b/crates/winch-relay/src/unary.rs
@@ -6,11 +6,10 @@
 
 use std::{future::Future, pin::pin};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::StatusCode;
 use tokio::time::{sleep, timeout_at};
 use winch_http::{
-    Fault,
     client::{Connection, Error},
     head::Reply,
 };
@@ -22,6 +21,7 @@
     exchange::CallReply,
     forward,
     job::{InFlightGuard, Job, Outcome, Trace},
+    memory,
     node::Node,
     placement,
     prelude::*,
@@ -33,10 +33,6 @@
 
 /// Largest reply body of a plain service.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
-/// Size of a block of memory for reply bodies. The first block of each body is not counted.
-const BODY_BLOCK_BYTES: usize = 256 * 1024;
-/// Blocks that all reply bodies may hold at the same time.
-pub(crate) const MAX_BODY_BLOCKS: usize = 96;
 /// Number of failed connections after which a request is given up. They are limited
 /// separately because they do not count as sends.
 const MAX_CONNECT_FAILURES: u32 = 4;
@@ -294,34 +290,10 @@
     let request = node.protocol.encode_request(&job.call, &dispatch);
     let matcher = CallReply { protocol: &node.protocol, id: job.call.id.as_ref() };
     let reply = connection.exchange(&job.call.method, &request, &matcher).await?;
-    let body = read_body(node, connection).await?;
+    let body = memory::read_body(connection, &node.body_blocks, MAX_BODY_BYTES).await?;
     Ok((reply, body))
 }
 
-/// Reads the rest of a reply's body.
-///
-/// The long bodies of all requests share one budget, so that replicas that send without end
-/// cannot take the daemon's memory from the others; a body for which there is no room is broken
-/// off.
-async fn read_body<P: Protocol>(
-    node: &Node<P>,
-    connection: &mut Connection,
-) -> Result<Bytes, Error> {
-    let (mut body, mut reserved) = (BytesMut::new(), Vec::new());
-    while let Some(data) = connection.chunk().await? {
-        let length = body.len() + data.len();
-        while length > (reserved.len() + 1) * BODY_BLOCK_BYTES {
-            let block = node.body_blocks.try_acquire().map_err(|_| Fault::BodyTooLarge)?;
-            reserved.push(block);
-        }
-        if length > MAX_BODY_BYTES {
-            return Err(Fault::BodyTooLarge.into());
-        }
-        body.extend_from_slice(&data);
-    }
-    Ok(body.freeze())
-}
-
 /// How long the caller should wait before it sends the request again, as the `Retry-After`
 /// header of the error reply states it; `None` if the reply has no such header.
 pub fn retry_after(code: Code) -> Option<Duration> {
