winch-relay: write no body where a reply has none

Cause: replies were written with their body whatever the method and status; only reading knew the rule. Relayed replies to HEAD got a length of zero, 204 a length, and HEAD on a stream's route a last chunk.

Now one rule, permits_body, decides for all replies that are read or written.

Old and new builds: nothing between daemons changes but the length in replies to HEAD that are passed on.

--- a/crates/winch-http/src/body.rs
+++ b/crates/winch-http/src/body.rs
@@ -11,6 +11,13 @@
 /// Largest total size of the trailers after a chunked body.
 const MAX_TRAILER_BYTES: usize = 16 * 1024;
 
+/// Returns whether a reply with `status` to a request with `method` has a body. If not, its head
+/// may state a length all the same, and no byte follows.
+pub fn permits_body(method: &Method, status: StatusCode) -> bool {
+    let has_no_body = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&status);
+    method != Method::HEAD && !has_no_body && !status.is_informational()
+}
+
 /// How the end of a body is found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
@@ -41,9 +48,7 @@
     /// [`Fault::Ambiguous`] if the headers state two lengths, [`Fault::Malformed`] if a
     /// length or transfer coding is not supported.
     pub fn of_reply(method: &Method, reply: &head::Reply) -> Result<Self, Fault> {
-        let has_no_body =
-            [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&reply.status);
-        if method == Method::HEAD || has_no_body || reply.status.is_informational() {
+        if !permits_body(method, reply.status) {
             return Ok(Self::Length(0));
         }
         Ok(stated_framing(&reply.headers)?.unwrap_or(Self::UntilClose))
--- a/crates/winch-relay/src/edge.rs
+++ b/crates/winch-relay/src/edge.rs
@@ -183,13 +183,12 @@
     W: AsyncWrite + Unpin,
 {
     let timed_out = |_| Error::Broken { source: std::io::ErrorKind::TimedOut.into() };
-    // The reply closes the connection unless the head allows another request.
-    out.begin(true);
+    out.begin();
     let head = timeout(limits.head_timeout, reader.head(limits.head_bytes));
     let request = head.await.map_err(timed_out)??;
     let received_at = Instant::now();
     let framing = Framing::of_request(&request)?;
-    out.begin(!request.keeps_alive());
+    out.begin_reply(&request);
     if request.headers.get(header::EXPECT).is_some_and(|v| v.as_bytes() == b"100-continue") {
         out.send_continue().await.map_err(|source| Error::Broken { source })?;
     }
--- a/crates/winch-relay/src/respond.rs
+++ b/crates/winch-relay/src/respond.rs
@@ -5,10 +5,11 @@
 
 use std::io;
 
-use http::{HeaderMap, HeaderValue, StatusCode, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 use tokio::io::AsyncWrite;
 use winch_http::{
-    head::{put_reply, strip_hop_by_hop},
+    body::permits_body,
+    head::{Request, put_reply, strip_hop_by_hop},
     server::Writer,
 };
 
@@ -34,6 +35,10 @@
     writer: Writer<W>,
     progress: Progress,
     must_close: bool,
+    /// Method of the current request, by which its reply has a body or none.
+    method: Method,
+    /// Whether the stream that was started has a body.
+    has_body: bool,
     /// Whether error replies state their code in a header, for another daemon.
     states_code: bool,
 }
@@ -41,8 +46,14 @@
 impl<W: AsyncWrite + Unpin> Responder<W> {
     /// Creates a responder for a new connection, which writes to `io`.
     pub fn new(io: W) -> Self {
-        let progress = Progress::Waiting;
-        Self { writer: Writer::new(io), progress, must_close: false, states_code: false }
+        Self {
+            writer: Writer::new(io),
+            progress: Progress::Waiting,
+            must_close: false,
+            method: Method::GET,
+            has_body: true,
+            states_code: false,
+        }
     }
 
     /// Creates a responder for a connection of another daemon, which tells error replies from
@@ -51,11 +62,19 @@
         Self { states_code: true, ..Self::new(io) }
     }
 
-    /// Prepares for the reply to a new request. With `must_close` the reply announces that
-    /// the connection closes after it.
-    pub fn begin(&mut self, must_close: bool) {
+    /// Prepares for the reply to a request whose head is still to be read. Such a reply announces
+    /// that the connection closes after it.
+    pub fn begin(&mut self) {
+        self.progress = Progress::Waiting;
+        self.must_close = true;
+        self.method = Method::GET;
+    }
+
+    /// Prepares for the reply to `request`.
+    pub fn begin_reply(&mut self, request: &Request) {
         self.progress = Progress::Waiting;
-        self.must_close = must_close;
+        self.must_close = !request.keeps_alive();
+        self.method = request.method.clone();
     }
 
     /// Progress of the current reply.
@@ -83,15 +102,18 @@
         self.writer.flush().await
     }
 
-    /// Buffers the head of a reply. `framing` is the name and value of the header that
-    /// replaces the framing headers among `headers`.
-    fn put_head(&mut self, status: StatusCode, mut headers: HeaderMap, framing: (&str, &str)) {
+    /// Buffers the head of a reply. `framing` is the header that replaces the framing headers among
+    /// `headers`; a reply without a body keeps the length that it states.
+    fn put_head(
+        &mut self,
+        status: StatusCode,
+        mut headers: HeaderMap,
+        framing: (HeaderName, HeaderValue),
+    ) {
         strip_hop_by_hop(&mut headers, &[]);
-        headers.remove(header::CONTENT_LENGTH);
-        let (name, value) = framing;
-        let name = header::HeaderName::from_bytes(name.as_bytes());
-        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
-            headers.insert(name, value);
+        if permits_body(&self.method, status) {
+            headers.remove(header::CONTENT_LENGTH);
+            headers.insert(framing.0, framing.1);
         }
         if self.must_close {
             headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -129,9 +151,10 @@
         headers: HeaderMap,
         body: &[u8],
     ) -> io::Result<()> {
-        let length = body.len().to_string();
-        self.put_head(status, headers, ("content-length", &length));
-        self.writer.buffer().extend_from_slice(body);
+        self.put_head(status, headers, (header::CONTENT_LENGTH, body.len().into()));
+        if permits_body(&self.method, status) {
+            self.writer.buffer().extend_from_slice(body);
+        }
         self.writer.flush().await?;
         self.progress = Progress::Done;
         Ok(())
@@ -169,13 +192,17 @@
     /// next [`flush`](Self::flush) sends it.
     pub fn begin_stream(&mut self, status: StatusCode, mut headers: HeaderMap) {
         self.strip_daemon_headers(&mut headers);
-        self.put_head(status, headers, ("transfer-encoding", "chunked"));
+        let chunked = HeaderValue::from_static("chunked");
+        self.put_head(status, headers, (header::TRANSFER_ENCODING, chunked));
+        self.has_body = permits_body(&self.method, status);
         self.progress = Progress::Streaming;
     }
 
     /// Buffers one event; the next [`flush`](Self::flush) sends it.
     pub fn buffer_event(&mut self, event: &[u8]) {
-        self.writer.put_chunk(event);
+        if self.has_body {
+            self.writer.put_chunk(event);
+        }
     }
 
     /// Sends the buffered data.
@@ -191,7 +218,9 @@
     /// # Errors
     /// If the connection is broken.
     pub async fn end_stream(&mut self) -> io::Result<()> {
-        self.writer.put_last_chunk();
+        if self.has_body {
+            self.writer.put_last_chunk();
+        }
         self.writer.flush().await?;
         self.progress = Progress::Done;
         Ok(())
