--- a/crates/wisteriawinch/src/command/serve.rs
+++ b/crates/wisteriawinch/src/command/serve.rs
@@ -4,7 +4,7 @@
 
 use super::Exit;
 use crate::{
-    control::supervisor::wait_for_signal,
+    control::supervisor::{handle_signal, wait_for_signal},
     daemon::{self, Sockets},
     prelude::*,
     settings::Flags,
@@ -12,6 +12,8 @@
 
 /// Runs the daemon. The first signal starts a graceful stop, the second one aborts it.
 pub async fn run(flags: &Flags) -> Exit {
+    // Before any connection is taken: a signal without a handler ends the process.
+    let stop = handle_signal();
     let settings = match Settings::resolve(flags, |name| std::env::var(name).ok()) {
         Ok(settings) => settings,
         Err(faults) => {
@@ -31,7 +33,7 @@
             return Exit::Usage;
         }
     };
-    daemon::run(settings, sockets, wait_for_signal(), wait_for_signal()).await
+    daemon::run(settings, sockets, stop, wait_for_signal()).await
 }
 
 fn start_log(settings: &Settings) {
--- a/crates/wisteriawinch/src/control/supervisor.rs
+++ b/crates/wisteriawinch/src/control/supervisor.rs
@@ -57,15 +57,26 @@
     }
 }
 
-/// Waits for SIGTERM or SIGINT.
+/// Waits for SIGTERM or SIGINT. The signals are handled from the call on, not only once the
+/// future is polled.
 ///
 /// # Panics
 /// If no signal handler can be installed.
-pub async fn wait_for_signal() {
+pub fn handle_signal() -> impl Future<Output = ()> {
     let mut terminate = signal(SignalKind::terminate()).expect("a signal handler can be installed");
     let mut interrupt = signal(SignalKind::interrupt()).expect("a signal handler can be installed");
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
     }
 }
+
+/// Waits for the next SIGTERM or SIGINT after the first poll.
+///
+/// # Panics
+/// As [`handle_signal()`].
+pub async fn wait_for_signal() {
+    handle_signal().await;
+}
--- a/crates/wisteriawinch/tests/soak/fault.rs
+++ b/crates/wisteriawinch/tests/soak/fault.rs
@@ -3,13 +3,22 @@
 use std::time::Duration;
 
 use rand::{Rng, rngs::SmallRng};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::{
-    common::{Mode, Step, store::Fault, store::config},
-    fleet::Fleet,
+    common::{Mode, Request, Step, store::Fault, store::config},
+    fleet::{Fleet, ProxiedReplica},
 };
 
+/// Time within which daemons learn what replicas say of themselves or have crashed on.
+const LEARNING_TIME: Duration = Duration::from_millis(1_500);
+/// Requests that reach a leaving replica after that: one for each daemon that has none of its
+/// answers yet, and those that were under way.
+const MAX_LATE_REQUESTS: usize = 6;
+/// Retries of a refused request that may reach replicas.
+const MAX_CRASHING_RETRIES: usize = 3;
+/// Body of a request that crashes the replicas that run it.
+const CRASHING_BODY: &str = "a brief that crashes engines";
 /// Longest time between two faults; shorter than most faults last.
 const MAX_INTERVAL_MS: u64 = 400;
 
@@ -20,7 +29,7 @@
     let target = &fleet.replicas[rng.random_range(0..fleet.replicas.len())];
     let short = Duration::from_millis(rng.random_range(50..900));
     let mut violations = Vec::new();
-    match rng.random_range(0..14) {
+    match rng.random_range(0..18) {
         0 => {
             fleet.kill(daemon);
             sleep(short / 4).await;
@@ -74,6 +83,17 @@
             let same_dc = fleet.replicas.iter().filter(|other| other.replica.dc == dc);
             same_dc.for_each(|other| other.proxy.reset());
         }
+        13 => violations.extend(silent_stop(fleet, daemon, rng).await),
+        14 => {
+            // A second reply arrives late, to a stream and to requests for copies.
+            let models = fleet.replicas.iter().filter(|other| other.replica.service == "model");
+            for other in models {
+                other.replica.push_step(Step::CompleteTwice);
+                other.replica.set_snapshots(short / 8, rng.random_bool(0.5));
+            }
+        }
+        15 => violations.extend(unseen_leave(fleet, target, rng).await),
+        16 => violations.extend(crashing_request(fleet, rng).await),
         _ => fleet.clear_faults(),
     }
     sleep(Duration::from_millis(rng.random_range(0..MAX_INTERVAL_MS))).await;
@@ -93,6 +113,74 @@
     }
 }
 
+/// Stops a daemon while sound replicas are silent for a second.
+async fn silent_stop(fleet: &Fleet, daemon: usize, rng: &mut SmallRng) -> Vec<String> {
+    for other in fleet.replicas.iter().filter(|_| rng.random_bool(0.4)) {
+        other.replica.be_silent(Duration::from_millis(1_000));
+    }
+    graceful_stop(fleet, daemon).await
+}
+
+/// Lets a replica leave, which says so in its replies only, while the daemons do not reach the
+/// store. It comes back with another incarnation.
+async fn unseen_leave(fleet: &Fleet, target: &ProxiedReplica, rng: &mut SmallRng) -> Vec<String> {
+    fleet.store.set_fault(Some(Fault::Unresponsive));
+    target.replica.set_statement("Server-Leaving: 1\r\n");
+    sleep(LEARNING_TIME).await;
+    let known = target.replica.received().len();
+    sleep(Duration::from_millis(rng.random_range(100..600))).await;
+    // Each daemon may learn it from an answer of its own.
+    let late = target.replica.received().len() - known;
+    target.replica.set_statement("");
+    fleet.store.set_fault(None);
+    fleet.renew(target);
+    let is_late = late > MAX_LATE_REQUESTS;
+    let text = format!("{late} requests reached {} while it was leaving", target.replica.id());
+    is_late.then_some(text).into_iter().collect()
+}
+
+/// Sends a request that crashes replicas, and kills all daemons twice meanwhile.
+async fn crashing_request(fleet: &Fleet, rng: &mut SmallRng) -> Vec<String> {
+    fleet.clear_faults();
+    fleet.replicas.iter().for_each(|other| other.replica.crash_on(CRASHING_BODY));
+    let number: u64 = rng.random();
+    let send = async |daemon: usize, round: u32| {
+        let Some(mut caller) = fleet.caller(daemon).await else { return };
+        let id = format!("crash-{number:x}-{round}-{daemon}");
+        let request = Request::stream(&id).body(CRASHING_BODY);
+        // What becomes of it is not checked.
+        let _ = timeout(LEARNING_TIME, caller.send(request)).await;
+    };
+    for daemon in 0..3 {
+        send(daemon, 0).await;
+    }
+    sleep(LEARNING_TIME).await;
+    let is_stored = fleet.store.keys("quarantine").iter().any(|key| key.starts_with("request-"));
+    let known = crash_count(fleet);
+    for round in 1..=2 {
+        (0..3).for_each(|daemon| fleet.kill(daemon));
+        (0..3).for_each(|daemon| fleet.restart(daemon));
+        sleep(LEARNING_TIME).await;
+        for daemon in 0..3 {
+            send(daemon, round).await;
+        }
+    }
+    let retries = crash_count(fleet) - known;
+    for other in &fleet.replicas {
+        other.replica.recover();
+        fleet.renew(other);
+    }
+    let is_late = is_stored && retries > MAX_CRASHING_RETRIES;
+    let text = format!("{retries} retries of a refused request reached replicas");
+    is_late.then_some(text).into_iter().collect()
+}
+
+/// Number of arrivals of the crashing request at replicas.
+fn crash_count(fleet: &Fleet) -> usize {
+    let received = fleet.replicas.iter().flat_map(|other| other.replica.received());
+    received.filter(|request| request.body == CRASHING_BODY).count()
+}
+
 /// Ends all faults and reports daemons that exited by themselves.
 pub(crate) async fn clear(fleet: &Fleet) -> Vec<String> {
     fleet.clear_faults();
--- a/crates/wisteriawinch/tests/soak/fleet.rs
+++ b/crates/wisteriawinch/tests/soak/fleet.rs
@@ -215,6 +215,17 @@
         ran_twice.chain(ran_after_refusal.map(|id| format!("{id} was refused and ran"))).collect()
     }
 
+    /// Lists a replica as another incarnation with the same id.
+    pub(crate) fn renew(&self, target: &ProxiedReplica) {
+        let ProxiedReplica { replica, proxy } = target;
+        let id = replica.id();
+        let born = self.store.version() + 1_000_000;
+        replica.restart_as(&id, born);
+        let mut entry = replica.entry_at(proxy.address, "ready");
+        entry["born"] = born.into();
+        self.store.put("servers", &id, &entry);
+    }
+
     /// Ends all faults of the proxies and the store.
     pub(crate) fn clear_faults(&self) {
         let proxies = self.replicas.iter().map(|proxied| &proxied.proxy).chain([&self.store_proxy]);
