--- a/crates/winch-relay/src/catalog.rs
+++ b/crates/winch-relay/src/catalog.rs
@@ -5,9 +5,12 @@
 //! the replicas of a service that may be used.
 
 mod departed;
+mod health;
 mod latencies;
 mod leaving;
 mod limits;
+mod speeds;
+mod transition;
 mod typical;
 
 use std::{
@@ -21,8 +24,8 @@
     throttle::{Demand, Throttle},
 };
 
-pub use self::leaving::Leaving;
 use self::{departed::Departed, latencies::Latencies};
+pub use self::{leaving::Leaving, transition::Transition};
 use crate::{prelude::*, store::Change};
 
 /// Time after an outage of the store within which removed entries of the list may be written
@@ -33,16 +36,6 @@
 pub const RETURN_DELAY: Duration = Duration::from_secs(8);
 /// Longest time for which an unlisted replica is used while the store is reachable.
 const UNLISTED_TTL: Duration = Duration::from_secs(5);
-/// Shortest ejection of a replica, after its first failure.
-const EJECTION_MIN: Duration = Duration::from_millis(400);
-/// Longest ejection of a replica, after repeated failures.
-const EJECTION_MAX: Duration = Duration::from_millis(1_600);
-/// Shortest time for which a replica counts as full after it has refused a request.
-const FULL_MIN: Duration = Duration::from_millis(50);
-/// Longest time for which a replica counts as full after it has refused a request.
-const FULL_MAX: Duration = Duration::from_secs(1);
-/// Weight of the newest sample in moving averages.
-const SAMPLE_WEIGHT: f64 = 0.2;
 
 new_key_type! {
     /// Key of a replica in the catalog.
@@ -109,51 +102,12 @@
         }
     }
 
-    /// Whether the replica is ejected at `now` because of a failure.
-    pub fn is_ejected(&self, now: Instant) -> bool {
-        self.ejected_until.is_some_and(|until| now < until)
-    }
-
-    /// Whether the replica has just refused a request because it was full.
-    pub fn is_full(&self, now: Instant) -> bool {
-        self.full_until.is_some_and(|until| now < until)
-    }
-
     /// Whether the replica names a limit of the requests that it takes.
     pub fn is_limited(&self) -> bool {
         self.throttle.is_some()
     }
 }
 
-/// A change of the catalog.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Transition {
-    /// A replica was added: it is new, has restarted or listens on a new address.
-    Added(Arc<Replica>),
-    /// Another field of a known replica has changed.
-    Changed(Arc<Replica>),
-    /// A known or added replica drains: it gets no new requests.
-    Draining(Arc<Replica>),
-    /// A replica is no longer listed, but may only have expired in an outage; it stays in the
-    /// catalog until it is removed or listed again.
-    Held(Arc<Replica>),
-    /// A replica is no longer in the catalog.
-    Removed(Arc<Replica>),
-}
-
-impl Transition {
-    /// The replica that has changed.
-    pub fn replica(&self) -> &Arc<Replica> {
-        match self {
-            Self::Added(replica)
-            | Self::Changed(replica)
-            | Self::Draining(replica)
-            | Self::Held(replica)
-            | Self::Removed(replica) => replica,
-        }
-    }
-}
-
 /// All known replicas, and whether the store is reachable.
 #[derive(Debug, Default)]
 pub struct Catalog {
@@ -398,30 +352,6 @@
         self.entries.get(key)
     }
 
-    /// Time that the replica takes for the same work, relative to a typical replica of its service;
-    /// 1 if the speeds of the service's replicas are not known to differ.
-    pub fn slowness(&self, key: Key) -> f64 {
-        self.entries.get(key).map_or(1.0, |entry| entry.slowness)
-    }
-
-    /// Sets [`Self::slowness()`] of the replicas that are not typical, with their services, by
-    /// address. All others are typical.
-    pub fn set_slowness(&mut self, slowness: HashMap<SocketAddr, (Name, f64)>) {
-        self.slowness = slowness;
-        let keys: Vec<Key> = self.entries.keys().collect();
-        for key in keys {
-            let slowness = self.slowness_of(&self.entries[key].replica);
-            self.entries[key].slowness = slowness;
-        }
-    }
-
-    fn slowness_of(&self, replica: &Replica) -> f64 {
-        let known = self.slowness.get(&replica.address);
-        known
-            .filter(|(service, _)| *service == replica.service)
-            .map_or(1.0, |(_, slowness)| *slowness)
-    }
-
     /// Service of the replica at `address`; `None` if none is known there.
     pub fn service_at(&self, address: SocketAddr) -> Option<&Name> {
         let key = self.by_address.get(&address)?;
@@ -479,63 +409,4 @@
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
     }
-
-    /// Ejects a replica after a failure; it then normally gets requests only if no other
-    /// replica can serve them.
-    ///
-    /// Returns the length of the ejection, which doubles with consecutive failures up to a
-    /// limit; `None` if the replica was removed.
-    pub fn eject(&mut self, key: Key, now: Instant) -> Option<Duration> {
-        let entry = self.entries.get_mut(key)?;
-        let length =
-            (EJECTION_MIN * 2_u32.pow(entry.consecutive_failures.min(4))).min(EJECTION_MAX);
-        if !entry.is_ejected(now) {
-            entry.consecutive_failures += 1;
-        }
-        entry.ejected_until = Some(now + length);
-        Some(length)
-    }
-
-    /// Records that a replica has refused a request because it was full. It counts as full for the
-    /// time that a request takes there, after which the requests of its queue have moved up.
-    pub fn record_full(&mut self, key: Key, now: Instant) {
-        let Some(entry) = self.entries.get_mut(key) else { return };
-        let latency_ms = entry.latency_ms.unwrap_or_default();
-        let latency = Duration::from_secs_f64(latency_ms / 1_000.0);
-        entry.full_until = Some(now + latency.clamp(FULL_MIN, FULL_MAX));
-    }
-
-    /// Records an answer, which ends an ejection even if the answer is a failure.
-    ///
-    /// `latency` is the time to the complete answer; `None` leaves the average as it is.
-    pub fn record_answer(&mut self, key: Key, latency: Option<Duration>, is_failure: bool) {
-        let Some(entry) = self.entries.get_mut(key) else { return };
-        entry.consecutive_failures = 0;
-        entry.ejected_until = None;
-        entry.failure_rate +=
-            SAMPLE_WEIGHT * (f64::from(u8::from(is_failure)) - entry.failure_rate);
-        if let Some(latency) = latency {
-            let sample_ms = latency.as_secs_f64() * 1_000.0;
-            let mean_ms = entry.latency_ms.unwrap_or(sample_ms);
-            entry.latency_ms = Some(mean_ms + SAMPLE_WEIGHT * (sample_ms - mean_ms));
-        }
-    }
-}
-
-impl Change {
-    /// The change for a daemon that knows no replica at all: it tries also those that may be gone.
-    pub(crate) fn assume_alive(self) -> Self {
-        match self {
-            Self::Held(replica) => Self::Put(replica),
-            change => change,
-        }
-    }
-
-    /// Id of the replica that has changed.
-    pub fn id(&self) -> &Name {
-        match self {
-            Self::Put(replica) | Self::Held(replica) => &replica.id,
-            Self::Removed(id) | Self::Unreadable { id, .. } => id,
-        }
-    }
 }
--- a/crates/winch-relay/src/edge.rs
+++ b/crates/winch-relay/src/edge.rs
@@ -1,7 +1,9 @@
 //! Callers' connections: reads requests, admits them, relays them and replies.
 //!
-//! Admission decides the route, service, team and cohort of a request, or the code with
-//! which it is refused.
+//! `admission` decides the route, service, team and cohort of a request, or the code with which
+//! it is refused.
+
+mod admission;
 
 use bytes::Bytes;
 use http::header;
@@ -15,18 +17,16 @@
     head::Request,
     server::{Error, Reader},
 };
-use winch_move::evidence::Cohort;
-use winch_route::{quarantine::Part, suspect::Disposition};
 
+use self::admission::Origin;
 use crate::{
-    config::{Limits, Route, Semantics, Team},
+    config::{Limits, Semantics},
     counter,
     job::{Job, Outcome, Trace},
     node::Node,
     prelude::*,
-    priority::Priority,
     respond::{Progress, Responder},
-    stream, strikes, unary,
+    stream, unary,
 };
 
 /// Time by which callers may know a new limit before this daemon does: a connection stays open for
@@ -40,15 +40,6 @@
 /// the platform's load balancer stops using the daemon first.
 pub const SHUTDOWN_IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// Who has sent a request to this daemon.
-#[derive(Clone, Copy, Debug)]
-enum Origin {
-    /// A caller.
-    Caller,
-    /// Another daemon, which has sent it to replicas this many times.
-    Daemon { sends: u32 },
-}
-
 /// A request that was read completely.
 struct Received {
     request: Request,
@@ -234,10 +225,10 @@
     let call = node.protocol.decode_call(request, body, received_at);
     node.wait_initialized().await;
     let _running = matches!(origin, Origin::Caller).then(|| node.running.enter_own());
-    let job = match admit(node, &call, origin) {
+    let job = match admission::admit(node, &call, origin) {
         Ok(admitted) => admitted.into_job(call, origin),
         Err(code) => {
-            log_not_admitted(node, &call, code);
+            admission::log_refusal(node, &call, code);
             counter::refused(code);
             // An error means that the caller has closed the connection.
             let _ = out.send_error(code, unary::retry_after(code)).await;
@@ -267,79 +258,6 @@
     Outcome::Error(if may_have_run { Code::Broken } else { Code::Stopping })
 }
 
-/// What the configuration assigns to a request.
-struct Admitted {
-    route: Arc<Route>,
-    service: Name,
-    team: Option<Arc<Team>>,
-    priority: Priority,
-    cohort: Cohort,
-    shared_parts: Arc<[Part]>,
-    is_trial: bool,
-}
-
-impl Admitted {
-    fn into_job(self, call: Call, origin: Origin) -> Job {
-        let Self { route, service, team, priority, cohort, shared_parts, is_trial } = self;
-        let is_forwarded = matches!(origin, Origin::Daemon { .. });
-        Job { call, route, service, team, priority, shared_parts, is_trial, is_forwarded, cohort }
-    }
-}
-
-/// Finds the route, service, team and cohort of a request.
-///
-/// # Errors
-/// The code with which the request is refused.
-fn admit<P: Protocol>(node: &Node<P>, call: &Call, origin: Origin) -> Result<Admitted, Code> {
-    let config = node.config().ok_or(Code::NoConfig)?;
-    let route = config.route(&call.host, call.path()).cloned().ok_or(Code::NoRoute)?;
-    let team = call.api_key.as_deref().and_then(|key| config.team(key)).cloned();
-    if team.is_none() && config.needs_key(&route) {
-        return Err(Code::UnknownKey);
-    }
-    let is_stream = matches!(route.semantics, Semantics::Stream { .. });
-    if (node.is_stopping() && is_stream) || node.stops_before(call.deadline(route.timeout)) {
-        return Err(Code::Stopping);
-    }
-    if is_quarantined(node, call, team.as_deref()) {
-        return Err(Code::Suspect);
-    }
-    let service = route.pick(&mut node.rng()).clone();
-    if matches!(origin, Origin::Daemon { .. }) && node.is_isolated(&service) {
-        return Err(Code::NoReplica);
-    }
-    let shared_parts = strikes::shared_parts(call, &service);
-    let is_trial = check_parts(node, &shared_parts)?;
-    node.earn_retry(&service);
-    node.catalog().record_demand(&service, Instant::now());
-    let cohort = node.draw_cohort(&service);
-    let priority = config.priority(&service, &route, team.as_deref());
-    Ok(Admitted { route, service, team, priority, cohort, shared_parts, is_trial })
-}
-
-/// Checks that no part of a prompt is quarantined; true if one is, and the request is its trial.
-/// Only daemons that read the store for others try quarantined parts: these are few in any fleet.
-///
-/// # Errors
-/// The code with which the request is refused.
-fn check_parts<P: Protocol>(node: &Node<P>, shared_parts: &[Part]) -> Result<bool, Code> {
-    let now = Instant::now();
-    let mut strikes = node.strikes();
-    let Some(part) = strikes.quarantined_part(shared_parts, now) else { return Ok(false) };
-    let is_trial = node.serves() && node.reads_store() && strikes.start_trial(part, now);
-    if is_trial { Ok(true) } else { Err(Code::SuspectPart) }
-}
-
-/// Whether a request is refused because it has crashed several replicas.
-fn is_quarantined<P: Protocol>(node: &Node<P>, call: &Call, team: Option<&Team>) -> bool {
-    let strikes = node.strikes();
-    // Hashing the request is skipped in the common case without strikes.
-    !strikes.is_empty() && {
-        let request = strikes::fingerprint(call, team.map(|team| &team.name));
-        strikes.disposition(request, &[], Instant::now()) == Disposition::Refused
-    }
-}
-
 async fn relay<P, W>(
     node: &Arc<Node<P>>,
     job: &Job,
@@ -404,19 +322,6 @@
     };
 }
 
-fn log_not_admitted<P: Protocol>(node: &Node<P>, call: &Call, code: Code) {
-    emit!(
-        Event::RequestRefused,
-        request = call.label(),
-        result = code.name(),
-        host = call.host,
-        path = call.path(),
-        key = if call.api_key.is_some() { "given" } else { "none" },
-        version = node.config().map_or(0, |config| config.version),
-        age_ms = node.state_age_ms().map_or("-".to_owned(), |age| age.to_string())
-    );
-}
-
 fn log_ended(job: &Job, result: &str, trace: &Trace, failed: bool) {
     let event = if failed { Event::RequestFailed } else { Event::RequestEnded };
     emit!(
--- /dev/null
+++ b/crates/winch-relay/src/edge/admission.rs
@@ -0,0 +1,114 @@
+//! Decides the route, service, team and cohort of a request, or the code with which it is refused.
+
+use winch_move::evidence::Cohort;
+use winch_route::{quarantine::Part, suspect::Disposition};
+
+use crate::{
+    config::{Route, Semantics, Team},
+    job::Job,
+    node::Node,
+    prelude::*,
+    priority::Priority,
+    strikes,
+};
+
+/// Who has sent a request to this daemon.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Origin {
+    /// A caller.
+    Caller,
+    /// Another daemon, which has sent it to replicas this many times.
+    Daemon { sends: u32 },
+}
+
+/// What the configuration assigns to a request.
+pub(super) struct Admitted {
+    route: Arc<Route>,
+    service: Name,
+    team: Option<Arc<Team>>,
+    priority: Priority,
+    cohort: Cohort,
+    shared_parts: Arc<[Part]>,
+    is_trial: bool,
+}
+
+impl Admitted {
+    /// The job that carries the request out.
+    pub(super) fn into_job(self, call: Call, origin: Origin) -> Job {
+        let Self { route, service, team, priority, cohort, shared_parts, is_trial } = self;
+        let is_forwarded = matches!(origin, Origin::Daemon { .. });
+        Job { call, route, service, team, priority, shared_parts, is_trial, is_forwarded, cohort }
+    }
+}
+
+/// Finds the route, service, team and cohort of a request.
+///
+/// # Errors
+/// The code with which the request is refused.
+pub(super) fn admit<P: Protocol>(
+    node: &Node<P>,
+    call: &Call,
+    origin: Origin,
+) -> Result<Admitted, Code> {
+    let config = node.config().ok_or(Code::NoConfig)?;
+    let route = config.route(&call.host, call.path()).cloned().ok_or(Code::NoRoute)?;
+    let team = call.api_key.as_deref().and_then(|key| config.team(key)).cloned();
+    if team.is_none() && config.needs_key(&route) {
+        return Err(Code::UnknownKey);
+    }
+    let is_stream = matches!(route.semantics, Semantics::Stream { .. });
+    if (node.is_stopping() && is_stream) || node.stops_before(call.deadline(route.timeout)) {
+        return Err(Code::Stopping);
+    }
+    if is_quarantined(node, call, team.as_deref()) {
+        return Err(Code::Suspect);
+    }
+    let service = route.pick(&mut node.rng()).clone();
+    if matches!(origin, Origin::Daemon { .. }) && node.is_isolated(&service) {
+        return Err(Code::NoReplica);
+    }
+    let shared_parts = strikes::shared_parts(call, &service);
+    let is_trial = check_parts(node, &shared_parts)?;
+    node.earn_retry(&service);
+    node.catalog().record_demand(&service, Instant::now());
+    let cohort = node.draw_cohort(&service);
+    let priority = config.priority(&service, &route, team.as_deref());
+    Ok(Admitted { route, service, team, priority, cohort, shared_parts, is_trial })
+}
+
+/// Checks that no part of a prompt is quarantined; true if one is, and the request is its trial.
+/// Only daemons that read the store for others try quarantined parts: these are few in any fleet.
+///
+/// # Errors
+/// The code with which the request is refused.
+fn check_parts<P: Protocol>(node: &Node<P>, shared_parts: &[Part]) -> Result<bool, Code> {
+    let now = Instant::now();
+    let mut strikes = node.strikes();
+    let Some(part) = strikes.quarantined_part(shared_parts, now) else { return Ok(false) };
+    let is_trial = node.serves() && node.reads_store() && strikes.start_trial(part, now);
+    if is_trial { Ok(true) } else { Err(Code::SuspectPart) }
+}
+
+/// Whether a request is refused because it has crashed several replicas.
+fn is_quarantined<P: Protocol>(node: &Node<P>, call: &Call, team: Option<&Team>) -> bool {
+    let strikes = node.strikes();
+    // Hashing the request is skipped in the common case without strikes.
+    !strikes.is_empty() && {
+        let request = strikes::fingerprint(call, team.map(|team| &team.name));
+        strikes.disposition(request, &[], Instant::now()) == Disposition::Refused
+    }
+}
+
+/// Logs that a request was refused before it was sent to a replica.
+pub(super) fn log_refusal<P: Protocol>(node: &Node<P>, call: &Call, code: Code) {
+    emit!(
+        Event::RequestRefused,
+        request = call.label(),
+        result = code.name(),
+        host = call.host,
+        path = call.path(),
+        key = if call.api_key.is_some() { "given" } else { "none" },
+        version = node.config().map_or(0, |config| config.version),
+        age_ms = node.state_age_ms().map_or("-".to_owned(), |age| age.to_string())
+    );
+}
--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -4,6 +4,7 @@
 //! Changes of that state are logged, recorded for followers and announced to subscribers.
 
 mod admission;
+mod budgets;
 mod listing;
 mod statement;
 mod stopping;
@@ -28,12 +29,9 @@
 use tokio_util::task::TaskTracker;
 use winch_move::evidence::Cohort;
 use winch_roster::roster::Roster;
-use winch_route::{
-    budget::{self, Budget},
-    overload::Gate,
-};
+use winch_route::overload::Gate;
 
-use self::stopping::Stage;
+use self::{budgets::Budgets, stopping::Stage};
 use crate::{
     catalog::{Catalog, Key},
     config::Config,
@@ -53,20 +51,6 @@
     watch::Topic,
 };
 
-/// Largest number of unused retries that the budget of a service holds in one daemon.
-const RETRY_BURST: f64 = 10.0;
-/// Retries of a budget that streams which have not begun leave to those that have: the callers of
-/// the latter lose what they have received.
-const BEGUN_RESERVE: f64 = 2.0;
-
-/// The retry budget of one service.
-#[derive(Clone, Copy, Debug)]
-struct RetryBudget {
-    budget: Budget,
-    /// When the budget last gained its part of the slack.
-    refilled_at: Instant,
-}
-
 /// Time after the start during which requests wait until the daemon has a configuration
 /// and replicas.
 const STARTUP_WAIT: Duration = Duration::from_millis(1_500);
@@ -118,7 +102,7 @@
     confirmed: Mutex<[Option<Instant>; Topic::ALL.len()]>,
     started_at: Instant,
     /// Retry budgets by service.
-    budgets: Mutex<HashMap<Name, RetryBudget>>,
+    budgets: Budgets,
     pub(crate) shedders: Shedders,
     pub(crate) backlogs: Backlogs,
     /// Admission of streams by service.
@@ -156,7 +140,7 @@
             serves: AtomicBool::new(false),
             confirmed: Mutex::default(),
             started_at,
-            budgets: Mutex::default(),
+            budgets: Budgets::default(),
             shedders: Shedders::default(),
             backlogs: Backlogs::default(),
             gates: Mutex::default(),
@@ -177,7 +161,7 @@
     /// Applies changed settings and announces them to the subscribers.
     pub fn retune(&self, tuning: Tuning) {
         // The ratio of a budget is fixed, so all are dropped and created again on their next use.
-        lock(&self.budgets).clear();
+        self.budgets.clear();
         self.tuning.send_replace(tuning.into());
     }
 
@@ -372,42 +356,6 @@
         !self.is_stopping() && self.is_initialized()
     }
 
-    /// Adds the share of a retry that one caller's request earns to the budget of `service`.
-    pub fn earn_retry(&self, service: &Name) {
-        self.with_budget(service, Budget::earn);
-    }
-
-    /// Takes one retry from the budget of `service`; `false` if the budget is exhausted.
-    pub fn spend_retry(&self, service: &Name) -> bool {
-        self.with_budget(service, Budget::spend)
-    }
-
-    /// Takes one retry of a stream that has not begun from the budget of `service`, but not from
-    /// the reserve for those that have; `false` if the rest is exhausted.
-    pub fn spend_restart(&self, service: &Name) -> bool {
-        self.with_budget(service, |budget| budget.spend_above(BEGUN_RESERVE))
-    }
-
-    /// Whether the budget of `service` has a retry left for a stream that `has_begun` or has not.
-    pub fn has_retry(&self, service: &Name, has_begun: bool) -> bool {
-        let reserve = if has_begun { 0.0 } else { BEGUN_RESERVE };
-        self.with_budget(service, |budget| budget.has_above(reserve))
-    }
-
-    fn with_budget<T>(&self, service: &Name, act: impl FnOnce(&mut Budget) -> T) -> T {
-        let (tuning, now) = (self.tuning(), Instant::now());
-        let refill_per_s = tuning.retry_slack_per_s / f64::from(self.daemons().max(1));
-        let options = budget::Options { ratio: tuning.retry_ratio, burst: RETRY_BURST };
-        let mut budgets = lock(&self.budgets);
-        let entry = budgets
-            .entry(service.clone())
-            .or_insert_with(|| RetryBudget { budget: Budget::new(options), refilled_at: now });
-        let elapsed = now.saturating_duration_since(entry.refilled_at);
-        entry.budget.add(elapsed.as_secs_f64() * refill_per_s);
-        entry.refilled_at = now;
-        act(&mut entry.budget)
-    }
-
     /// Ejects a replica after a failure of one of this daemon's requests, and closes the idle
     /// connections to it.
     pub fn eject(&self, key: Key, replica: &Replica, reason: &str) {
--- a/crates/winch-relay/src/peer.rs
+++ b/crates/winch-relay/src/peer.rs
@@ -14,6 +14,7 @@
 mod follow;
 mod message;
 mod notice;
+mod progress;
 mod serve;
 mod speeds;
 
--- a/crates/winch-relay/src/peer/serve.rs
+++ b/crates/winch-relay/src/peer/serve.rs
@@ -15,8 +15,9 @@
 
 use super::{
     FramedStream, REQUEST_TIMEOUT, SEED_TIMEOUT, apply_notices, frame_stream,
-    message::{MoveProgress, Relays, Report, Request, ServiceSize, Update},
+    message::{Relays, Report, Request, ServiceSize, Update},
     notice::{ClearedPart, CrashStrike},
+    progress::MoveProgress,
     send,
     speeds::decode_samples,
 };
