--- a/crates/winch-relay/src/stream/silence.rs
+++ b/crates/winch-relay/src/stream/silence.rs
@@ -31,25 +31,29 @@
 /// Time without a first event after which this is logged.
 const LATE_TIME: Duration = Duration::from_secs(2);
 
-/// Reports in a row by which the first event will not come, after which a movable attempt leaves
-/// its replica. Reports may be older than the request.
-const MAX_HOPELESS: u32 = 3;
+/// Reports in a row by which the replica has lost the run, after which a movable attempt leaves it.
+/// Reports may be older than the request.
+const MAX_LOST: u32 = 3;
 
-/// The probes in a row that a replica has missed, or by which the first event will not come.
+/// The latest probes of a replica, as far as they speak against it.
 #[derive(Clone, Copy, Debug, Default)]
-struct Silence {
+struct Probes {
+    /// Number of probes that it has missed since its last report.
     misses: u32,
+    /// When it missed the first of them.
     since: Option<Instant>,
-    hopeless: u32,
+    /// Number of reports in a row by which it has lost the run.
+    lost: u32,
 }
 
-impl Silence {
+impl Probes {
     fn record_miss(&mut self, now: Instant) {
         self.misses += 1;
         self.since.get_or_insert(now);
     }
 
-    fn length(&self, now: Instant) -> Duration {
+    /// How long the replica has sent no report.
+    fn silence(&self, now: Instant) -> Duration {
         self.since.map_or(Duration::ZERO, |since| now - since)
     }
 }
@@ -57,16 +61,19 @@
 impl<P: Protocol, W: AsyncWrite + Unpin> Session<'_, P, W> {
     /// Completes when the attempt is to leave its replica, which has sent no event yet.
     pub(super) async fn wait_until_unresponsive(&self, target: &Target) {
-        let mut silence = Silence::default();
+        let mut probes = Probes::default();
         let (started_at, mut is_reported) = (Instant::now(), false);
         loop {
             sleep(FIRST_EVENT_PROBE_INTERVAL).await;
             if started_at.elapsed() >= LATE_TIME && !std::mem::replace(&mut is_reported, true) {
                 self.report_late(target, started_at.elapsed()).await;
             }
-            if self.is_to_leave(target, &mut silence, MAX_MISSES).await
-                || (silence.misses > 0 && self.is_to_leave(target, &mut silence, MAX_MISSES).await)
-            {
+            let mut leaves = self.is_to_leave(target, &mut probes, MAX_MISSES).await;
+            if !leaves && probes.misses > 0 {
+                // One missed probe says little, so it is repeated at once.
+                leaves = self.is_to_leave(target, &mut probes, MAX_MISSES).await;
+            }
+            if leaves {
                 return;
             }
         }
@@ -76,14 +83,14 @@
     /// seems dead or has sent none for too long.
     pub(super) async fn wait_until_stalled(&self, target: &Target) {
         sleep_until(self.stall.probe_at()).await;
-        let mut silence = Silence::default();
+        let mut probes = Probes::default();
         // The missing events are the first sign of a silence.
         let mut max_misses = 1;
         loop {
-            if self.is_to_leave(target, &mut silence, max_misses).await {
+            if self.is_to_leave(target, &mut probes, max_misses).await {
                 return;
             }
-            if silence.misses == 0 {
+            if probes.misses == 0 {
                 max_misses = MAX_MISSES;
                 // Without a copy, the failover would start again from the prompt: the stream waits
                 // for its live replica, which may still continue.
@@ -116,28 +123,28 @@
     }
 
     /// Probes the replica once; returns whether the attempt is to leave it.
-    async fn is_to_leave(&self, target: &Target, silence: &mut Silence, max_misses: u32) -> bool {
+    async fn is_to_leave(&self, target: &Target, probes: &mut Probes, max_misses: u32) -> bool {
         match probe::probe(self.node, &target.replica).await {
             Finding::Replaced => true,
             Finding::Alive(report) => {
-                let hopeless = if self.is_hopeless(&report) { silence.hopeless + 1 } else { 0 };
-                *silence = Silence { hopeless, ..Silence::default() };
-                hopeless >= MAX_HOPELESS && self.can_move(target)
+                let lost = if self.is_lost(&report) { probes.lost + 1 } else { 0 };
+                *probes = Probes { lost, ..Probes::default() };
+                lost >= MAX_LOST && self.can_move(target)
             }
             Finding::Silent => {
                 let now = Instant::now();
-                silence.record_miss(now);
-                let is_gone = silence.length(now) >= GONE_SILENCE
+                probes.record_miss(now);
+                let is_gone = probes.silence(now) >= GONE_SILENCE
                     && !self.node.catalog().is_listed(&target.replica);
-                is_gone || (silence.misses >= max_misses && self.can_move(target))
+                is_gone || (probes.misses >= max_misses && self.can_move(target))
             }
         }
     }
 
-    /// Whether the first event will not come, by a report of the live replica: it has made events
-    /// of this run, and none has arrived; or it knows nothing of the run, which is neither queued
-    /// nor in prefill nor running.
-    fn is_hopeless(&self, report: &Report) -> bool {
+    /// Whether a report of the live replica shows that the first event will not come: the replica
+    /// has made events of this run, and none has arrived; or it knows nothing of the run, which is
+    /// neither queued nor in prefill nor running.
+    fn is_lost(&self, report: &Report) -> bool {
         let Some(id) = self.job.call.id.as_deref().filter(|_| self.first_event_at.is_none()) else {
             return false;
         };
