--- a/crates/winch-relay/src/forward.rs
+++ b/crates/winch-relay/src/forward.rs
@@ -171,7 +171,7 @@
     };
     match decode_code(&reply) {
         None => {
-            node.heed_forwarded(&reply);
+            node.apply_forwarded_reply(&reply);
             counter::forwarded("taken");
             Reached::Reply(reply, Box::new(connection))
         }
--- a/crates/winch-relay/src/kv_snapshot.rs
+++ b/crates/winch-relay/src/kv_snapshot.rs
@@ -90,7 +90,7 @@
     let (method, request) = node.protocol.encode_release_request(name, source);
     let query = Query { method, request, max_body_bytes: MAX_BODY_BYTES };
     let decode = |reply: &Reply, _: &[u8]| {
-        node.heed(source, &node.protocol.decode_reply_meta(reply), reply);
+        node.apply_reply(source, &node.protocol.decode_reply_meta(reply), reply);
         Some(())
     };
     let released = query.ask_alone(node, source, decode).await;
@@ -164,7 +164,7 @@
     let (method, request) = node.protocol.encode_snapshot_request(&run.id, source, holder.address);
     let query = Query { method, request, max_body_bytes: MAX_BODY_BYTES };
     let decode = |reply: &Reply, body: &[u8]| {
-        node.heed(source, &node.protocol.decode_reply_meta(reply), reply);
+        node.apply_reply(source, &node.protocol.decode_reply_meta(reply), reply);
         node.protocol.decode_snapshot(reply, body)
     };
     query.ask_alone(node, source, decode).await
--- a/crates/winch-relay/src/node/statement.rs
+++ b/crates/winch-relay/src/node/statement.rs
@@ -12,12 +12,12 @@
 
 impl<P: Protocol> Node<P> {
     /// Takes what a replica says of itself in a reply, whatever the reply answers.
-    pub fn heed(&self, replica: &Replica, meta: &ReplyMeta, reply: &Reply) {
+    pub fn apply_reply(&self, replica: &Replica, meta: &ReplyMeta, reply: &Reply) {
         // A misdirected request was answered by another replica, which speaks of itself.
         if reply.status == http::StatusCode::MISDIRECTED_REQUEST {
             return;
         }
-        self.heed_statement(replica, &meta.statement);
+        self.apply_statement(replica, &meta.statement);
         let is_refusal = meta.not_run && reply.status == http::StatusCode::SERVICE_UNAVAILABLE;
         let pause = match (meta.statement.pause, meta.statement.max_refusals) {
             (Some(pause), _) => Some(pause),
@@ -34,7 +34,7 @@
 
     /// Takes what a replica says of itself in a reply that another daemon has passed on. A pause
     /// is meant for that daemon.
-    pub fn heed_forwarded(&self, reply: &Reply) {
+    pub fn apply_forwarded_reply(&self, reply: &Reply) {
         let Some(id) = forward::decode_replica(reply) else { return };
         let replica = {
             let catalog = self.catalog();
@@ -43,19 +43,19 @@
         };
         if let Some(replica) = replica {
             let meta = self.protocol.decode_reply_meta(reply);
-            self.heed_statement(&replica, &meta.statement);
+            self.apply_statement(&replica, &meta.statement);
         }
     }
 
-    fn heed_statement(&self, replica: &Replica, statement: &Statement) {
+    fn apply_statement(&self, replica: &Replica, statement: &Statement) {
         if statement.leaving {
-            self.heed_leaving(&Leaving::from(replica));
+            self.apply_leaving(&Leaving::from(replica));
         }
         self.apply_limit(replica, statement.limit);
     }
 
     /// Gives a replica no new requests, because it says that it leaves.
-    pub fn heed_leaving(&self, leaving: &Leaving) {
+    pub fn apply_leaving(&self, leaving: &Leaving) {
         // Until the list may say so, too, the replica serves what no other one can serve.
         let last_resort_until = Instant::now() + self.tuning().list_interval;
         let transition = self.catalog().mark_leaving(leaving, last_resort_until);
--- a/crates/winch-relay/src/peer/serve.rs
+++ b/crates/winch-relay/src/peer/serve.rs
@@ -273,7 +273,7 @@
     }
     drop(rollouts);
     for leaving in report.leaving {
-        node.heed_leaving(&leaving.into());
+        node.apply_leaving(&leaving.into());
     }
     let mut speeds = node.speeds();
     speeds.receive(decode_samples(&report.samples));
--- a/crates/winch-relay/src/probe.rs
+++ b/crates/winch-relay/src/probe.rs
@@ -99,7 +99,7 @@
         if !report.is_from_other_incarnation(replica) {
             let mut meta = node.protocol.decode_reply_meta(reply);
             meta.statement.leaving |= report.draining;
-            node.heed(replica, &meta, reply);
+            node.apply_reply(replica, &meta, reply);
         }
         Some(report)
     };
--- a/crates/winch-relay/src/stream/attempt.rs
+++ b/crates/winch-relay/src/stream/attempt.rs
@@ -82,7 +82,7 @@
             }
         };
         let meta = self.node.protocol.decode_reply_meta(&reply);
-        self.node.heed(&target.replica, &meta, &reply);
+        self.node.apply_reply(&target.replica, &meta, &reply);
         if self.job.is_forwarded {
             forward::name_replica(&mut reply, &target.replica);
         }
--- a/crates/winch-relay/src/unary.rs
+++ b/crates/winch-relay/src/unary.rs
@@ -220,7 +220,7 @@
         }
         Ok(Ok((mut reply, body))) => {
             let meta = node.protocol.decode_reply_meta(&reply);
-            node.heed(replica, &meta, &reply);
+            node.apply_reply(replica, &meta, &reply);
             if job.is_forwarded {
                 forward::name_replica(&mut reply, replica);
             }
