--- a/crates/winch-relay/src/catalog.rs
+++ b/crates/winch-relay/src/catalog.rs
@@ -5,9 +5,9 @@
 //! the replicas of a service that may be used.
 
 mod departed;
+mod drain;
 mod health;
 mod latencies;
-mod leaving;
 mod limits;
 mod speeds;
 mod transition;
@@ -25,7 +25,7 @@
 };
 
 use self::{departed::Departed, latencies::Latencies};
-pub use self::{leaving::Leaving, transition::Transition};
+pub use self::{drain::Drain, transition::Transition};
 use crate::{prelude::*, store::Change};
 
 /// Time after an outage of the store within which removed entries of the list may be written
@@ -71,10 +71,9 @@
     throttle: Option<Throttle>,
     /// When the replica was inserted before it was listed; `None` if it is listed.
     unlisted_since: Option<Instant>,
-    /// Whether the replica has said that it leaves, and the list does not say so yet.
-    says_leaving: bool,
-    /// Until when the replica serves what no other one can serve although it has said that it
-    /// leaves.
+    /// Whether the replica has announced that it drains, and the list does not say so yet.
+    announces_drain: bool,
+    /// Until when the replica serves what no other one can serve although it drains.
     last_resort_until: Option<Instant>,
     /// Until when the replica wants no requests of this daemon.
     paused_until: Option<Instant>,
@@ -96,7 +95,7 @@
             held_by_source: false,
             throttle: None,
             unlisted_since: None,
-            says_leaving: false,
+            announces_drain: false,
             last_resort_until: None,
             paused_until: None,
         }
@@ -297,7 +296,7 @@
                 && entry.replica.address == replica.address;
             let starts_draining = !entry.replica.draining && replica.draining;
             if same_incarnation {
-                entry.says_leaving &= !replica.draining;
+                entry.announces_drain &= !replica.draining;
                 // An incarnation that drains never takes new requests again.
                 let draining = replica.draining || entry.replica.draining;
                 let replica = Replica { draining, ..replica };
--- a/crates/winch-relay/src/catalog/leaving.rs
+++ b/crates/winch-relay/src/catalog/drain.rs
@@ -1,18 +1,19 @@
-//! Replicas that say in their replies that they leave, or that they want no requests for a while.
+//! Replicas that announce in their replies that they drain, or that they want no requests for a
+//! while.
 
 use super::{Catalog, Entry, Key, Transition};
 use crate::prelude::*;
 
-/// A replica that has said that it leaves.
+/// The announcement of a replica that it drains.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Leaving {
+pub struct Drain {
     /// Its id.
     pub id: Name,
     /// Start time of its incarnation, in Unix milliseconds, if stated.
     pub started_at_ms: Option<u64>,
 }
 
-impl From<&Replica> for Leaving {
+impl From<&Replica> for Drain {
     fn from(replica: &Replica) -> Self {
         Self { id: replica.id.clone(), started_at_ms: replica.started_at_ms }
     }
@@ -24,36 +25,32 @@
         self.paused_until.is_some_and(|until| now < until)
     }
 
-    /// Whether the replica leaves, but may still serve what no other one can serve.
+    /// Whether the replica drains, but may still serve what no other one can serve.
     fn is_last_resort(&self, now: Instant) -> bool {
         self.last_resort_until.is_some_and(|until| now < until)
     }
 }
 
 impl Catalog {
-    /// Marks a replica as draining that has said that it leaves; `None` if that is known, or if
-    /// this incarnation is not.
+    /// Marks a replica as draining that has announced it; `None` if that is known, or if this
+    /// incarnation is not.
     ///
     /// Only another incarnation ends it: an older list may call the replica ready.
-    pub fn mark_leaving(
-        &mut self,
-        leaving: &Leaving,
-        last_resort_until: Instant,
-    ) -> Option<Transition> {
-        let entry = self.entries.get_mut(*self.by_id.get(&leaving.id)?)?;
-        if entry.replica.draining || entry.replica.started_at_ms != leaving.started_at_ms {
+    pub fn start_drain(&mut self, drain: &Drain, last_resort_until: Instant) -> Option<Transition> {
+        let entry = self.entries.get_mut(*self.by_id.get(&drain.id)?)?;
+        if entry.replica.draining || entry.replica.started_at_ms != drain.started_at_ms {
             return None;
         }
-        entry.says_leaving = true;
+        entry.announces_drain = true;
         entry.last_resort_until = Some(last_resort_until);
         entry.replica = Replica { draining: true, ..(*entry.replica).clone() }.into();
         Some(Transition::Draining(entry.replica.clone()))
     }
 
-    /// The replicas that have said that they leave, and that the list does not call draining yet.
-    pub fn unlisted_leaving(&self) -> impl Iterator<Item = Leaving> {
-        let leaving = self.entries.values().filter(|entry| entry.says_leaving);
-        leaving.map(|entry| Leaving::from(&*entry.replica))
+    /// The announced drains of which the list does not know yet.
+    pub fn unlisted_drains(&self) -> impl Iterator<Item = Drain> {
+        let draining = self.entries.values().filter(|entry| entry.announces_drain);
+        draining.map(|entry| Drain::from(&*entry.replica))
     }
 
     /// Sends nothing to a replica before `until`, unless another incarnation is known.
@@ -66,7 +63,7 @@
     }
 
     /// Replicas of a service that may get a request at `now`, including ejected ones: those that
-    /// serve and want requests, or, if all leave, those that have only just said so.
+    /// serve and want requests, or, if all drain, those that have only just announced it.
     pub fn accepting<'a>(&'a self, service: &'a str, now: Instant) -> Vec<(Key, &'a Entry)> {
         let mut accepting: Vec<_> = self.serving(service).collect();
         if accepting.is_empty() {
--- a/crates/winch-relay/src/daemon.rs
+++ b/crates/winch-relay/src/daemon.rs
@@ -118,7 +118,7 @@
     if timeout_at(stop_deadline, join_all(&node, &mut connections)).await.is_err() {
         emit!(Event::GraceExpired, open = connections.len());
         node.end();
-        // Whose reply cannot be sent in time is cut off.
+        // A reply that cannot be sent in time is cut off.
         let _ = timeout(FINAL_REPLY_TIME, join_all(&node, &mut connections)).await;
     }
     connections.shutdown().await;
--- a/crates/winch-relay/src/edge.rs
+++ b/crates/winch-relay/src/edge.rs
@@ -31,7 +31,7 @@
 
 /// Time by which callers may know a new limit before this daemon does: a connection stays open for
 /// this much longer than the limit says.
-const IDLE_MARGIN: Duration = Duration::from_secs(3);
+const IDLE_TOLERANCE: Duration = Duration::from_secs(3);
 /// Time within which the body of a request must arrive after its head.
 const BODY_TIMEOUT: Duration = Duration::from_secs(20);
 /// How long remaining input is read before a connection is closed.
@@ -154,7 +154,7 @@
     let since = Instant::now();
     let mut limit = current_limits(node).idle_timeout;
     loop {
-        sleep_until(since + limit + IDLE_MARGIN).await;
+        sleep_until(since + limit + IDLE_TOLERANCE).await;
         let current = current_limits(node).idle_timeout;
         if current <= limit {
             return;
@@ -245,12 +245,12 @@
         () = reader.closed() => Some(Outcome::CallerGone),
         () = node.end_requested() => None,
     };
-    let outcome = outcome.unwrap_or_else(|| cut_short(out.progress(), &trace));
+    let outcome = outcome.unwrap_or_else(|| interrupted(out.progress(), &trace));
     finish(node, &job, out, outcome, &trace).await;
 }
 
 /// The outcome of a request that still runs when the daemon ends.
-fn cut_short(progress: Progress, trace: &Trace) -> Outcome {
+fn interrupted(progress: Progress, trace: &Trace) -> Outcome {
     if progress != Progress::Waiting {
         return Outcome::Aborted(Code::Stopping);
     }
--- a/crates/winch-relay/src/memory.rs
+++ b/crates/winch-relay/src/memory.rs
@@ -1,4 +1,4 @@
-//! Memory for long replies, which all requests of the daemon share.
+//! Memory for long replies, which all requests of the daemon reservation.
 //!
 //! So replicas that send without end cannot take the daemon's memory from the others: what finds no
 //! room is broken off.
@@ -21,13 +21,13 @@
 
 /// The part of the shared memory that one reply holds.
 #[derive(Debug)]
-pub struct Share {
+pub struct Reservation {
     blocks: Arc<Semaphore>,
     held: Option<OwnedSemaphorePermit>,
 }
 
-impl Share {
-    /// An empty share of `blocks`.
+impl Reservation {
+    /// An empty reservation of `blocks`.
     pub fn new(blocks: &Arc<Semaphore>) -> Self {
         Self { blocks: blocks.clone(), held: None }
     }
@@ -62,10 +62,10 @@
     }
 }
 
-/// A body together with its share, which it holds until it is dropped.
+/// A body together with its reservation, which it holds until it is dropped.
 struct Body {
     bytes: Bytes,
-    _share: Share,
+    _reservation: Reservation,
 }
 
 impl AsRef<[u8]> for Body {
@@ -83,18 +83,18 @@
     blocks: &Arc<Semaphore>,
     limit: usize,
 ) -> Result<Bytes, Error> {
-    let (mut body, mut share) = (BytesMut::new(), Share::new(blocks));
+    let (mut body, mut reservation) = (BytesMut::new(), Reservation::new(blocks));
     while let Some(data) = connection.chunk().await? {
         let length = body.len() + data.len();
         if length > limit {
             return Err(Fault::BodyTooLarge.into());
         }
-        share.grow_to(length)?;
+        reservation.grow_to(length)?;
         body.extend_from_slice(&data);
     }
     let bytes = body.freeze();
-    if share.held() == 0 {
+    if reservation.held() == 0 {
         return Ok(bytes);
     }
-    Ok(Bytes::from_owner(Body { bytes, _share: share }))
+    Ok(Bytes::from_owner(Body { bytes, _reservation: reservation }))
 }
--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -335,7 +335,7 @@
         }
         self.wait_for(startup_end, Self::is_initialized).await;
         let deadline = startup_end.min(Instant::now() + STRIKES_WAIT);
-        self.wait_for(deadline, |node| node.strikes().is_known()).await;
+        self.wait_for(deadline, |node| node.strikes().is_synced()).await;
     }
 
     /// Waits until `condition` holds, at most until `deadline`.
--- a/crates/winch-relay/src/node/statement.rs
+++ b/crates/winch-relay/src/node/statement.rs
@@ -4,7 +4,7 @@
 use winch_http::head::Reply;
 
 use crate::{
-    catalog::{Entry, Leaving},
+    catalog::{Drain, Entry},
     counter, forward,
     prelude::*,
     protocol::{ReplyMeta, Statement},
@@ -48,17 +48,17 @@
     }
 
     fn apply_statement(&self, replica: &Replica, statement: &Statement) {
-        if statement.leaving {
-            self.apply_leaving(&Leaving::from(replica));
+        if statement.draining {
+            self.apply_drain(&Drain::from(replica));
         }
         self.apply_limit(replica, statement.limit);
     }
 
-    /// Gives a replica no new requests, because it says that it leaves.
-    pub fn apply_leaving(&self, leaving: &Leaving) {
+    /// Gives a replica no new requests, because it has announced that it drains.
+    pub fn apply_drain(&self, drain: &Drain) {
         // Until the list may say so, too, the replica serves what no other one can serve.
         let last_resort_until = Instant::now() + self.tuning().list_interval;
-        let transition = self.catalog().mark_leaving(leaving, last_resort_until);
+        let transition = self.catalog().start_drain(drain, last_resort_until);
         self.record(transition.into_iter().collect());
     }
 
--- a/crates/winch-relay/src/peer/follow.rs
+++ b/crates/winch-relay/src/peer/follow.rs
@@ -188,7 +188,7 @@
                     let report = build_report(node);
                     let has_news = !report.samples.is_empty()
                         || report.speeds.is_some()
-                        || !report.leaving.is_empty();
+                        || !report.drains.is_empty();
                     if has_news || self.limits.serves || node.rollouts().any_open() {
                         let sent = send(&mut self.framed, report);
                         timeout(SEED_TIMEOUT, sent).await.map_err(io::Error::from)??;
@@ -221,8 +221,8 @@
         }
         let cleared = std::mem::take(&mut update.cleared);
         apply_notices(node, cleared, std::mem::take(&mut update.strikes));
-        if update.knows_strikes.unwrap_or(true) && !node.strikes().is_known() {
-            node.strikes().mark_known();
+        if update.strikes_synced.unwrap_or(true) && !node.strikes().is_synced() {
+            node.strikes().mark_synced();
             node.announce_strike();
         }
         for moving in std::mem::take(&mut update.moving) {
@@ -258,7 +258,7 @@
 fn build_report<P: Protocol>(node: &Node<P>) -> Report {
     let evidence = node.rollouts().evidence(Instant::now());
     let daemons = node.daemons();
-    let leaving = node.catalog().unlisted_leaving().map(Into::into).collect();
+    let drains = node.catalog().unlisted_drains().map(Into::into).collect();
     let mut speeds = node.speeds();
     Report {
         daemon: node.settings.name.to_string(),
@@ -266,7 +266,7 @@
         followers: node.fleet().followers(),
         samples: encode_samples(&speeds.take_samples(daemons, node.uptime())),
         speeds: speeds.take_unknown_to_source().map(Into::into),
-        leaving,
+        drains,
     }
 }
 
--- a/crates/winch-relay/src/peer/message.rs
+++ b/crates/winch-relay/src/peer/message.rs
@@ -18,7 +18,7 @@
     speeds::Speeds,
 };
 use crate::{
-    catalog::Leaving,
+    catalog::Drain,
     edition::Edition,
     prelude::*,
     store::{Change, Listing},
@@ -153,7 +153,7 @@
     /// Whether the sender knows what was refused before its start; unset by earlier releases, which
     /// do not wait for it.
     #[prost(bool, optional, tag = "21")]
-    pub knows_strikes: Option<bool>,
+    pub strikes_synced: Option<bool>,
 }
 
 /// The number of replicas of a service.
@@ -304,31 +304,30 @@
     /// Speeds that the receiver did not tell although the sender knew them before.
     #[prost(message, optional, tag = "5")]
     pub speeds: Option<Speeds>,
-    /// Replicas that have said that they leave, and that the receiver's list does not call draining
-    /// yet. Earlier releases do not know them.
+    /// Announced drains of which the receiver's list does not know yet. Earlier releases skip them.
     #[prost(message, repeated, tag = "6")]
-    pub leaving: Vec<LeavingReplica>,
+    pub drains: Vec<AnnouncedDrain>,
 }
 
-/// A [`Leaving`] on the wire.
+/// A [`Drain`] on the wire.
 #[derive(Clone, PartialEq, Eq, Message)]
-pub(super) struct LeavingReplica {
-    /// See [`Leaving::id`].
+pub(super) struct AnnouncedDrain {
+    /// See [`Drain::id`].
     #[prost(string, tag = "1")]
     pub id: String,
-    /// See [`Leaving::started_at_ms`].
+    /// See [`Drain::started_at_ms`].
     #[prost(uint64, optional, tag = "2")]
     pub started_at_ms: Option<u64>,
 }
 
-impl From<Leaving> for LeavingReplica {
-    fn from(leaving: Leaving) -> Self {
-        Self { id: leaving.id.to_string(), started_at_ms: leaving.started_at_ms }
+impl From<Drain> for AnnouncedDrain {
+    fn from(drain: Drain) -> Self {
+        Self { id: drain.id.to_string(), started_at_ms: drain.started_at_ms }
     }
 }
 
-impl From<LeavingReplica> for Leaving {
-    fn from(leaving: LeavingReplica) -> Self {
-        Self { id: leaving.id.into(), started_at_ms: leaving.started_at_ms }
+impl From<AnnouncedDrain> for Drain {
+    fn from(drain: AnnouncedDrain) -> Self {
+        Self { id: drain.id.into(), started_at_ms: drain.started_at_ms }
     }
 }
--- a/crates/winch-relay/src/peer/serve.rs
+++ b/crates/winch-relay/src/peer/serve.rs
@@ -85,7 +85,7 @@
             age_ms: node.state_age_ms(),
             reads_store: node.reads_store(),
             daemons: node.daemons(),
-            knows_strikes: Some(node.strikes().is_known()),
+            strikes_synced: Some(node.strikes().is_synced()),
             ..Update::default()
         };
         if let Some(published) = node.published() {
@@ -272,8 +272,8 @@
         rollouts.apply_report(&name, counted.into(), now);
     }
     drop(rollouts);
-    for leaving in report.leaving {
-        node.apply_leaving(&leaving.into());
+    for drain in report.drains {
+        node.apply_drain(&drain.into());
     }
     let mut speeds = node.speeds();
     speeds.receive(decode_samples(&report.samples));
--- a/crates/winch-relay/src/probe.rs
+++ b/crates/winch-relay/src/probe.rs
@@ -42,8 +42,8 @@
 pub enum Finding {
     /// The replica has sent its report.
     Alive(Report),
-    /// No valid report has arrived in time; a sound replica may be silent for a second or so.
-    Silent,
+    /// No valid report has arrived in time; a healthy replica may pause for a second or so.
+    Unresponsive,
     /// Another incarnation answers at the replica's address, so that the known one is gone.
     Replaced,
 }
@@ -58,7 +58,7 @@
     counter::probed(if report.is_some() { "ok" } else { "failed" });
     let Some(report) = report else {
         node.doubt_paths(&replica.service);
-        return Finding::Silent;
+        return Finding::Unresponsive;
     };
     if report.is_from_other_incarnation(replica) {
         insert_restarted(node, replica, &report).await;
@@ -72,7 +72,7 @@
 pub async fn request_report<P: Protocol>(node: &Node<P>, replica: &Replica) -> Option<Report> {
     match probe(node, replica).await {
         Finding::Alive(report) => Some(report),
-        Finding::Silent | Finding::Replaced => None,
+        Finding::Unresponsive | Finding::Replaced => None,
     }
 }
 
@@ -98,7 +98,7 @@
         let report = node.protocol.decode_report(body)?;
         if !report.is_from_other_incarnation(replica) {
             let mut meta = node.protocol.decode_reply_meta(reply);
-            meta.statement.leaving |= report.draining;
+            meta.statement.draining |= report.draining;
             node.apply_reply(replica, &meta, reply);
         }
         Some(report)
--- a/crates/winch-relay/src/protocol.rs
+++ b/crates/winch-relay/src/protocol.rs
@@ -64,7 +64,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Statement {
     /// Whether it is about to stop and takes no new requests.
-    pub leaving: bool,
+    pub draining: bool,
     /// Requests a second that it takes from all daemons together; `None` if it names no limit.
     pub limit: Option<f64>,
     /// How long it wants no request of this daemon; `None` if it does not say so.
--- a/crates/winch-relay/src/quarantine.rs
+++ b/crates/winch-relay/src/quarantine.rs
@@ -130,8 +130,8 @@
         // A timeout is not an error: the rows are read at intervals without any change.
         let _ = timeout_at(next_at, changes.changed()).await;
         let now = Instant::now();
-        let is_known = node.strikes().is_known();
-        if now < next_at && is_known && node.strikes().refused_count(now) == refused {
+        let is_synced = node.strikes().is_synced();
+        if now < next_at && is_synced && node.strikes().refused_count(now) == refused {
             continue;
         }
         if now >= next_at {
@@ -167,7 +167,7 @@
     let sees_all = rows.len() < MAX_ROWS;
     let mut gone = stored.replace(found.keys().filter_map(|key| key.part()).collect(), table.era());
     gone.retain(|_| sees_all);
-    let is_first = !node.strikes().is_known();
+    let is_first = !node.strikes().is_synced();
     if apply_rows(node, &found, &gone) || is_first {
         node.announce_strike();
     }
@@ -200,7 +200,7 @@
             has_changed |= strikes.apply(Strike { request, crash, parts, at });
         }
     }
-    strikes.mark_known();
+    strikes.mark_synced();
     has_changed
 }
 
--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -3,13 +3,13 @@
 //!
 //! [`relay`] takes an admitted request, writes the events to the caller's connection and
 //! returns the outcome. `target` chooses the replica of each attempt among those that `survey` has
-//! asked for their load; `attempt` sends the request to it and forwards the events, and `silence`
-//! decides when it leaves a replica that sends none.
+//! asked for their load; `attempt` sends the request to it and forwards the events, and
+//! `liveness` decides when it abandons a replica that sends none.
 
 pub(crate) mod admission;
 mod attempt;
+mod liveness;
 mod passing;
-mod silence;
 mod survey;
 mod target;
 
--- a/crates/winch-relay/src/stream/attempt.rs
+++ b/crates/winch-relay/src/stream/attempt.rs
@@ -16,7 +16,7 @@
     forward,
     job::InFlightGuard,
     kv_snapshot::{self, Refresher},
-    memory::{self, Share},
+    memory::{self, Reservation},
     node::Node,
     prelude::*,
     protocol::{Dispatch, KvCopy},
@@ -115,7 +115,7 @@
     }
 
     /// Sends the request and reads the head of the reply; fails with [`Unresponsive`] if
-    /// the attempt is to leave its replica first.
+    /// the attempt abandons its replica first.
     async fn await_head(
         &self,
         request: &[u8],
@@ -127,7 +127,7 @@
         tokio::select! {
             biased;
             reply = connection.exchange(&self.job.call.method, request, &matcher) => Ok(reply),
-            () = self.wait_until_unresponsive(target) => Err(Unresponsive),
+            () = self.abandoned_before_first_event(target) => Err(Unresponsive),
         }
     }
 
@@ -142,14 +142,14 @@
     ) -> Attempt {
         let mut starting = Some(starting);
         let mut splitter = Splitter::default();
-        let mut share = Share::new(&self.node.body_blocks);
+        let mut reservation = Reservation::new(&self.node.body_blocks);
         let mut recorder = Recorder::new(self.node, &target.replica);
         loop {
             // Only progress restarts the detection of a stall; other bytes do not.
             let read = tokio::select! {
                 biased;
-                read = read_events(connection, &mut splitter, &mut share, self.last_event) => read,
-                () = self.wait_until_silent(target, starting.is_some()) => {
+                read = read_events(connection, &mut splitter, &mut reservation, self.last_event) => read,
+                () = self.abandoned(target, starting.is_some()) => {
                     let idle_ms = self.stall.idle_time(Instant::now()).as_millis();
                     return Attempt::Broken(format!("no event for {idle_ms} ms"));
                 }
@@ -287,11 +287,11 @@
         self.refresher = Some(Refresher::start(self.node, run));
     }
 
-    async fn wait_until_silent(&self, target: &Target, before_first_event: bool) {
+    async fn abandoned(&self, target: &Target, before_first_event: bool) {
         if before_first_event {
-            self.wait_until_unresponsive(target).await;
+            self.abandoned_before_first_event(target).await;
         } else {
-            self.wait_until_stalled(target).await;
+            self.abandoned_between_events(target).await;
         }
     }
 }
@@ -316,7 +316,7 @@
 pub(super) async fn read_events(
     connection: &mut Connection,
     splitter: &mut Splitter,
-    share: &mut Share,
+    reservation: &mut Reservation,
     last: Option<u64>,
 ) -> Read {
     let mut events = Vec::new();
@@ -327,7 +327,7 @@
                 Some(End::Failed("event exceeds the size limit".to_owned()))
             }
             Ok(Some(_)) => {
-                let room = share.grow_to(splitter.pending_bytes());
+                let room = reservation.grow_to(splitter.pending_bytes());
                 room.err().map(|_| End::Failed("no memory for a long event".to_owned()))
             }
             Ok(None) if splitter.has_partial() => {
@@ -343,7 +343,7 @@
             events.push(event);
         }
         if splitter.pending_bytes() == 0 {
-            share.clear();
+            reservation.clear();
         }
         if has_progress || end.is_some() {
             return Read { events, end };
@@ -355,7 +355,7 @@
     }
 }
 
-/// The replica has fallen silent, and the attempt leaves it.
+/// The attempt abandons its replica.
 struct Unresponsive;
 
 /// Records that a replica answered, without a sample of its latency.
--- a/crates/winch-relay/src/stream/silence.rs
+++ b/crates/winch-relay/src/stream/liveness.rs
@@ -1,9 +1,9 @@
-//! Decides when an attempt leaves a replica that has fallen silent.
+//! Decides when an attempt abandons a replica that sends nothing.
 //!
-//! A sound replica may be silent for a second or so and go on. An attempt that can move to another
-//! replica leaves early, because a failover costs less than a long pause. One that cannot loses
-//! all by leaving: it waits until its replica is known to be gone, its connection ends or its
-//! deadline passes.
+//! A healthy replica may pause for a second or so and go on. An attempt that can fail over abandons
+//! it early, because a failover costs less than a long pause. One that cannot would lose
+//! everything: it waits until its replica is known to be gone, its connection ends or its deadline
+//! passes.
 
 use tokio::{
     io::AsyncWrite,
@@ -21,21 +21,21 @@
 const FIRST_EVENT_PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval of liveness probes while a stalled stream waits for its replica.
 const STALL_PROBE_INTERVAL: Duration = Duration::from_millis(250);
-/// Missed probes in a row after which a movable attempt leaves a replica that it has no other
-/// reason to doubt.
+/// Missed probes in a row after which an attempt that can fail over abandons a replica about which
+/// nothing else is wrong.
 const MAX_MISSES: u32 = 2;
-/// Silence after which a replica that is no longer listed is gone. Longer than a sound replica is
-/// silent: one that is not listed any more may still serve.
-const GONE_SILENCE: Duration = Duration::from_secs(3);
+/// Time without a report after which a replica that is no longer listed is gone. Longer than a
+/// healthy replica pauses, since one that is not listed any more may still serve.
+const GONE_TIME: Duration = Duration::from_secs(3);
 
 /// Time without a first event after which this is logged.
 const LATE_TIME: Duration = Duration::from_secs(2);
 
-/// Reports in a row by which the replica has lost the run, after which a movable attempt leaves it.
-/// Reports may be older than the request.
-const MAX_LOST: u32 = 3;
+/// Reports in a row by which the replica has lost the run, after which an attempt that can fail over
+/// abandons it. A single one may be older than the request.
+const MAX_LOST_REPORTS: u32 = 3;
 
-/// The latest probes of a replica, as far as they speak against it.
+/// What the latest probes of a replica have found against it.
 #[derive(Clone, Copy, Debug, Default)]
 struct Probes {
     /// Number of probes that it has missed since its last report.
@@ -53,14 +53,14 @@
     }
 
     /// How long the replica has sent no report.
-    fn silence(&self, now: Instant) -> Duration {
+    fn unresponsive_time(&self, now: Instant) -> Duration {
         self.since.map_or(Duration::ZERO, |since| now - since)
     }
 }
 
 impl<P: Protocol, W: AsyncWrite + Unpin> Session<'_, P, W> {
-    /// Completes when the attempt is to leave its replica, which has sent no event yet.
-    pub(super) async fn wait_until_unresponsive(&self, target: &Target) {
+    /// Completes when the attempt abandons its replica, which has sent no event yet.
+    pub(super) async fn abandoned_before_first_event(&self, target: &Target) {
         let mut probes = Probes::default();
         let (started_at, mut is_reported) = (Instant::now(), false);
         loop {
@@ -68,33 +68,33 @@
             if started_at.elapsed() >= LATE_TIME && !std::mem::replace(&mut is_reported, true) {
                 self.report_late(target, started_at.elapsed()).await;
             }
-            let mut leaves = self.is_to_leave(target, &mut probes, MAX_MISSES).await;
-            if !leaves && probes.misses > 0 {
+            let mut abandons = self.should_abandon(target, &mut probes, MAX_MISSES).await;
+            if !abandons && probes.misses > 0 {
                 // One missed probe says little, so it is repeated at once.
-                leaves = self.is_to_leave(target, &mut probes, MAX_MISSES).await;
+                abandons = self.should_abandon(target, &mut probes, MAX_MISSES).await;
             }
-            if leaves {
+            if abandons {
                 return;
             }
         }
     }
 
-    /// Completes when the attempt is to leave its replica, which has sent events: the replica
-    /// seems dead or has sent none for too long.
-    pub(super) async fn wait_until_stalled(&self, target: &Target) {
+    /// Completes when the attempt abandons its replica, which has sent events: the replica seems
+    /// dead or has sent none for too long.
+    pub(super) async fn abandoned_between_events(&self, target: &Target) {
         sleep_until(self.stall.probe_at()).await;
         let mut probes = Probes::default();
-        // The missing events are the first sign of a silence.
+        // The missing events already speak against the replica.
         let mut max_misses = 1;
         loop {
-            if self.is_to_leave(target, &mut probes, max_misses).await {
+            if self.should_abandon(target, &mut probes, max_misses).await {
                 return;
             }
             if probes.misses == 0 {
                 max_misses = MAX_MISSES;
                 // Without a copy, the failover would start again from the prompt: the stream waits
                 // for its live replica, which may still continue.
-                if self.copy.is_some() && self.can_move(target) {
+                if self.copy.is_some() && self.can_fail_over(target) {
                     return sleep_until(self.stall.failover_at()).await;
                 }
             }
@@ -118,25 +118,25 @@
             prefilling = report.prefilling,
             events_made =
                 self.job.call.id.as_deref().and_then(|id| report.events_of(id)).unwrap_or(0),
-            can_move = self.can_move(target)
+            can_fail_over = self.can_fail_over(target)
         );
     }
 
-    /// Probes the replica once; returns whether the attempt is to leave it.
-    async fn is_to_leave(&self, target: &Target, probes: &mut Probes, max_misses: u32) -> bool {
+    /// Probes the replica once; returns whether the attempt abandons it.
+    async fn should_abandon(&self, target: &Target, probes: &mut Probes, max_misses: u32) -> bool {
         match probe::probe(self.node, &target.replica).await {
             Finding::Replaced => true,
             Finding::Alive(report) => {
                 let lost = if self.is_lost(&report) { probes.lost + 1 } else { 0 };
                 *probes = Probes { lost, ..Probes::default() };
-                lost >= MAX_LOST && self.can_move(target)
+                lost >= MAX_LOST_REPORTS && self.can_fail_over(target)
             }
-            Finding::Silent => {
+            Finding::Unresponsive => {
                 let now = Instant::now();
                 probes.record_miss(now);
-                let is_gone = probes.silence(now) >= GONE_SILENCE
+                let is_gone = probes.unresponsive_time(now) >= GONE_TIME
                     && !self.node.catalog().is_listed(&target.replica);
-                is_gone || (probes.misses >= max_misses && self.can_move(target))
+                is_gone || (probes.misses >= max_misses && self.can_fail_over(target))
             }
         }
     }
@@ -154,8 +154,9 @@
         }
     }
 
-    /// Whether the stream can go on, or start again, at another replica.
-    fn can_move(&self, target: &Target) -> bool {
+    /// Whether the stream can go on, or start again, at another replica: it may be repeated, sends
+    /// and retries are left, and another replica may take it.
+    fn can_fail_over(&self, target: &Target) -> bool {
         self.job.route.semantics.may_repeat()
             && self.trace.sends < self.job.route.max_attempts
             && self.has_retry()
--- a/crates/winch-relay/src/stream/passing.rs
+++ b/crates/winch-relay/src/stream/passing.rs
@@ -13,7 +13,7 @@
 use crate::{
     forward::{self, Reached},
     job::Outcome,
-    memory::{self, Share},
+    memory::{self, Reservation},
     prelude::*,
     respond::Progress,
     sse::Splitter,
@@ -93,10 +93,10 @@
     /// Forwards the events on `connection` until the stream ends or breaks off.
     async fn forward_all(&mut self, connection: &mut Connection) -> Forwarded {
         let mut splitter = Splitter::default();
-        let mut share = Share::new(&self.node.body_blocks);
+        let mut reservation = Reservation::new(&self.node.body_blocks);
         loop {
             let Read { events, end } =
-                read_events(connection, &mut splitter, &mut share, self.last_event).await;
+                read_events(connection, &mut splitter, &mut reservation, self.last_event).await;
             let had_forwarded = self.has_forwarded;
             self.has_forwarded |= self.buffer_events(events);
             if self.has_forwarded && !had_forwarded {
--- a/crates/winch-relay/src/strikes.rs
+++ b/crates/winch-relay/src/strikes.rs
@@ -58,7 +58,7 @@
     /// Number of notices that were removed from `recent`.
     dropped: usize,
     /// Whether what was refused before this daemon's start has been read or told.
-    is_known: bool,
+    is_synced: bool,
 }
 
 impl Strikes {
@@ -66,17 +66,17 @@
     pub fn new(origin: Instant) -> Self {
         let tracker = Tracker::new(Options::default());
         let parts = Ledger::new(quarantine::Options::default());
-        Self { tracker, parts, origin, recent: VecDeque::new(), dropped: 0, is_known: false }
+        Self { tracker, parts, origin, recent: VecDeque::new(), dropped: 0, is_synced: false }
     }
 
     /// Whether what was refused before this daemon's start has been read or told.
-    pub fn is_known(&self) -> bool {
-        self.is_known
+    pub fn is_synced(&self) -> bool {
+        self.is_synced
     }
 
     /// Records that what was refused before this daemon's start has been read or told.
-    pub fn mark_known(&mut self) {
-        self.is_known = true;
+    pub fn mark_synced(&mut self) {
+        self.is_synced = true;
     }
 
     /// How long a strike against a request counts.
--- a/crates/wisteriawinch/tests/soak/fault.rs
+++ b/crates/wisteriawinch/tests/soak/fault.rs
@@ -12,7 +12,7 @@
 
 /// Time within which daemons learn what replicas say of themselves or have crashed on.
 const LEARNING_TIME: Duration = Duration::from_millis(1_500);
-/// Requests that reach a leaving replica after that: one for each daemon that has none of its
+/// Requests that reach a draining replica after that: one for each daemon that has none of its
 /// answers yet, and those that were under way.
 const MAX_LATE_REQUESTS: usize = 6;
 /// Retries of a refused request that may reach replicas.
@@ -83,7 +83,7 @@
             let same_dc = fleet.replicas.iter().filter(|other| other.replica.dc == dc);
             same_dc.for_each(|other| other.proxy.reset());
         }
-        13 => violations.extend(silent_stop(fleet, daemon, rng).await),
+        13 => violations.extend(stop_beside_pause(fleet, daemon, rng).await),
         14 => {
             // A second reply arrives late, to a stream and to requests for copies.
             let models = fleet.replicas.iter().filter(|other| other.replica.service == "model");
@@ -92,7 +92,7 @@
                 other.replica.set_snapshots(short / 8, rng.random_bool(0.5));
             }
         }
-        15 => violations.extend(unseen_leave(fleet, target, rng).await),
+        15 => violations.extend(unlisted_drain(fleet, target, rng).await),
         16 => violations.extend(crashing_request(fleet, rng).await),
         _ => fleet.clear_faults(),
     }
@@ -113,17 +113,17 @@
     }
 }
 
-/// Stops a daemon while sound replicas are silent for a second.
-async fn silent_stop(fleet: &Fleet, daemon: usize, rng: &mut SmallRng) -> Vec<String> {
+/// Stops a daemon while healthy replicas pause for a second.
+async fn stop_beside_pause(fleet: &Fleet, daemon: usize, rng: &mut SmallRng) -> Vec<String> {
     for other in fleet.replicas.iter().filter(|_| rng.random_bool(0.4)) {
-        other.replica.be_silent(Duration::from_millis(1_000));
+        other.replica.pause(Duration::from_millis(1_000));
     }
     graceful_stop(fleet, daemon).await
 }
 
-/// Lets a replica leave, which says so in its replies only, while the daemons do not reach the
+/// Lets a replica drain, which says so in its replies only, while the daemons do not reach the
 /// store. It comes back with another incarnation.
-async fn unseen_leave(fleet: &Fleet, target: &ProxiedReplica, rng: &mut SmallRng) -> Vec<String> {
+async fn unlisted_drain(fleet: &Fleet, target: &ProxiedReplica, rng: &mut SmallRng) -> Vec<String> {
     fleet.store.set_fault(Some(Fault::Unresponsive));
     target.replica.set_statement("Server-Leaving: 1\r\n");
     sleep(LEARNING_TIME).await;
@@ -135,7 +135,7 @@
     fleet.store.set_fault(None);
     fleet.renew(target);
     let is_late = late > MAX_LATE_REQUESTS;
-    let text = format!("{late} requests reached {} while it was leaving", target.replica.id());
+    let text = format!("{late} requests reached {} while it was draining", target.replica.id());
     is_late.then_some(text).into_iter().collect()
 }
 
