winch-relay, winch-route: retract the strikes for a replica that only paused

Callers saw: requests refused (612, 613) for minutes that had done nothing, because the replicas that ran them paused for a second.

Cause: a replica that gave no report for 150 ms counted as crashed. A strike now stands at once, and an engine that gave no report is probed for four seconds more; if the same incarnation answers, the strike is retracted here, at all daemons and in the table.

Ruled out: lost replies (lost_reply_no_strike), a restart behind the pause (restart_keeps_strike keeps the strike).

--- a/crates/winch-event/src/lib.rs
+++ b/crates/winch-event/src/lib.rs
@@ -100,6 +100,8 @@
     /// A request with a part of a prompt that had strikes survived, so that the strikes
     /// are removed.
     PartCleared = 1108, Info, "part of prompts cleared";
+    /// The replica of a strike was found alive, so that the strike is removed.
+    StrikeRetracted = 1109, Info, "strike removed, its replica is alive";
     /// A request was answered with a success, or its caller disconnected.
     RequestEnded = 1110, Info, "request ended";
     /// A request failed, was refused or was aborted.
--- a/crates/winch-relay/src/counter.rs
+++ b/crates/winch-relay/src/counter.rs
@@ -74,6 +74,11 @@
     counter!("winch_placements_total", "rounds" => rounds).increment(1);
 }
 
+/// Counts a strike that was removed because its replica was found alive.
+pub fn strikes_retracted() {
+    counter!("winch_strikes_retracted_total").increment(1);
+}
+
 /// Counts a pause for which a replica gets no requests of this daemon, because it has refused one.
 pub fn replica_paused() {
     counter!("winch_replica_pauses_total").increment(1);
--- a/crates/winch-relay/src/peer.rs
+++ b/crates/winch-relay/src/peer.rs
@@ -38,7 +38,7 @@
 };
 use self::{
     message::{Forwarding, Request},
-    notice::{ClearedPart, CrashStrike},
+    notice::{ClearedPart, CrashStrike, RetractedCrash},
 };
 use crate::{counter, node::Node, prelude::*, strikes::Strike};
 
@@ -109,8 +109,9 @@
     node: &Node<P>,
     cleared: Vec<ClearedPart>,
     strikes: Vec<CrashStrike>,
+    retracted: Vec<RetractedCrash>,
 ) {
-    if cleared.is_empty() && strikes.is_empty() {
+    if cleared.is_empty() && strikes.is_empty() && retracted.is_empty() {
         return;
     }
     let now = Instant::now();
@@ -123,17 +124,30 @@
             counter::strike_added("peer");
         }
     }
+    for retracted in retracted {
+        let (crash, at) = retracted.decode_at(now);
+        node.strikes().retract(crash, at);
+    }
     node.announce_strike();
 }
 
 /// Reports a strike to all seeds, which forward it to their followers.
 ///
 /// The report is not repeated for an unreachable seed, which then lacks this strike.
-pub async fn report_strike<P: Protocol>(node: &Node<P>, strike: Strike) {
-    let strikes = vec![CrashStrike::encode_at(&strike, Instant::now())];
+pub async fn report_strike<P: Protocol>(node: &Node<P>, strike: &Strike) {
+    let strikes = vec![CrashStrike::encode_at(strike, Instant::now())];
     report(node, Request { strikes, ..Request::default() }).await;
 }
 
+/// Reports that the strikes for a crash were removed at `at` to all seeds, as [`report_strike`]
+/// does.
+pub async fn report_retracted<P: Protocol>(node: &Node<P>, strike: &Strike, at: Instant) {
+    let now = Instant::now();
+    let strikes = vec![CrashStrike::encode_at(strike, now)];
+    let retracted = vec![RetractedCrash::encode_at(strike.crash, at, now)];
+    report(node, Request { strikes, retracted, ..Request::default() }).await;
+}
+
 /// Reports parts of prompts that were cleared to all seeds, as [`report_strike`] does.
 pub async fn report_cleared<P: Protocol>(node: &Node<P>, parts: &[Part]) {
     let now = Instant::now();
--- a/crates/winch-relay/src/peer/follow.rs
+++ b/crates/winch-relay/src/peer/follow.rs
@@ -220,7 +220,8 @@
             node.fleet().set_relays(relays.decode());
         }
         let cleared = std::mem::take(&mut update.cleared);
-        apply_notices(node, cleared, std::mem::take(&mut update.strikes));
+        let retracted = std::mem::take(&mut update.retracted);
+        apply_notices(node, cleared, std::mem::take(&mut update.strikes), retracted);
         if update.strikes_synced.unwrap_or(true) && !node.strikes().is_synced() {
             node.strikes().mark_synced();
             node.announce_strike();
--- a/crates/winch-relay/src/peer/message.rs
+++ b/crates/winch-relay/src/peer/message.rs
@@ -13,7 +13,7 @@
 };
 
 use super::{
-    notice::{ClearedPart, CrashStrike},
+    notice::{ClearedPart, CrashStrike, RetractedCrash},
     progress::{MoveCounts, MoveProgress},
     speeds::Speeds,
 };
@@ -51,6 +51,10 @@
     /// in place of updates.
     #[prost(message, optional, tag = "7")]
     pub forwarding: Option<Forwarding>,
+    /// Crashes that are retracted; `strikes` then holds their strikes, since earlier releases send
+    /// an update in reply to a request without strikes.
+    #[prost(message, repeated, tag = "8")]
+    pub retracted: Vec<RetractedCrash>,
 }
 
 /// What a daemon tells of a request that it passes on.
@@ -154,6 +158,9 @@
     /// do not wait for it.
     #[prost(bool, optional, tag = "21")]
     pub strikes_synced: Option<bool>,
+    /// Crashes that were retracted since the last update on the connection.
+    #[prost(message, repeated, tag = "22")]
+    pub retracted: Vec<RetractedCrash>,
 }
 
 /// The number of replicas of a service.
--- a/crates/winch-relay/src/peer/notice.rs
+++ b/crates/winch-relay/src/peer/notice.rs
@@ -70,6 +70,29 @@
     }
 }
 
+/// A crash whose strikes were removed, because its replica was found alive.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub(super) struct RetractedCrash {
+    /// The crash.
+    #[prost(fixed64, tag = "1")]
+    pub crash: u64,
+    /// Time since the replica was found alive, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
+}
+
+impl RetractedCrash {
+    /// Encodes the retraction of `crash` at `at`, with its age at `now`.
+    pub(super) fn encode_at(crash: Crash, at: Instant, now: Instant) -> Self {
+        Self { crash: crash.0, age_ms: millis(now.saturating_duration_since(at)) }
+    }
+
+    /// Decodes a retraction that was received at `now`.
+    pub(super) fn decode_at(self, now: Instant) -> (Crash, Instant) {
+        (Crash(self.crash), time_before(now, self.age_ms))
+    }
+}
+
 /// A duration in whole milliseconds.
 pub(super) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
--- a/crates/winch-relay/src/peer/serve.rs
+++ b/crates/winch-relay/src/peer/serve.rs
@@ -16,7 +16,7 @@
 use super::{
     FramedStream, REQUEST_TIMEOUT, SEED_TIMEOUT, apply_notices, frame_stream,
     message::{Relays, Report, Request, ServiceSize, Update},
-    notice::{ClearedPart, CrashStrike},
+    notice::{ClearedPart, CrashStrike, RetractedCrash},
     progress::MoveProgress,
     send,
     speeds::decode_samples,
@@ -142,6 +142,9 @@
                 Notice::Cleared(part, at) => {
                     update.cleared.push(ClearedPart::encode_at(part, at, now));
                 }
+                Notice::Retracted(crash, at) => {
+                    update.retracted.push(RetractedCrash::encode_at(crash, at, now));
+                }
             }
         }
         update.strikes = struck.iter().map(|strike| CrashStrike::encode_at(strike, now)).collect();
@@ -196,7 +199,7 @@
     let mut request = Request::decode(request).map_err(io::Error::other)?;
     if !request.strikes.is_empty() || !request.cleared.is_empty() {
         let cleared = std::mem::take(&mut request.cleared);
-        apply_notices(node, cleared, std::mem::take(&mut request.strikes));
+        apply_notices(node, cleared, std::mem::take(&mut request.strikes), request.retracted);
         return Ok(());
     }
     if let Some(forwarding) = request.forwarding {
--- a/crates/winch-relay/src/probe.rs
+++ b/crates/winch-relay/src/probe.rs
@@ -76,14 +76,19 @@
     }
 }
 
+/// Whether `replica` belongs to a service of model engines, which report their load.
+pub fn has_reports<P: Protocol>(node: &Node<P>, replica: &Replica) -> bool {
+    let config = node.config();
+    let service = config.as_ref().and_then(|config| config.service(&replica.service));
+    service.is_some_and(|service| service.engine.is_some())
+}
+
 /// Whether the known incarnation of `replica` is alive.
 ///
 /// A model engine is alive if it answers with its report. A replica of a plain service
 /// has none and is alive if it accepts a new connection.
 pub async fn is_alive<P: Protocol>(node: &Node<P>, replica: &Replica) -> bool {
-    let config = node.config();
-    let service = config.as_ref().and_then(|config| config.service(&replica.service));
-    if service.is_some_and(|service| service.engine.is_some()) {
+    if has_reports(node, replica) {
         return request_report(node, replica).await.is_some();
     }
     node.open_new(replica).await.is_ok()
--- a/crates/winch-relay/src/quarantine.rs
+++ b/crates/winch-relay/src/quarantine.rs
@@ -56,6 +56,18 @@
 }
 
 impl QuarantineRow {
+    /// Whether a strike of the row was retracted, so that the others were not enough.
+    fn is_retracted(&self, strikes: &Strikes, now_ms: u64) -> bool {
+        let struck_at = self.struck_at(now_ms);
+        self.strikes.iter().any(|(_, crash)| strikes.is_retracted(Crash(*crash), struck_at))
+    }
+
+    /// When the newest strike was observed, by the clock of this process.
+    fn struck_at(&self, now_ms: u64) -> Instant {
+        let now = Instant::now();
+        now.checked_sub(self.age(now_ms)).unwrap_or(now)
+    }
+
     /// Time since the newest strike. A clock that was set back gives zero.
     fn age(&self, now_ms: u64) -> Duration {
         Duration::from_millis(now_ms.saturating_sub(self.struck_at_ms))
@@ -189,15 +201,16 @@
         }
         // A row of another writer refuses nothing.
         let row: QuarantineRow = serde_json::from_str(&row.value).unwrap_or_default();
+        let struck_at = row.struck_at(now_ms);
         let (parts, at): (Arc<[Part]>, _) = match subject {
             Subject::Part(part) => ([*part].into(), now),
-            Subject::Request(_) => {
-                (Arc::default(), now.checked_sub(row.age(now_ms)).unwrap_or(now))
-            }
+            Subject::Request(_) => (Arc::default(), struck_at),
         };
         for (request, crash) in row.strikes {
             let (request, crash, parts) = (Fingerprint(request), Crash(crash), parts.clone());
-            has_changed |= strikes.apply(Strike { request, crash, parts, at });
+            if !strikes.is_retracted(crash, struck_at) {
+                has_changed |= strikes.apply(Strike { request, crash, parts, at });
+            }
         }
     }
     strikes.mark_synced();
@@ -214,8 +227,9 @@
     }
 }
 
-/// The writes that bring the rows up to date: what is refused here gets one, and parts that were
-/// cleared and requests whose strikes no longer count lose it.
+/// The writes that bring the rows up to date: what is refused here gets one; parts that were
+/// cleared, requests whose strikes no longer count, and what is refused no longer because a strike
+/// was retracted lose it.
 fn missing_writes<P: Protocol>(node: &Node<P>, found: &Found<'_>) -> Transaction {
     let (now, now_ms, strikes) = (Instant::now(), now_ms(), node.strikes());
     let mut missing: HashMap<Subject, QuarantineRow> = HashMap::new();
@@ -238,12 +252,13 @@
             row.struck_at_ms = row.struck_at_ms.max(now_ms.saturating_sub(age_ms));
         }
     }
-    let is_over = |subject: Subject, row: &Row| match subject {
-        Subject::Part(part) => strikes.is_cleared(part, now),
-        Subject::Request(_) => {
-            let row: QuarantineRow = serde_json::from_str(&row.value).unwrap_or_default();
-            row.age(now_ms) >= strikes.lifetime()
-        }
+    let is_over = |subject: Subject, row: &Row| {
+        let row: QuarantineRow = serde_json::from_str(&row.value).unwrap_or_default();
+        let is_outdated = match subject {
+            Subject::Part(part) => strikes.is_cleared(part, now),
+            Subject::Request(_) => row.age(now_ms) >= strikes.lifetime(),
+        };
+        is_outdated || (!is_settled(&strikes, subject, now) && row.is_retracted(&strikes, now_ms))
     };
     let over = found.iter().filter(|(subject, row)| is_over(**subject, row));
     let deletes = over.map(|(_, row)| (row.key.clone(), None));
--- a/crates/winch-relay/src/strikes.rs
+++ b/crates/winch-relay/src/strikes.rs
@@ -8,17 +8,31 @@
 
 use std::collections::VecDeque;
 
+use tokio::time::sleep;
 use winch_route::{
     quarantine::{self, Ledger, Part},
     suspect::{self, Crash, Disposition, Fingerprint, Options, Tracker},
 };
 
-use crate::{counter, job::Job, node::Node, peer, prelude::*, probe};
+use crate::{
+    counter,
+    job::Job,
+    node::Node,
+    peer,
+    prelude::*,
+    probe::{self, Finding},
+};
 
 /// Number of recent notices that are kept for sending to other daemons.
 const MAX_RECENT_NOTICES: usize = 256;
+/// Number of retracted crashes that are remembered, so that late strikes for them do not count.
+const MAX_RETRACTED: usize = 256;
 /// Strikes of other daemons that are older count as of this age.
 const MAX_AGE: Duration = Duration::from_secs(600);
+/// Time within which a replica that seemed dead is found alive if it only paused, and the interval of
+/// the probes.
+const VERIFY_TIME: Duration = Duration::from_secs(4);
+const VERIFY_INTERVAL: Duration = Duration::from_millis(300);
 /// Time from the first event of an attempt after which it has survived: a crash that follows is
 /// not attributed to its request.
 pub const SURVIVAL_TIME: Duration = Duration::from_secs(1);
@@ -44,6 +58,8 @@
     /// A request with this part survived at this time, which removes the strikes against the
     /// part.
     Cleared(Part, Instant),
+    /// The replica of this crash was found alive at this time, which removes the strikes for it.
+    Retracted(Crash, Instant),
 }
 
 /// All strikes known to this daemon.
@@ -59,6 +75,8 @@
     dropped: usize,
     /// Whether what was refused before this daemon's start has been read or told.
     is_synced: bool,
+    /// Crashes that were retracted, and when, the oldest first.
+    retracted: VecDeque<(Crash, Instant)>,
 }
 
 impl Strikes {
@@ -66,7 +84,8 @@
     pub fn new(origin: Instant) -> Self {
         let tracker = Tracker::new(Options::default());
         let parts = Ledger::new(quarantine::Options::default());
-        Self { tracker, parts, origin, recent: VecDeque::new(), dropped: 0, is_synced: false }
+        let (recent, retracted) = Default::default();
+        Self { tracker, parts, origin, recent, dropped: 0, is_synced: false, retracted }
     }
 
     /// Whether what was refused before this daemon's start has been read or told.
@@ -95,6 +114,8 @@
     /// may still run.
     pub fn record_crash(&mut self, strike: Strike) -> Disposition {
         let (now, at) = (strike.at, self.since_origin(strike.at));
+        // The same replica may crash after it was found alive.
+        self.retracted.retain(|(crash, _)| *crash != strike.crash);
         self.record_parts(&strike, at);
         let (request, crash, parts) = (strike.request, strike.crash, strike.parts.clone());
         let is_new = self.parts.explains(crash)
@@ -112,7 +133,7 @@
             let Notice::Struck(known) = notice else { return false };
             known.request == strike.request && known.crash == strike.crash
         };
-        if self.recent.iter().any(is_same) {
+        if self.recent.iter().any(is_same) || self.is_retracted(strike.crash, strike.at) {
             return false;
         }
         self.record_parts(&strike, at);
@@ -170,6 +191,34 @@
         cleared
     }
 
+    /// Removes the strikes for a crash, because its replica was found alive at `at`, here or by
+    /// another daemon. Returns whether that is new.
+    pub fn retract(&mut self, crash: Crash, at: Instant) -> bool {
+        if self.is_retracted(crash, at) {
+            return false;
+        }
+        self.retracted.push_back((crash, at));
+        if self.retracted.len() > MAX_RETRACTED {
+            self.retracted.pop_front();
+        }
+        self.tracker.retract(crash);
+        self.parts.retract(crash);
+        // A notice is emptied, not removed: followers count notices.
+        for notice in &mut self.recent {
+            if matches!(notice, Notice::Struck(strike) if strike.crash == crash) {
+                *notice = Notice::Retracted(crash, at);
+            }
+        }
+        self.push_recent(Notice::Retracted(crash, at));
+        true
+    }
+
+    /// Whether a strike of time `at` for this crash no longer counts, because its replica was found
+    /// alive afterwards.
+    pub fn is_retracted(&self, crash: Crash, at: Instant) -> bool {
+        self.retracted.iter().any(|(known, since)| *known == crash && at <= *since)
+    }
+
     /// Whether neither a request nor a part has a strike.
     pub fn is_empty(&self) -> bool {
         self.tracker.is_empty() && self.parts.is_empty()
@@ -317,11 +366,44 @@
     );
     counter::strike_added("own");
     node.announce_strike();
-    let reporter = node.clone();
-    node.tasks.spawn(async move { peer::report_strike(&reporter, strike).await });
+    let (reporter, replica) = (node.clone(), replica.clone());
+    node.tasks.spawn(async move {
+        peer::report_strike(&reporter, &strike).await;
+        if proves_alive(&reporter, &replica).await {
+            retract(&reporter, &strike).await;
+        }
+    });
     disposition
 }
 
+/// Probes a replica that seems dead for a while; returns whether the same incarnation answers.
+async fn proves_alive<P: Protocol>(node: &Node<P>, replica: &Replica) -> bool {
+    if !probe::has_reports(node, replica) || replica.started_at_ms.is_none() {
+        return false;
+    }
+    let deadline = Instant::now() + VERIFY_TIME;
+    while Instant::now() < deadline && !node.is_stopping() {
+        sleep(VERIFY_INTERVAL).await;
+        match probe::probe(node, replica).await {
+            Finding::Alive(report) => return report.started_at_ms == replica.started_at_ms,
+            Finding::Replaced => return false,
+            Finding::Unresponsive => {}
+        }
+    }
+    false
+}
+
+/// Removes a strike whose replica is alive, here and at all other daemons.
+async fn retract<P: Protocol>(node: &Node<P>, strike: &Strike) {
+    let at = Instant::now();
+    if node.strikes().retract(strike.crash, at) {
+        emit!(Event::StrikeRetracted, crash = format!("{:016x}", strike.crash.0));
+        counter::strikes_retracted();
+        node.announce_strike();
+        peer::report_retracted(node, strike, at).await;
+    }
+}
+
 /// The shared parts of a request's prompt for the log, as `ID=HASH`; events about a part name its
 /// hash.
 fn label_parts(job: &Job) -> String {
--- a/crates/winch-route/src/quarantine.rs
+++ b/crates/winch-route/src/quarantine.rs
@@ -95,12 +95,12 @@
         self.strikes.push(strike);
     }
 
-    /// Number of crashes that count: those that are not `explained`, each one once, and only some
+    /// Number of crashes that count: those for which `is_open` holds, each one once, and only some
     /// of each request.
-    fn evidence(&self, explained: &HashMap<Crash, Cause>, crashes_per_request: usize) -> usize {
+    fn evidence(&self, is_open: impl Fn(Crash) -> bool, crashes_per_request: usize) -> usize {
         let mut crashes = HashSet::new();
         let mut requests = HashMap::<Fingerprint, usize>::new();
-        for strike in self.strikes.iter().filter(|strike| !explained.contains_key(&strike.crash)) {
+        for strike in self.strikes.iter().filter(|strike| is_open(strike.crash)) {
             let count = requests.entry(strike.request).or_default();
             if *count < crashes_per_request && crashes.insert(strike.crash) {
                 *count += 1;
@@ -173,8 +173,8 @@
         }
         let Options { crash_threshold, crashes_per_request, .. } = self.options;
         let is_culprit = |part: &&Part| {
-            let evidence = self.cases[part].evidence(&self.explained, crashes_per_request);
-            evidence >= crash_threshold
+            let is_open = |crash| !self.explained.contains_key(&crash);
+            self.cases[part].evidence(is_open, crashes_per_request) >= crash_threshold
         };
         let Some(culprit) = suspects.iter().rev().find(is_culprit).copied() else {
             return Finding::default();
@@ -200,6 +200,25 @@
         self.explained.contains_key(&crash)
     }
 
+    /// Removes a crash and its strikes, because the upstream proved to be alive. Parts that are
+    /// quarantined without enough other crashes are so no longer.
+    pub fn retract(&mut self, crash: Crash) {
+        let Self { options, cases, explained, .. } = self;
+        explained.remove(&crash);
+        let mut released = Vec::new();
+        for (part, case) in cases.iter_mut() {
+            case.strikes.retain(|strike| strike.crash != crash);
+            let is_open = |crash| explained.get(&crash).is_none_or(|cause| cause.part == *part);
+            let evidence = case.evidence(is_open, options.crashes_per_request);
+            if evidence < options.crash_threshold && case.last_crash_at.take().is_some() {
+                case.trials = 0;
+                released.push(*part);
+            }
+        }
+        cases.retain(|_, case| !case.strikes.is_empty());
+        explained.retain(|_, cause| !released.contains(&cause.part));
+    }
+
     /// Records that a request with these parts has survived, here or at another daemon; returns
     /// the parts that had strikes, which are removed.
     pub fn clear(&mut self, parts: &[Part], now: Duration) -> Vec<Part> {
--- a/crates/winch-route/tests/quarantined_parts.rs
+++ b/crates/winch-route/tests/quarantined_parts.rs
@@ -42,6 +42,20 @@
     assert!(!ledger.is_quarantined(FIRST, at(3)));
 }
 
+// Guards against a quarantine for crashes that were none.
+#[test]
+fn retracted_crash_releases() {
+    let mut ledger = quarantined();
+    strike(&mut ledger, 4, &[FIRST, BAD], at(4));
+    ledger.retract(Crash(1));
+    assert!(ledger.is_quarantined(BAD, at(4)), "three crashes are left");
+    ledger.retract(Crash(2));
+    assert!(!ledger.is_quarantined(BAD, at(4)));
+    assert!(!ledger.explains(Crash(3)), "what is left explains nothing");
+    strike(&mut ledger, 5, &[FIRST, BAD], at(5));
+    assert!(ledger.is_quarantined(BAD, at(5)), "it is found again");
+}
+
 #[test]
 fn explained_crash_counts_once() {
     let mut ledger = quarantined();
