winch-relay: measure a replica again whose latency is outdated

Callers saw: nothing by itself; a replica that had been slow once got no lookup or order from a daemon any more, however fast it was.

Cause: plain requests go to the replica with the least measured latency, and only they measure it. A latency without a sample for five seconds now counts as that of the fastest replica, and the next sample replaces it.

Old and new builds: nothing between daemons changes.

--- a/crates/winch-bench/src/replay/simulation.rs
+++ b/crates/winch-bench/src/replay/simulation.rs
@@ -393,12 +393,12 @@
 
     /// Records at the daemon that a stream has received its first token.
     fn record_first_token(&mut self, number: usize) {
-        let stream = self.streams[number];
+        let (stream, now) = (self.streams[number], self.instant());
         if let Some(placement) = stream.placement {
             let catalog = &mut self.daemons[stream.daemon].catalog;
             catalog
                 .update(placement.key, |entry| entry.starting = entry.starting.saturating_sub(1));
-            catalog.record_answer(placement.key, None, false);
+            catalog.record_answer(placement.key, None, false, now);
         }
     }
 
--- a/crates/winch-relay/src/catalog.rs
+++ b/crates/winch-relay/src/catalog.rs
@@ -54,6 +54,8 @@
     /// Moving average of the time to a complete answer, in milliseconds; `None` before the
     /// first measurement.
     pub latency_ms: Option<f64>,
+    /// When `latency_ms` last got a sample; `None` if it comes from an earlier incarnation.
+    latency_at: Option<Instant>,
     /// Moving average of the share of answers that were failures, 0 to 1.
     pub failure_rate: f64,
     /// See [`Catalog::slowness()`].
@@ -86,6 +88,7 @@
             in_flight: 0,
             starting: 0,
             latency_ms: None,
+            latency_at: None,
             failure_rate: 0.0,
             slowness: 1.0,
             ejected_until: None,
--- a/crates/winch-relay/src/catalog/health.rs
+++ b/crates/winch-relay/src/catalog/health.rs
@@ -11,6 +11,9 @@
 const FULL_MIN: Duration = Duration::from_millis(50);
 /// Longest time for which a replica counts as full after it has refused a request.
 const FULL_MAX: Duration = Duration::from_secs(1);
+/// Time without a sample after which a latency is outdated. A replica that was slow once would
+/// otherwise get no request, and so no sample, for good.
+const LATENCY_TTL: Duration = Duration::from_secs(5);
 /// Weight of the newest sample in moving averages.
 const SAMPLE_WEIGHT: f64 = 0.2;
 
@@ -20,6 +23,11 @@
         self.ejected_until.is_some_and(|until| now < until)
     }
 
+    /// Whether the latency is so old that it says nothing of the replica any more.
+    pub fn has_outdated_latency(&self, now: Instant) -> bool {
+        self.latency_at.is_some_and(|at| now >= at + LATENCY_TTL)
+    }
+
     /// Whether the replica has just refused a request because it was full.
     pub fn is_full(&self, now: Instant) -> bool {
         self.full_until.is_some_and(|until| now < until)
@@ -55,7 +63,13 @@
     /// Records an answer, which ends an ejection even if the answer is a failure.
     ///
     /// `latency` is the time to the complete answer; `None` leaves the average as it is.
-    pub fn record_answer(&mut self, key: Key, latency: Option<Duration>, is_failure: bool) {
+    pub fn record_answer(
+        &mut self,
+        key: Key,
+        latency: Option<Duration>,
+        is_failure: bool,
+        now: Instant,
+    ) {
         let Some(entry) = self.entries.get_mut(key) else { return };
         entry.consecutive_failures = 0;
         entry.ejected_until = None;
@@ -63,7 +77,9 @@
             SAMPLE_WEIGHT * (f64::from(u8::from(is_failure)) - entry.failure_rate);
         if let Some(latency) = latency {
             let sample_ms = latency.as_secs_f64() * 1_000.0;
-            let mean_ms = entry.latency_ms.unwrap_or(sample_ms);
+            let is_outdated = entry.has_outdated_latency(now);
+            let mean_ms = entry.latency_ms.filter(|_| !is_outdated).unwrap_or(sample_ms);
+            entry.latency_at = Some(now);
             entry.latency_ms = Some(mean_ms + SAMPLE_WEIGHT * (sample_ms - mean_ms));
         }
     }
--- a/crates/winch-relay/src/placement.rs
+++ b/crates/winch-relay/src/placement.rs
@@ -248,7 +248,8 @@
 /// Chooses the replica for a unary request: the one with the least expected latency among
 /// those that satisfy `is_eligible`.
 ///
-/// The cost of a replica also grows with its failure rate and if it was full, and an ejected
+/// A latency that was not measured for some time counts as that of the fastest replica. The cost of a
+/// replica also grows with its failure rate and if it was full, and an ejected
 /// replica is normally chosen only if there is no other one. `None` if no replica is eligible, or
 /// if none has a slot under the limit that it names.
 pub fn choose_replica<R: Rng>(
@@ -259,8 +260,13 @@
     now: Instant,
     rng: &mut R,
 ) -> Option<(Key, Arc<Replica>)> {
+    let accepting = catalog.accepting(service, now);
+    let latencies = accepting.iter().filter_map(|(_, entry)| entry.latency_ms);
+    let fastest = latencies.fold(f64::INFINITY, f64::min);
     let cost = |entry: &Entry, rng: &mut R| {
         let latency = entry.latency_ms.unwrap_or(DEFAULT_LATENCY_MS);
+        // So the next request measures the replica again.
+        let latency = if entry.has_outdated_latency(now) { fastest } else { latency };
         let load = 1.0 + f64::from(entry.in_flight) / f64::from(entry.replica.slots.max(1));
         let remote = if *entry.replica.dc == *dc { 1.0 } else { REMOTE_FACTOR };
         let ejected = if entry.is_ejected(now) { LAST_RESORT_COST } else { 1.0 };
@@ -275,8 +281,7 @@
             * jitter
     };
     let demand = catalog.demand_per_replica(service, now);
-    let entries = catalog
-        .accepting(service, now)
+    let entries = accepting
         .into_iter()
         .filter(|(_, entry)| is_eligible(&entry.replica) && catalog.has_slot(entry, demand, now));
     let costs: Vec<_> = entries.map(|(key, e)| (cost(e, rng), key, &e.replica)).collect();
--- a/crates/winch-relay/src/stream/attempt.rs
+++ b/crates/winch-relay/src/stream/attempt.rs
@@ -360,7 +360,7 @@
 
 /// Records that a replica answered, without a sample of its latency.
 fn record_answer<P: Protocol>(node: &Node<P>, key: Key) {
-    node.catalog().record_answer(key, None, false);
+    node.catalog().record_answer(key, None, false, Instant::now());
 }
 
 /// Guard that counts a stream of this daemon as waiting for its first event.
--- a/crates/winch-relay/src/unary.rs
+++ b/crates/winch-relay/src/unary.rs
@@ -239,7 +239,7 @@
                 return Attempt::Refused { is_full };
             }
             let is_error = reply.status.is_server_error();
-            node.catalog().record_answer(key, Some(latency), is_error);
+            node.catalog().record_answer(key, Some(latency), is_error, Instant::now());
             if is_error {
                 node.rollouts().record_error_reply(replica);
             } else {
--- a/crates/winch-relay/tests/catalog_outage.rs
+++ b/crates/winch-relay/tests/catalog_outage.rs
@@ -144,7 +144,7 @@
     assert_eq!(catalog.usable("model", now + first).count(), 1);
     let second = catalog.eject(key, now + first).unwrap();
     assert!(second > first);
-    catalog.record_answer(key, None, false);
+    catalog.record_answer(key, None, false, now);
     assert_eq!(catalog.usable("model", now + first).count(), 1);
 }
 
--- a/crates/winch-relay/tests/place_choice.rs
+++ b/crates/winch-relay/tests/place_choice.rs
@@ -128,17 +128,46 @@
     assert_eq!(chosen(&catalog), "i-1");
     let key = catalog.key("i-1").unwrap();
     for _ in 0..20 {
-        catalog.record_answer(key, Some(Duration::from_millis(100)), false);
+        catalog.record_answer(key, Some(Duration::from_millis(100)), false, now);
     }
     assert_eq!(chosen(&catalog), "i-2");
     for _ in 0..40 {
-        catalog.record_answer(key, Some(Duration::from_millis(15)), true);
+        catalog.record_answer(key, Some(Duration::from_millis(15)), true, now);
     }
     assert_eq!(chosen(&catalog), "i-2", "fast failures do not make a replica preferable");
 }
 
 /// A replica whose queue is full refuses the requests of all daemons, so that another one is chosen
 /// until its queue has moved up.
+// Guards against a replica that was slow once and then gets no request, and so no sample, for good.
+#[test]
+fn outdated_latency_measured_again() {
+    let (mut catalog, start) = (catalog(&["a", "a"]), Instant::now());
+    let keys = [catalog.key("i-1").unwrap(), catalog.key("i-2").unwrap()];
+    let mut rng = SmallRng::seed_from_u64(5);
+    let mut chosen = |catalog: &Catalog, now| {
+        placement::choose_replica(catalog, "s", "a", any, now, &mut rng).unwrap().0
+    };
+    catalog.record_answer(keys[0], Some(Duration::from_millis(100)), false, start);
+    let mut slow_count = 0;
+    for second in 0..20 {
+        let now = start + Duration::from_secs(second);
+        catalog.record_answer(keys[1], Some(Duration::from_millis(10)), false, now);
+        for _ in 0..20 {
+            if chosen(&catalog, now) == keys[0] {
+                slow_count += 1;
+                // It is as slow as before.
+                catalog.record_answer(keys[0], Some(Duration::from_millis(100)), false, now);
+            }
+        }
+    }
+    assert!((2..=4).contains(&slow_count), "measured {slow_count} times in 20 s");
+    let now = start + Duration::from_secs(60);
+    catalog.record_answer(keys[0], Some(Duration::from_millis(10)), false, now);
+    let counts = (0..100).filter(|_| chosen(&catalog, now) == keys[0]).count();
+    assert!(counts > 20, "a replica that has become fast is used again: {counts} of 100");
+}
+
 #[test]
 fn full_replica_avoided() {
     let (mut catalog, now) = (catalog(&["a", "b"]), Instant::now());
@@ -147,7 +176,7 @@
         placement::choose_replica(catalog, "s", "a", any, now, &mut rng).unwrap().1.id.to_string()
     };
     let key = catalog.key("i-1").unwrap();
-    catalog.record_answer(key, Some(Duration::from_millis(20)), false);
+    catalog.record_answer(key, Some(Duration::from_millis(20)), false, now);
     catalog.record_full(key, now);
     assert_eq!(chosen(&catalog, now), "i-2");
     assert_eq!(chosen(&catalog, now + Duration::from_millis(100)), "i-1");
--- a/crates/winch-relay/tests/replica_speeds.rs
+++ b/crates/winch-relay/tests/replica_speeds.rs
@@ -184,7 +184,7 @@
 fn restarted_replica_keeps_latency() {
     let mut catalog = catalog(1);
     let key = catalog.key("i-1").expect("known");
-    catalog.record_answer(key, Some(Duration::from_millis(80)), false);
+    catalog.record_answer(key, Some(Duration::from_millis(80)), false, tokio::time::Instant::now());
     catalog.apply(Change::Removed("i-1".into()));
     catalog.apply(Change::Put(Replica { started_at_ms: Some(2), ..replica("i-2", 1) }));
     let latency_ms = |catalog: &Catalog, id| {
