--- a/crates/wisteriawinch/tests/fault_soak.rs
+++ b/crates/wisteriawinch/tests/fault_soak.rs
@@ -13,6 +13,7 @@
 mod caller;
 #[path = "../../../platform/tests/common/mod.rs"]
 mod common;
+mod entry;
 #[path = "soak/fault.rs"]
 mod fault;
 #[path = "soak/fleet.rs"]
--- a/crates/wisteriawinch/tests/soak/fleet.rs
+++ b/crates/wisteriawinch/tests/soak/fleet.rs
@@ -5,32 +5,24 @@
 
 use std::{
     collections::{HashMap, HashSet},
-    net::{SocketAddr, TcpListener},
     path::PathBuf,
-    process::{Child, Command, ExitStatus, Stdio},
+    process::ExitStatus,
     sync::Mutex,
     time::Duration,
 };
 
 use winch_http::client::Connection;
 
-use super::common::{Caller, Mode, Proxy, Replica, Request, Store, TIMEOUT, wait_until};
+use super::{
+    common::{Caller, Mode, Proxy, Replica, Request, Store, TIMEOUT, wait_until},
+    entry::{self, Addresses, Process},
+};
 
 const DAEMONS: usize = 3;
 /// Time a replica spends on an order or lookup, so that faults hit calls in progress.
 const WORK_TIME: Duration = Duration::from_millis(60);
 const DCS: [&str; 3] = ["a", "b", "c"];
 
-/// A daemon process; its settings, log and addresses stay the same over restarts.
-#[derive(Debug)]
-pub(crate) struct Process {
-    child: Child,
-    settings: PathBuf,
-    log: PathBuf,
-    /// Address for callers.
-    pub(crate) callers: SocketAddr,
-}
-
 /// A replica and the proxy that daemons reach it through.
 #[derive(Debug)]
 pub(crate) struct ProxiedReplica {
@@ -52,43 +44,6 @@
     folder: PathBuf,
 }
 
-/// An address that stays free while a daemon restarts: each test process takes a
-/// loopback network of its own, and no port is returned twice.
-fn unused_address() -> SocketAddr {
-    static USED: Mutex<Option<HashSet<u16>>> = Mutex::new(None);
-    let id = std::process::id();
-    let network = [127, 1 + (id / 250 % 250) as u8, 1 + (id % 250) as u8, 1];
-    loop {
-        let listener = TcpListener::bind(SocketAddr::from((network, 0))).expect("a free port");
-        let address = listener.local_addr().expect("the listener is bound");
-        let mut used = USED.lock().expect("no thread panics while it holds this lock");
-        if used.get_or_insert_default().insert(address.port()) {
-            return address;
-        }
-    }
-}
-
-impl Process {
-    fn spawn(settings: &PathBuf, log: &PathBuf) -> Child {
-        let log = std::fs::OpenOptions::new().create(true).append(true).open(log);
-        let log = log.expect("the log file is opened");
-        let errors = log.try_clone().expect("the log file is opened");
-        Command::new(env!("CARGO_BIN_EXE_wisteriawinch"))
-            .arg("entry")
-            .env("WISTERIAWINCH_SETTINGS", settings)
-            .stdout(log)
-            .stderr(errors)
-            .spawn()
-            .expect("the program starts")
-    }
-
-    fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        let sent = Command::new("kill").args([name, &pid]).stderr(Stdio::null()).status();
-        sent.expect("the `kill` command runs");
-    }
-}
-
 impl Fleet {
     /// Starts the store, six replicas for streams, three for orders and lookups, their proxies
     /// and the daemons.
@@ -107,17 +62,12 @@
             store.put("servers", &replica.id(), &entry);
         }
         let store_proxy = Proxy::start(store.address).await;
-        let folder = std::env::temp_dir().join(format!("winch-soak-{}", unused_address().port()));
-        std::fs::create_dir_all(&folder).expect("the folder is created");
-        let seeds: Vec<SocketAddr> = vec![unused_address(), unused_address()];
+        let folder = entry::folder();
+        let addresses: Vec<Addresses> = DCS.iter().map(|_| Addresses::unused()).collect();
+        let seeds = [addresses[0].control, addresses[1].control];
         let processes = (0..DAEMONS).map(|number| {
-            let control = seeds.get(number).copied().unwrap_or_else(unused_address);
-            let callers = unused_address();
-            let text = settings(number, callers, control, &seeds, store_proxy.address);
-            let settings = folder.join(format!("{number}.toml"));
-            let log = folder.join(format!("{number}.log"));
-            std::fs::write(&settings, text).expect("the settings are written");
-            Process { child: Process::spawn(&settings, &log), settings, log, callers }
+            let (dc, store) = (DCS[number], store_proxy.address);
+            Process::start(number, dc, addresses[number], &seeds, store, &folder)
         });
         let processes = Mutex::new(processes.collect());
         let refused = Mutex::default();
@@ -136,30 +86,22 @@
 
     /// Kills a process and waits for its exit.
     pub(crate) fn kill(&self, number: usize) {
-        self.with_process(number, |process| {
-            // Killing fails if the process has already exited; `wait` succeeds either way.
-            let _ = process.child.kill();
-            process.child.wait().expect("the process is a child of this test");
-        });
+        self.with_process(number, Process::kill);
     }
 
     /// Starts the process again after its exit.
     pub(crate) fn restart(&self, number: usize) {
-        self.with_process(number, |process| {
-            process.child = Process::spawn(&process.settings, &process.log);
-        });
+        self.with_process(number, Process::restart);
     }
 
     /// Exit status of a process; `None` while it runs.
     pub(crate) fn exit_status(&self, number: usize) -> Option<ExitStatus> {
-        self.with_process(number, |process| {
-            process.child.try_wait().expect("the process is a child of this test")
-        })
+        self.with_process(number, Process::exit_status)
     }
 
     /// A caller connected to one daemon; `None` if the connection cannot be opened.
     pub(crate) async fn caller(&self, number: usize) -> Option<Caller> {
-        let address = self.with_process(number, |process| process.callers);
+        let address = self.with_process(number, |process| process.addresses.callers);
         let opened = Connection::open(address, Duration::from_millis(500)).await;
         opened.ok().map(|connection| Caller { connection })
     }
@@ -254,23 +196,3 @@
         }
     }
 }
-
-/// Settings file of one daemon. The replacements quote the seed addresses, as TOML requires.
-fn settings(
-    number: usize,
-    callers: SocketAddr,
-    control: SocketAddr,
-    seeds: &[SocketAddr],
-    store: SocketAddr,
-) -> String {
-    let (ready, dc) = (unused_address(), DCS[number]);
-    format!(
-        "node-name = \"daemon-{number}\"\nzone = \"{dc}\"\nseed-nodes = {seeds:?}\n\
-         [listen-addrs]\nfront = \"{callers}\"\nready = \"{ready}\"\ncontrol = \"{control}\"\n\
-         [bounds]\ndrain-ms = 2000\ngrace-s = 8\nretry-budget-ratio = 0.8\n\
-         [platform-config]\naddress = \"{store}\"\n"
-    )
-    .replace("seed-nodes = [127", "seed-nodes = [\"127")
-    .replace(", 127", "\", \"127")
-    .replace("]\n[listen", "\"]\n[listen")
-}
