wisteriawinch: keep the refused requests of `serve` in the table

Cause: the same as in `entry`: strikes were known to daemons only. The daemon whose strike makes a request refused now writes a row, and each daemon reads the rows once at its start, before it is ready, for half a second at most.

Old and new builds: old ones do not read the rows `suspects/HASH`.

--- a/crates/wisteriawinch/src/control.rs
+++ b/crates/wisteriawinch/src/control.rs
@@ -9,3 +9,4 @@
 pub mod peers;
 pub mod status;
 pub mod supervisor;
+pub mod suspects;
--- a/crates/wisteriawinch/src/daemon.rs
+++ b/crates/wisteriawinch/src/daemon.rs
@@ -5,7 +5,7 @@
 use tokio::{
     net::{TcpListener, UdpSocket},
     task::JoinSet,
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 use crate::{
@@ -16,6 +16,7 @@
         moves::MovesTask,
         peers::{Leave, LinkTask},
         supervisor::supervise,
+        suspects::SuspectsTask,
     },
     edge::Edge,
     emit,
@@ -25,6 +26,8 @@
 /// How long connections are still accepted after the daemon reports not ready, so that
 /// the load balancer notices first.
 const BALANCER_GRACE: Duration = Duration::from_secs(2);
+/// Longest time for which a daemon with a configuration waits for the refused requests.
+const SUSPECTS_WAIT: Duration = Duration::from_millis(500);
 /// Time between two checks whether the first configuration is in force.
 const READY_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -71,6 +74,7 @@
     tasks.spawn(supervise(fleet.clone(), link_task));
     tasks.spawn(supervise(fleet.clone(), MembersTask(fleet.clone())));
     tasks.spawn(supervise(fleet.clone(), MovesTask(fleet.clone())));
+    tasks.spawn(supervise(fleet.clone(), SuspectsTask(fleet.clone())));
     tasks.spawn(supervise(fleet.clone(), PollTask(fleet.clone())));
     tasks.spawn(supervise(fleet.clone(), TickTask(fleet.clone())));
     let (close, closed) = tokio::sync::oneshot::channel::<()>();
@@ -113,10 +117,14 @@
     exit
 }
 
-/// Marks the daemon ready once a configuration is in force.
+/// Marks the daemon ready once a configuration is in force and the refused requests are read, or if
+/// these cannot be read for some time.
 async fn become_ready(fleet: Arc<Fleet>) {
     while fleet.snapshot.load().revision() == 0 {
         sleep(READY_POLL_INTERVAL).await;
     }
+    let mut is_read = fleet.suspects_read.subscribe();
+    // A timeout is not an error: without the table the daemon serves all the same.
+    let _ = timeout(SUSPECTS_WAIT, is_read.wait_for(|is_read| *is_read)).await;
     fleet.ready.store(true, Ordering::Relaxed);
 }
--- a/crates/wisteriawinch/src/fleet.rs
+++ b/crates/wisteriawinch/src/fleet.rs
@@ -28,7 +28,7 @@
 use winch_route::{
     pool::Key,
     router::{self, Router},
-    suspect::{Crash, Fingerprint, Tracker},
+    suspect::{Crash, Disposition, Fingerprint, Tracker},
     urgency,
 };
 use xtra::Address;
@@ -106,6 +106,10 @@
     routing: Mutex<Routing>,
     baselines: Mutex<HashMap<Name, Baseline>>,
     suspects: Mutex<Tracker>,
+    /// Requests that this daemon's strikes have made refused, and that have no row yet.
+    refused: Mutex<Vec<Fingerprint>>,
+    /// Whether the refused requests in the table have been read.
+    pub suspects_read: watch::Sender<bool>,
     /// Crashes that this daemon published last, oldest first, so that each is counted once.
     published_crashes: Mutex<VecDeque<Crash>>,
     inflight: Mutex<Inflight>,
@@ -152,6 +156,8 @@
             routing: Mutex::new(Routing::new(router)),
             baselines: Mutex::default(),
             suspects: Mutex::new(Tracker::new(winch_route::suspect::Options::default())),
+            refused: Mutex::default(),
+            suspects_read: watch::Sender::new(false),
             published_crashes: Mutex::default(),
             inflight: Mutex::default(),
             started_at: Instant::now(),
@@ -304,10 +310,25 @@
         self.rollouts().record_success(version, first_token, gap);
     }
 
+    /// Takes the requests that this daemon's strikes have made refused since the last call.
+    pub fn take_refused(&self) -> Vec<Fingerprint> {
+        std::mem::take(
+            &mut *self.refused.lock().expect("no thread panics while it holds this lock"),
+        )
+    }
+
+    /// Adds requests that [`Self::take_refused()`] returns.
+    pub fn add_refused(&self, requests: impl IntoIterator<Item = Fingerprint>) {
+        self.refused.lock().expect("no thread panics while it holds this lock").extend(requests);
+    }
+
     /// Publishes a strike found by this daemon; true if this daemon published none for this crash
     /// before.
     pub fn publish_strike(&self, fingerprint: Fingerprint, crash: Crash) -> bool {
         self.publish(facts::strike(fingerprint, crash));
+        if self.suspects().disposition(fingerprint, self.now()) == Disposition::Refused {
+            self.add_refused([fingerprint]);
+        }
         let mut published =
             self.published_crashes.lock().expect("no thread panics while it holds this lock");
         let is_first = !published.contains(&crash);
