--- a/crates/winch-bench/src/config.rs
+++ b/crates/winch-bench/src/config.rs
@@ -13,7 +13,7 @@
 
 use crate::{fleet::resident_kib, table::Table};
 
-/// Numbers of upstreams and teams for which the configuration is measured.
+/// Numbers of upstreams and teams of the configurations in the table.
 pub const SIZES: [(usize, usize); 4] = [(39, 10), (500, 250), (2_000, 1_000), (6_800, 3_200)];
 
 /// Measures all sizes and returns one row for each.
--- a/crates/winch-bench/src/fleet.rs
+++ b/crates/winch-bench/src/fleet.rs
@@ -28,7 +28,7 @@
 
 /// Resolution of the spread times.
 const STEP: Duration = Duration::from_millis(50);
-/// Simulated time over which traffic and CPU time are measured without changes.
+/// Simulated time without changes, over which traffic and CPU time are summed.
 const IDLE_PERIOD: Duration = Duration::from_secs(30);
 /// Simulated time after which a change that has not reached all daemons is given up.
 const SPREAD_TIMEOUT: Duration = Duration::from_secs(30);
--- a/crates/winch-bench/src/lib.rs
+++ b/crates/winch-bench/src/lib.rs
@@ -2,7 +2,7 @@
 //! and networks.
 //!
 //! Each experiment prints a table, which the command line also saves as CSV. Runs with
-//! the same seed give the same table, except for measured times and memory.
+//! the same seed give the same table, except for CPU times and memory.
 
 pub mod config;
 pub mod fleet;
--- a/crates/winch-bench/src/replay.rs
+++ b/crates/winch-bench/src/replay.rs
@@ -1,17 +1,11 @@
 //! Replays patterns of load and faults against the relay's choice of replicas.
 //!
-//! Streams arrive at daemons, which choose a replica for each by the policy under
-//! test. The relay's policy reads load reports of the age that the pattern sets. When a
-//! replica is lost, its streams resume from the copies of their KV caches, or are
-//! prefilled again if there is no copy. Replicas may be lost or slow and daemons may
-//! restart; the network has no faults.
+//! Streams of several kinds arrive at daemons, which choose a replica for each by the policy under
+//! test. Replicas may be lost or slow and daemons may restart; the network has no faults. A stream
+//! whose replica is lost resumes from the copy of its KV cache, or from its prompt.
 //!
-//! Streams may be of several kinds, which differ in priority, target latency and value. Engines
-//! of unequal speed may allocate KV cache on demand and preempt runs when it is used up.
-//!
-//! The result is the share of streams that completed, on time or late, were refused or failed,
-//! of each kind and of all, with their value and mean duration, the number of preempted runs and
-//! the tokens that were prefilled in vain or again.
+//! The result gives, for each kind and for all, the shares of streams by their end, their value and
+//! duration, the preempted runs and the wasted tokens.
 
 pub mod choose;
 pub mod engine;
--- a/crates/winch-bench/src/resume.rs
+++ b/crates/winch-bench/src/resume.rs
@@ -5,18 +5,21 @@
 //! have run for 20 s. A row gives the gaps that callers see when their streams move off a
 //! faulty engine, and counts recomputed tokens, hedges and false alarms.
 
+mod faults;
+mod recovery;
+
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use winch_generation::{
     answer::{Accept, Answer, Attempt},
-    stall::{Action, Baseline, Detector, Mode, Options},
+    stall::{Baseline, Detector, Mode, Options},
 };
 use winch_route::pace::Pacer;
 
 use crate::{
-    model::{self, Call, Engine, Health, Output},
+    model::{self, Call, Engine, Output},
     table::{self, Table},
 };
 
@@ -280,46 +283,6 @@
         self
     }
 
-    /// Submits a short call, whose prefill slows decoding, to a random engine.
-    fn submit_short_call(&mut self) {
-        let engine = self.rng.random_range(0..self.engines.len());
-        // Above the ids of all attempts, so that the output of the call is ignored.
-        let id = usize::MAX - self.rng.random_range(0..1_000_000);
-        self.engines[engine].submit(Call {
-            id,
-            prefix: self.rng.random(),
-            prefix_tokens: 1_500.0,
-            suffix_tokens: 300.0,
-            output_tokens: 20.0,
-            priority: 3,
-        });
-    }
-
-    fn inject(&mut self, fault: Fault) {
-        match fault {
-            Fault::None => {}
-            Fault::Death => {
-                let interrupted = self.engines[0].crash();
-                self.is_faulty[0] = true;
-                let attempts = self.stream_of_call.len();
-                for id in interrupted.into_iter().filter(|id| *id < attempts) {
-                    self.drop_attempt(self.stream_of_call[id], id);
-                }
-            }
-            Fault::Freeze => self.freeze(0),
-            Fault::Crawl => {
-                self.engines[0].health = Health::Slow(20.0);
-                self.is_faulty[0] = true;
-            }
-            Fault::Rack => (0..self.engines.len() / 4).for_each(|engine| self.freeze(engine)),
-        }
-    }
-
-    fn freeze(&mut self, engine: usize) {
-        self.engines[engine].health = Health::Frozen;
-        self.is_faulty[engine] = true;
-    }
-
     /// Ends a live attempt of a stream; [`Self::recover`] starts another one if none is left.
     fn drop_attempt(&mut self, stream: usize, id: usize) {
         let state = &mut self.streams[stream];
@@ -397,91 +360,4 @@
         }
         state.last_token_at = now;
     }
-
-    /// Records a load report of a working engine on its attempts without a token or report for
-    /// [`REPORT_INTERVAL_S`].
-    fn report_load(&mut self, engine: usize) {
-        if !matches!(self.engines[engine].health, Health::Healthy | Health::Slow(_)) {
-            return;
-        }
-        let (now, time) = (self.now, self.time());
-        for live in self.streams.iter_mut().flat_map(|stream| &mut stream.attempts) {
-            if live.engine == engine && now - live.last_activity_at >= REPORT_INTERVAL_S {
-                live.last_activity_at = now;
-                self.suspected_until[engine] = 0.0;
-                live.detector.record_activity(time);
-            }
-        }
-    }
-
-    /// Hedges or drops the attempts of a stream that may have stalled, and counts false alarms.
-    fn check_stalls(&mut self, stream: usize) {
-        let (time, baseline, options) = (self.time(), self.baseline, self.options);
-        let actions: Vec<(usize, usize, Action)> = self.streams[stream]
-            .attempts
-            .iter_mut()
-            .map(|live| (live.id, live.engine, live.detector.check(time, &baseline, &options)))
-            .collect();
-        for (id, engine, action) in actions {
-            match action {
-                Action::Wait(_) => continue,
-                Action::Hedge | Action::Replace => {
-                    self.suspected_until[engine] = self.now + SUSPICION_S
-                }
-            }
-            match action {
-                Action::Wait(_) => continue,
-                Action::Hedge if self.streams[stream].attempts.len() == 1 => {
-                    self.hedges += 1;
-                    let state = &mut self.streams[stream];
-                    state.is_interrupted = true;
-                    state.tried.push(engine);
-                    let target = self.choose(stream);
-                    self.submit(stream, target, true);
-                }
-                Action::Hedge => continue,
-                Action::Replace => self.drop_attempt(stream, id),
-            }
-            self.false_alarms += usize::from(!self.is_faulty[engine]);
-        }
-    }
-
-    /// Chooses the less loaded of two random engines that are neither dead nor suspected, and
-    /// which the stream has not tried. If there are none, any engine is drawn.
-    fn choose(&mut self, stream: usize) -> usize {
-        let tried = &self.streams[stream].tried;
-        let is_dead = |engine: usize| self.engines[engine].health == Health::Dead;
-        let is_suspected = |engine: usize| self.now < self.suspected_until[engine];
-        let usable = (0..self.engines.len())
-            .filter(|n| !tried.contains(n) && !is_dead(*n) && !is_suspected(*n));
-        let candidates: Vec<usize> = usable.collect();
-        let candidates =
-            if candidates.is_empty() { (0..self.engines.len()).collect() } else { candidates };
-        let pick = |rng: &mut SmallRng| candidates[rng.random_range(0..candidates.len())];
-        let (a, b) = (pick(&mut self.rng), pick(&mut self.rng));
-        if self.engines[a].load() <= self.engines[b].load() { a } else { b }
-    }
-
-    /// Starts a new attempt for a stream that has none, once the pacer admits it.
-    fn recover(&mut self, stream: usize) {
-        if !self.streams[stream].attempts.is_empty() {
-            return;
-        }
-        let tokens = self.streams[stream].answer.len();
-        let waiter = match self.streams[stream].waiter {
-            Some(waiter) => waiter,
-            None => self.pacer.enqueue(tokens),
-        };
-        let usable = self.is_faulty.iter().filter(|is_faulty| !**is_faulty).count();
-        if !self.pacer.try_start(waiter, usable) {
-            self.streams[stream].waiter = Some(waiter);
-            return;
-        }
-        self.streams[stream].waiter = None;
-        let target = self.choose(stream);
-        self.submit(stream, target, false);
-        if let Some(live) = self.streams[stream].attempts.last_mut() {
-            live.is_paced = true;
-        }
-    }
 }
--- a/crates/winch-gossip/tests/fact_spread.rs
+++ b/crates/winch-gossip/tests/fact_spread.rs
@@ -1,24 +1,12 @@
 //! Facts reach all nodes despite loss and partitions, and versions never decrease.
 
+mod common;
+
 use std::time::Duration;
 
+use common::{network, secs};
 use proptest::prelude::*;
-use winch_gossip::{
-    facts::{Fact, Facts},
-    node::Options,
-    simulation::{Conditions, Network},
-};
-
-fn secs(secs: u64) -> Duration {
-    Duration::from_secs(secs)
-}
-
-fn network(size: usize, loss: f64, seed: u64) -> Network {
-    let conditions = Conditions { loss, ..Conditions::default() };
-    let mut network = Network::new(size, Options::default(), conditions, seed);
-    network.run(secs(3));
-    network
-}
+use winch_gossip::facts::{Fact, Facts};
 
 /// Time within which a configuration change must be in force at all nodes.
 const PROPAGATION_LIMIT: Duration = Duration::from_secs(7);
--- a/crates/winch-gossip/tests/peer_failure.rs
+++ b/crates/winch-gossip/tests/peer_failure.rs
@@ -1,23 +1,9 @@
 //! Detection of nodes that stop, pause, restart or are partitioned.
 
-use std::time::Duration;
+mod common;
 
-use winch_gossip::{
-    member::State,
-    node::Options,
-    simulation::{Conditions, Network},
-};
-
-fn secs(secs: u64) -> Duration {
-    Duration::from_secs(secs)
-}
-
-fn network(size: usize, loss: f64, seed: u64) -> Network {
-    let conditions = Conditions { loss, ..Conditions::default() };
-    let mut network = Network::new(size, Options::default(), conditions, seed);
-    network.run(secs(3));
-    network
-}
+use common::{network, secs};
+use winch_gossip::{member::State, simulation::Network};
 
 /// State of node `of` as node `at` sees it.
 fn state(network: &Network, at: usize, of: usize) -> Option<State> {
--- a/crates/winch-relay/src/catalog/latencies.rs
+++ b/crates/winch-relay/src/catalog/latencies.rs
@@ -21,7 +21,7 @@
 pub(super) struct Latencies(HashMap<SocketAddr, Latency>);
 
 impl Latencies {
-    /// Remembers the latency of a replica that was removed, if it was measured.
+    /// Remembers the latency of a replica that was removed, if it is known.
     pub(super) fn insert(&mut self, entry: &Entry) {
         let Some(ms) = entry.latency_ms else { return };
         let service = entry.replica.service.clone();
--- a/crates/winch-relay/src/controller.rs
+++ b/crates/winch-relay/src/controller.rs
@@ -6,6 +6,7 @@
 //! may end a move whose new version shows a fault. The record changes by compare-and-set, so
 //! that it gets a single verdict.
 
+mod record;
 mod rows;
 
 use std::collections::HashMap;
@@ -18,16 +19,13 @@
 };
 use winch_platform::{
     lease::{self, Lease},
-    table::{Commit, Error, Row, Table, Transaction},
+    table::{Error, Row, Table, Transaction},
 };
 
 use winch_roster::position::Position;
 
-use self::rows::{
-    CountsRow, RecordRow, counts_key, counts_prefix, decode, encode, prefix, record_key,
-};
+use self::rows::{CountsRow, RecordRow, counts_key, decode, encode, prefix, record_key};
 use crate::{
-    counter,
     moves::{Counts, Progress, Spec},
     node::Node,
     prelude::*,
@@ -220,42 +218,6 @@
         self.write_record(&spec, &stored.record, next, &rows).await
     }
 
-    /// The verdict of the move if the store may have lost it.
-    fn lost_verdict(&self, spec: &Spec) -> Option<Verdict> {
-        let rollouts = self.node.rollouts();
-        let rollout = rollouts.get(&spec.service).filter(|rollout| rollout.is_unrecorded())?;
-        rollout.progress().verdict
-    }
-
-    /// Writes a verdict that the store has lost, unless another daemon has done so.
-    async fn record_again(
-        &mut self,
-        spec: &Spec,
-        stored: &Record,
-        verdict: Verdict,
-        rows: &[Row],
-    ) -> Result<(), Error> {
-        if stored.verdict.is_none() {
-            let reason = LOST_RECORD_REASON.to_owned();
-            let next = Record { verdict: Some(verdict), reason, ..stored.clone() };
-            // The next tick reads what was written.
-            return self.write_record(spec, stored, next, rows).await;
-        }
-        self.node.rollouts().mark_recorded(spec);
-        Ok(())
-    }
-
-    /// Applies the record of a move to the progress that this daemon keeps.
-    fn apply_record(&self, spec: &Spec, record: &Record) {
-        self.node.apply_progress(Progress {
-            spec: spec.clone(),
-            stage: record.stage,
-            confirmed_at: Some(Instant::now()),
-            fault: record.verdict == Some(Verdict::TakenBack),
-            verdict: record.verdict,
-        });
-    }
-
     /// The sum of the counts in the current stage that other daemons have written recently.
     fn counts_of_others(&mut self, spec: &Spec, record: &Record, rows: &[Row]) -> Counts {
         let own_key = counts_key(&spec.service, &self.node.settings.name);
@@ -364,53 +326,4 @@
         }
         Some((decision, newly_late))
     }
-
-    /// Writes the record and the operator's status in one transaction, unless another
-    /// daemon has changed the record in the meantime.
-    async fn write_record(
-        &mut self,
-        spec: &Spec,
-        current: &Record,
-        next: Record,
-        rows: &[Row],
-    ) -> Result<(), Error> {
-        let Some(next) = current.updated_with(&next) else { return Ok(()) };
-        let row = RecordRow {
-            era: spec.revision.era,
-            revision: spec.revision.version,
-            age_s: self.active_move(spec).age(),
-            record: next.clone(),
-        };
-        let state = next.verdict.map_or(State::Running, State::from);
-        let status = self.node.protocol.encode_move_status(&spec.service, &spec.to, state);
-        let key = record_key(&spec.service);
-        let version = rows.iter().find(|row| *row.key == *key).map(|row| row.version);
-        let txn = Transaction::default().expect(&*key, version).put(&*key, encode(&row));
-        let mut txn = txn.put(status.key, status.value);
-        if next.verdict.is_some() {
-            // The counts are no longer needed. Rows of daemons that have stopped are deleted
-            // too, as nobody else deletes them.
-            let prefix = counts_prefix(&spec.service);
-            let counts_rows = rows.iter().filter(|row| row.key.starts_with(&prefix));
-            txn = counts_rows.take(MAX_DELETES).fold(txn, |txn, row| txn.delete(row.key.clone()));
-        }
-        // After a conflict or a lost answer, the next tick reads what was written.
-        if self.table.commit(txn).await? != Commit::Committed {
-            return Ok(());
-        }
-        match next.verdict {
-            None => emit!(Event::MoveAdvanced, name = spec.service, stage = next.stage),
-            Some(verdict) => {
-                counter::move_ended(State::from(verdict));
-                emit!(
-                    Event::MoveVerdict,
-                    name = spec.service,
-                    verdict = format!("{verdict:?}"),
-                    reason = next.reason
-                );
-            }
-        }
-        self.apply_record(spec, &next);
-        Ok(())
-    }
 }
--- a/crates/winch-relay/src/peer/message.rs
+++ b/crates/winch-relay/src/peer/message.rs
@@ -293,7 +293,7 @@
     }
 }
 
-/// What a follower has counted and measured.
+/// The counts and samples of a follower.
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct Report {
     /// Name of the follower.
--- a/crates/winch-relay/src/placement.rs
+++ b/crates/winch-relay/src/placement.rs
@@ -3,7 +3,7 @@
 //! A stream goes to the replica with the least [cost](forecast) among a few drawn candidates that
 //! have reported their load; further ones are drawn if the best of them is loaded. A
 //! [unary](crate::unary) request goes to the replica with the least expected latency, which this
-//! daemon's earlier requests have measured; no load report is requested for it. The functions take
+//! daemon's earlier requests have shown; no load report is requested for it. The functions take
 //! the [`Catalog`] and received [`Report`]s, and send nothing themselves.
 
 use rand::{Rng, seq::IteratorRandom};
--- a/crates/winch-relay/src/speed.rs
+++ b/crates/winch-relay/src/speed.rs
@@ -5,13 +5,16 @@
 //! their service, and tells the others; see `docs/design/speed.md`. An estimate belongs to an
 //! address, because a restarted replica has a new id at the same address.
 
+mod recorder;
+
 use std::{
     collections::{BTreeMap, HashMap, VecDeque},
     net::SocketAddr,
 };
 
-use winch_route::speed::{Estimator, Level, Meter};
+use winch_route::speed::{Estimator, Level};
 
+pub use self::recorder::Recorder;
 use crate::{catalog::Catalog, counter, prelude::*};
 
 /// Samples a second of all daemons together that are reported; the daemon that reads the store
@@ -389,45 +392,3 @@
         estimator.restore(entry.replica.address, speeds.typical, false, now);
     }
 }
-
-impl<P: Protocol> Node<P> {
-    /// Estimates the speeds of replicas if this daemon reads the store, and applies changed speeds
-    /// to the catalog.
-    pub fn update_speeds(&self) {
-        let mut speeds = self.speeds();
-        if self.reads_store() {
-            speeds.estimate(&self.catalog(), self.uptime());
-        } else {
-            speeds.stop_estimating();
-        }
-        if let Some(slowness) = speeds.take_changes() {
-            self.catalog().set_slowness(slowness);
-        }
-    }
-}
-
-/// Takes samples of one stream at one replica.
-pub struct Recorder<'a, P: Protocol> {
-    node: &'a Node<P>,
-    address: SocketAddr,
-    meter: Meter,
-}
-
-impl<'a, P: Protocol> Recorder<'a, P> {
-    /// Begins a stream at `replica`.
-    pub fn new(node: &'a Node<P>, replica: &Replica) -> Self {
-        Self { node, address: replica.address, meter: Meter::default() }
-    }
-
-    /// Records that `count` events were received together.
-    pub fn record(&mut self, count: usize) {
-        let sample = self.meter.record(count, self.node.uptime());
-        self.add(sample);
-    }
-
-    fn add(&self, sample: Option<Level>) {
-        if let Some(level) = sample {
-            self.node.speeds().record(Sample { address: self.address, level });
-        }
-    }
-}
--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -82,7 +82,7 @@
     first_event: Duration,
     /// The same without the queued requests that are less urgent.
     urgent_first_event: Duration,
-    /// Whether the times come from a measured prefill time, not from the assumed one.
+    /// Whether the times come from samples of the prefill time, not from the default.
     is_measured: bool,
     /// Whether the stream can start without queueing behind other prompts.
     is_open: bool,
--- a/crates/winch-route/src/lib.rs
+++ b/crates/winch-route/src/lib.rs
@@ -1,11 +1,9 @@
 //! Routing decisions: which upstream runs a call, when the call starts, and
 //! whether it may be retried.
 //!
-//! [`router::Router`] holds the routing state of one daemon. A daemon combines it with
-//! [`urgency`], which sets the longest wait of a call, and [`suspect`], which restricts
-//! requests that may have crashed engines, and [`quarantine`], which finds the parts of prompts
-//! on which engines crash. [`speed`] estimates how fast the replicas of a service are. [`backlog`],
-//! [`overload`] and [`shed`] decide what waits or is refused while a service is overloaded.
+//! [`router::Router`] holds the routing state of one daemon. [`suspect`] and [`quarantine`] find
+//! requests and parts of prompts that crash engines; [`backlog`], [`overload`] and [`shed`] decide
+//! what waits or is refused while a service is overloaded.
 //!
 //! All types are plain state machines without I/O. Times are [`Duration`]s since
 //! an origin that the user of the crate chooses, and random numbers are passed in.
--- a/crates/winch-standin/src/engine.rs
+++ b/crates/winch-standin/src/engine.rs
@@ -1,12 +1,14 @@
 //! A simulated model engine: continuous batching, a cache of prompts, token streams
 //! and faults that tests inject over HTTP or directly.
 //!
-//! Each token is derived from the prompt and the tokens before it by [`verify::token`], so
+//! Each token is derived from the prompt and the tokens before it by [`verify::token`](crate::verify::token), so
 //! that a reader can verify the answer.
 
+mod decode;
+mod stream;
+
 use std::{
     collections::{HashMap, VecDeque},
-    convert::Infallible,
     sync::{
         Arc, Mutex,
         atomic::{AtomicU64, AtomicUsize, Ordering},
@@ -14,12 +16,8 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use tokio::{
-    sync::{Semaphore, mpsc, watch},
-    time::{Instant, sleep},
-};
+use tokio::sync::{Semaphore, watch};
 use warp::{
     Filter, Reply,
     http::StatusCode,
@@ -27,8 +25,6 @@
 };
 use winch_generation::digest::Digest;
 
-use crate::verify;
-
 /// Behaviour of an engine without faults.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -305,176 +301,6 @@
         tokio::spawn(self.clone().run(request.clone(), generation.clone()));
         Some(generation)
     }
-
-    /// Waits for a slot, generates the answer, and forgets the generation unless it was replaced.
-    async fn run(self, request: Request, generation: Arc<Generation>) {
-        self.0.waiting.fetch_add(1, Ordering::Relaxed);
-        let permit = self.0.slots.acquire().await;
-        self.0.waiting.fetch_sub(1, Ordering::Relaxed);
-        self.0.running.fetch_add(1, Ordering::Relaxed);
-        self.decode(&request, &generation).await;
-        self.0.running.fetch_sub(1, Ordering::Relaxed);
-        drop(permit);
-        let mut generations = self.0.generations.lock().unwrap();
-        let current = generations.get(&request.request);
-        if current.is_some_and(|current| Arc::ptr_eq(current, &generation)) {
-            generations.remove(&request.request);
-        }
-    }
-
-    /// Prefills a request and generates tokens until the answer is complete or no longer wanted.
-    async fn decode(&self, request: &Request, generation: &Arc<Generation>) {
-        self.prefill(request).await;
-        let mut digest = Digest::of(request.prompt.as_bytes());
-        for token in &request.accepted {
-            digest = digest.push(token);
-        }
-        let mut unread_since = None;
-        for offset in request.accepted.len()..request.max_tokens {
-            sleep(self.gap()).await;
-            if self.0.fault.borrow().freeze {
-                self.wait_unfrozen().await;
-            }
-            if !self.should_continue(&request.request, generation, &mut unread_since) {
-                return;
-            }
-            let token = verify::token(digest, &request.version, self.0.options.salt);
-            digest = digest.push(&token);
-            generation.tokens.lock().unwrap().push(token);
-            generation.progress.send_replace(offset + 1);
-            self.0.generated_tokens.fetch_add(1, Ordering::Relaxed);
-        }
-        // A reader that lost its connection may reattach to read the end.
-        if generation.progress.receiver_count() == 0 {
-            sleep(self.0.options.linger).await;
-        }
-    }
-
-    /// Whether a generation was neither cancelled nor replaced, and has a reader or lost its last
-    /// one less than [`Options::linger`] ago.
-    ///
-    /// `unread_since` keeps the time from which on there was no reader.
-    fn should_continue(
-        &self,
-        request: &str,
-        generation: &Arc<Generation>,
-        unread_since: &mut Option<Instant>,
-    ) -> bool {
-        let generations = self.0.generations.lock().unwrap();
-        if generations.get(request).is_none_or(|current| !Arc::ptr_eq(current, generation)) {
-            return false;
-        }
-        if generation.progress.receiver_count() > 0 {
-            *unread_since = None;
-            return true;
-        }
-        unread_since.get_or_insert_with(Instant::now).elapsed() < self.0.options.linger
-    }
-
-    /// Time to the next token, which grows with the batch.
-    fn gap(&self) -> Duration {
-        let inner = &self.0;
-        let running = inner.running.load(Ordering::Relaxed) as f64;
-        let batch = 1.0 + 0.5 * running / inner.options.slots as f64;
-        let slow = inner.fault.borrow().slow.max(1.0);
-        inner.options.gap.mul_f64(batch * slow)
-    }
-
-    async fn prefill(&self, request: &Request) {
-        let cached = self.touch_cache(Digest::of(request.prompt.as_bytes()));
-        // Four bytes of a prompt count as one token.
-        let prompt_tokens = if cached { 0 } else { request.prompt.len() / 4 };
-        let tokens = prompt_tokens + request.accepted.len();
-        self.0.prefilled_tokens.fetch_add(tokens as u64, Ordering::Relaxed);
-        sleep(self.0.options.prefill * u32::try_from(tokens).unwrap_or(u32::MAX)).await;
-    }
-
-    /// Makes a prompt the most recently used one of the cache; returns whether it was cached.
-    fn touch_cache(&self, prompt: Digest) -> bool {
-        let mut cache = self.0.cache.lock().unwrap();
-        let cached = cache.contains(&prompt);
-        cache.retain(|other| *other != prompt);
-        cache.push_back(prompt);
-        if cache.len() > MAX_CACHED_PROMPTS {
-            cache.pop_front();
-        }
-        cached
-    }
-
-    /// Responds with the tokens of a generation from `offset` on.
-    fn stream(&self, generation: Arc<Generation>, offset: usize) -> Response {
-        let (sender, mut receiver) = mpsc::channel::<Result<Bytes, Infallible>>(64);
-        tokio::spawn(self.clone().send_lines(generation, offset, sender));
-        let lines = futures_util::stream::poll_fn(move |cx| receiver.poll_recv(cx));
-        reply::stream(lines).into_response()
-    }
-
-    /// Sends the lines of new tokens, load reports while there are none, and the end marker.
-    async fn send_lines(
-        self,
-        generation: Arc<Generation>,
-        mut offset: usize,
-        sender: mpsc::Sender<Result<Bytes, Infallible>>,
-    ) {
-        let mut progress = generation.progress.subscribe();
-        loop {
-            let changed = tokio::time::timeout(
-                LOAD_REPORT_INTERVAL,
-                progress.wait_for(|len| *len > offset || offset >= generation.max_tokens),
-            );
-            let line = tokio::select! {
-                _ = sender.closed() => return,
-                changed = changed => match changed {
-                    Ok(Err(_)) => return,
-                    Ok(Ok(_)) => self.token_lines(&generation, &mut offset),
-                    Err(_) => Some(self.load_line()),
-                },
-            };
-            if self.0.fault.borrow().freeze {
-                self.wait_unfrozen().await;
-            }
-            let Some(line) = line else {
-                return;
-            };
-            if sender.send(Ok(line.into())).await.is_err() || self.should_close() {
-                return;
-            }
-            if offset >= generation.max_tokens {
-                let end = format!("{{\"end\":{}}}\n", generation.max_tokens);
-                let _ = sender.send(Ok(end.into())).await;
-                return;
-            }
-        }
-    }
-
-    /// Returns the lines of all tokens from `offset` on, and sets `offset` to their end.
-    ///
-    /// `None` if `offset` is larger than the number of tokens.
-    fn token_lines(&self, generation: &Generation, offset: &mut usize) -> Option<String> {
-        let tokens = generation.tokens.lock().unwrap();
-        let load = self.0.running.load(Ordering::Relaxed) + self.0.waiting.load(Ordering::Relaxed);
-        let mut lines = String::new();
-        for token in tokens.get(*offset..)? {
-            lines += &format!("{{\"o\":{offset},\"t\":\"{token}\",\"l\":{load}}}\n");
-            *offset += 1;
-        }
-        Some(lines)
-    }
-
-    /// Returns a load report: the number of running and queued generations.
-    fn load_line(&self) -> String {
-        let load = self.0.running.load(Ordering::Relaxed) + self.0.waiting.load(Ordering::Relaxed);
-        format!("{{\"l\":{load}}}\n")
-    }
-
-    /// Counts a sent chunk; returns whether [`Fault::cut_every`] closes its stream.
-    fn should_close(&self) -> bool {
-        let Some(every) = self.0.fault.borrow().cut_every else {
-            return false;
-        };
-        let sent_chunks = self.0.sent_chunks.fetch_add(1, Ordering::Relaxed) + 1;
-        sent_chunks.is_multiple_of(every.max(1))
-    }
 }
 
 /// Returns an error response which says that the request was not run.
--- a/crates/wisteriawinch/src/control/moves.rs
+++ b/crates/wisteriawinch/src/control/moves.rs
@@ -6,19 +6,18 @@
 //! the verdict as facts. Any daemon that finds a fault in the new version
 //! publishes it without waiting for the holder.
 
+mod record;
+
 use std::collections::HashMap;
 
 use tokio::time::{Instant, MissedTickBehavior, interval};
 use winch_gossip::member::State;
 use winch_move::{
     evidence::{self, Finding},
-    machine::{Decision, Input, Machine, Window},
-    verdict::{Record, Verdict},
-};
-use winch_platform::{
-    lease::{self, Lease},
-    table::{Commit, Row, Table, Transaction},
+    machine::{Decision, Input},
+    verdict::Record,
 };
+use winch_platform::lease::{self, Lease};
 use winch_wire::message::{Evidence, Tally};
 
 use super::{
@@ -236,31 +235,6 @@
         }
     }
 
-    /// Continues from the record of the previous holder. If the record cannot be read, the next
-    /// renewal of the lease tries again.
-    async fn take_over(&mut self, name: &Name) {
-        let Ok(row) = self.fleet.platform.read(&record_key(name)).await else {
-            self.state_mut(name).fencing_token = 0;
-            return;
-        };
-        let record = parse_record(row.as_ref());
-        let mut rollouts = self.fleet.rollouts();
-        let Some(rollout) = rollouts.get_mut(name) else {
-            return;
-        };
-        let window =
-            Window { start: rollout.spec.start as f64, deadline: rollout.spec.deadline as f64 };
-        let options = evidence::Options::default();
-        rollout.machine = Some(Machine::new(window, options, record.stage, unix_now_f64()));
-        rollout.observer.collector.reset();
-        rollout.reports.clear();
-        rollout.record = record.clone();
-        drop(rollouts);
-        if record.verdict.is_some() {
-            self.fleet.publish(rollout::verdict_fact(name, &record));
-        }
-    }
-
     /// Carries out the next decision of the move while this daemon acts as the holder.
     async fn act(&mut self, name: &Name) {
         let lease_held = {
@@ -303,52 +277,6 @@
         self.state_mut(name).fencing_token = 0;
     }
 
-    /// Ends the move with a verdict. A move that is taken back is first published as faulty, which
-    /// does not need the table.
-    async fn end(&mut self, name: &Name, stage: u32, verdict: Verdict, reason: &str) {
-        if verdict == Verdict::TakenBack {
-            self.fleet.publish(rollout::fault_fact(name));
-        }
-        let record = Record { stage, verdict: Some(verdict), reason: reason.to_owned(), fence: 0 };
-        if self.write_record(name, record).await {
-            emit!(
-                Event::MoveVerdict,
-                name = name,
-                verdict = format!("{verdict:?}"),
-                reason = reason
-            );
-        }
-    }
-
-    /// Writes the record `next` to the table if it may replace the stored one.
-    ///
-    /// Returns whether it is certain to have been written. A verdict that is
-    /// recorded, by this daemon or another, is published.
-    async fn write_record(&mut self, name: &Name, mut next: Record) -> bool {
-        next.fence = self.state_mut(name).fencing_token;
-        let key = record_key(name);
-        let Ok(row) = self.fleet.platform.read(&key).await else {
-            return false;
-        };
-        let current = parse_record(row.as_ref());
-        if current.verdict.is_some() {
-            self.fleet.publish(rollout::verdict_fact(name, &current));
-            return false;
-        }
-        let Some(next) = current.updated_with(&next) else {
-            return false;
-        };
-        let value = serde_json::to_string(&next).expect("a record serialises to JSON");
-        let txn =
-            Transaction::default().expect(&*key, row.map(|row| row.version)).put(&*key, value);
-        // If the response is lost, the next read of the row shows whether the record was written.
-        let written = matches!(self.fleet.platform.commit(txn).await, Ok(Commit::Committed));
-        if written && next.verdict.is_some() {
-            self.fleet.publish(rollout::verdict_fact(name, &next));
-        }
-        written
-    }
-
     /// Publishes the grant of a stage when the stage changes, and again every few calls so that it
     /// does not expire.
     fn grant(&mut self, name: &Name, stage: u32) {
@@ -396,11 +324,6 @@
     Some((decision, stage, is_newly_late))
 }
 
-/// The record in a row; the default if the row is absent or unreadable.
-fn parse_record(row: Option<&Row>) -> Record {
-    row.and_then(|row| serde_json::from_str(&row.value).ok()).unwrap_or_default()
-}
-
 /// Seconds since the Unix epoch, with their fraction; 0 if the clock is before it.
 fn unix_now_f64() -> f64 {
     std::time::SystemTime::now()
--- a/crates/wisteriawinch/src/fleet.rs
+++ b/crates/wisteriawinch/src/fleet.rs
@@ -2,6 +2,7 @@
 
 pub mod routing;
 mod setup;
+mod strikes;
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -28,7 +29,7 @@
 use winch_route::{
     pool::Key,
     router::{self, Router},
-    suspect::{Crash, Disposition, Fingerprint, Tracker},
+    suspect::{Crash, Fingerprint, Tracker},
     urgency,
 };
 use xtra::Address;
@@ -223,11 +224,6 @@
         self.routing.lock().expect("no thread panics while it holds this lock")
     }
 
-    /// Locks the tracker of strikes. The guard must not be held across an await.
-    pub fn suspects(&self) -> MutexGuard<'_, Tracker> {
-        self.suspects.lock().expect("no thread panics while it holds this lock")
-    }
-
     /// Locks the running answers. The guard must not be held across an await.
     pub fn inflight(&self) -> MutexGuard<'_, Inflight> {
         self.inflight.lock().expect("no thread panics while it holds this lock")
@@ -310,38 +306,6 @@
         self.rollouts().record_success(version, first_token, gap);
     }
 
-    /// Takes the requests that this daemon's strikes have made refused since the last call.
-    pub fn take_refused(&self) -> Vec<Fingerprint> {
-        std::mem::take(
-            &mut *self.refused.lock().expect("no thread panics while it holds this lock"),
-        )
-    }
-
-    /// Adds requests that [`Self::take_refused()`] returns.
-    pub fn add_refused(&self, requests: impl IntoIterator<Item = Fingerprint>) {
-        self.refused.lock().expect("no thread panics while it holds this lock").extend(requests);
-    }
-
-    /// Publishes a strike found by this daemon; true if this daemon published none for this crash
-    /// before.
-    pub fn publish_strike(&self, fingerprint: Fingerprint, crash: Crash) -> bool {
-        self.publish(facts::strike(fingerprint, crash));
-        if self.suspects().disposition(fingerprint, self.now()) == Disposition::Refused {
-            self.add_refused([fingerprint]);
-        }
-        let mut published =
-            self.published_crashes.lock().expect("no thread panics while it holds this lock");
-        let is_first = !published.contains(&crash);
-        if is_first {
-            const MAX_PUBLISHED_CRASHES: usize = 256;
-            published.push_back(crash);
-            if published.len() > MAX_PUBLISHED_CRASHES {
-                published.pop_front();
-            }
-        }
-        is_first
-    }
-
     /// Applies a fact on this daemon and sends it to peers.
     ///
     /// A fact that is published before the link has started is dropped.
--- a/crates/wisteriawinch/src/generate/drive.rs
+++ b/crates/wisteriawinch/src/generate/drive.rs
@@ -8,6 +8,7 @@
 //! reconnects with a cursor, a new driver continues it from there.
 
 mod attempt;
+mod close;
 mod observe;
 mod recover;
 
@@ -23,14 +24,15 @@
     cursor::Cursor,
     stall::{Action, Detector},
 };
-use winch_route::{admission::Arrival, candidate::Finish, hash, pool::Key, router::Call};
+use winch_route::{admission::Arrival, hash, pool::Key, router::Call};
 
+use self::close::{drop_reason, resume_unavailable};
 use super::{
     engine::{Batch, Engine, Error, Event as EngineEvent},
     job::{Job, Refusal},
     output::Output,
 };
-use crate::{counter, emit, prelude::*, rollout::Assignment};
+use crate::{counter, prelude::*, rollout::Assignment};
 
 /// An attempt that is running on a replica.
 struct ActiveAttempt<S> {
@@ -338,80 +340,4 @@
         };
         cursor.stem()
     }
-
-    fn complete(&mut self) -> End {
-        if self.job.stream {
-            self.output.push_end();
-        }
-        End::Complete
-    }
-
-    /// Releases the remaining attempts, records how the answer ended and sends the rest of the
-    /// output.
-    async fn close(&mut self, end: End) {
-        let (finish, outcome) = match &end {
-            End::Complete => (Finish::Completed, "complete"),
-            End::Failed(_) => (Finish::Cancelled, "failed"),
-            End::Disconnected => (Finish::Cancelled, "left"),
-        };
-        counter::answer(outcome);
-        self.release_pacer();
-        let is_long = self.job.max_tokens >= self.fleet.urgency.long_tokens;
-        let cancel = match end {
-            End::Complete => false,
-            // The caller of a long answer may resume it while the engine still holds it.
-            End::Disconnected => !is_long,
-            End::Failed(_) => true,
-        };
-        for active in std::mem::take(&mut self.active) {
-            self.release(active, finish, cancel);
-        }
-        match end {
-            End::Complete => {
-                self.fleet.suspects().record_completion(self.job.fingerprint);
-                if !self.success_recorded {
-                    self.record_success();
-                }
-                self.write_whole();
-            }
-            End::Failed(refusal) => self.fail(refusal),
-            End::Disconnected => return,
-        }
-        while self.output.is_pending() && self.output.flush().await {}
-    }
-
-    /// Writes the whole answer to the output, unless it was streamed.
-    fn write_whole(&mut self) {
-        if !self.job.stream {
-            self.output.push_whole(self.answer.text(), self.answer.len());
-        }
-    }
-
-    fn fail(&mut self, refusal: Refusal) {
-        counter::refused(refusal.0);
-        if self.answer.len() > self.replay_until {
-            emit!(
-                Event::GenerationFailed,
-                request = format!("{:016x}", self.job.request),
-                code = refusal.0.name(),
-                offset = self.answer.len()
-            );
-        }
-        self.output.fail(refusal);
-    }
-}
-
-fn resume_unavailable() -> Refusal {
-    let message = "the answer cannot be continued exactly; send the request anew".to_owned();
-    (Code::ResumeUnavailable, message)
-}
-
-/// Label value of the counter of dropped tokens.
-fn drop_reason(reason: Rejection) -> &'static str {
-    match reason {
-        Rejection::Stale => "stale",
-        Rejection::Duplicate => "duplicate",
-        Rejection::Gap => "gap",
-        Rejection::Ended => "ended",
-    }
 }
