winch-relay: say why a caller's connection was closed, and how long its caller would wait

New: event 1128 and winch_connections_closed_total by reason, and limit_ms in 1110 and 1111. No decision changes.

--- a/crates/winch-event/src/lib.rs
+++ b/crates/winch-event/src/lib.rs
@@ -140,6 +140,8 @@
     SpeedsAlike = 1126, Info, "speeds of the service's replicas no longer differ";
     /// A stream waits long for its first event; logged once for each attempt.
     FirstEventLate = 1127, Info, "first event of a stream is late";
+    /// A caller's connection was closed although its caller could not expect that.
+    ConnectionClosed = 1128, Info, "connection of a caller closed";
     /// An order was sent, but its response was lost or did not arrive in time; the order
     /// may have taken effect.
     OrderOutcomeUnknown = 1201, Error, "outcome of an order is unknown";
--- a/crates/winch-relay/src/counter.rs
+++ b/crates/winch-relay/src/counter.rs
@@ -16,6 +16,11 @@
     counter!("winch_refused_total", "code" => code.name()).increment(1);
 }
 
+/// Counts a caller's connection that was closed, by reason.
+pub fn closed(reason: &'static str) {
+    counter!("winch_connections_closed_total", "reason" => reason).increment(1);
+}
+
 /// Counts a request that was shed because its service is overloaded. The kind is `lookup` or
 /// `order`.
 pub fn shed(kind: &'static str) {
--- a/crates/winch-relay/src/edge.rs
+++ b/crates/winch-relay/src/edge.rs
@@ -4,6 +4,9 @@
 //! it is refused.
 
 mod admission;
+mod close;
+
+use std::io;
 
 use bytes::Bytes;
 use http::header;
@@ -18,7 +21,10 @@
     server::{Error, Reader},
 };
 
-use self::admission::Origin;
+use self::{
+    admission::Origin,
+    close::{Close, Usage},
+};
 use crate::{
     config::{Limits, Semantics},
     counter,
@@ -93,43 +99,72 @@
 {
     let mut reader = Reader::new(read);
     let mut out = Responder::new(write);
+    let mut usage = Usage::new();
+    let close = serve_requests(&node, &mut reader, &mut out, &mut usage).await;
+    close.record(&usage);
+    if matches!(close, Close::Caller | Close::Idle | Close::Stopping) {
+        // No reply is outstanding. A request that crosses the close stays unread, so that its
+        // caller knows that it has not run.
+        return;
+    }
+    out.shutdown().await;
+    if out.progress() == Progress::Done {
+        // Closing a socket with unread input resets the connection, and the caller could
+        // lose a reply that it has not read yet.
+        let _ = timeout(LINGER_TIMEOUT, reader.closed()).await;
+    }
+}
+
+/// Serves one request after another; returns why the connection is to be closed.
+async fn serve_requests<P, R, W>(
+    node: &Arc<Node<P>>,
+    reader: &mut Reader<R>,
+    out: &mut Responder<W>,
+    usage: &mut Usage,
+) -> Close
+where
+    P: Protocol,
+    R: AsyncRead + Unpin,
+    W: AsyncWrite + Unpin,
+{
     let origin = Origin::Caller;
     loop {
-        if !wait_for_request(&node, &mut reader).await {
-            // No reply is outstanding. A request that crosses the close stays unread, so that its
-            // caller knows that it has not run.
-            return;
+        if let Some(close) = wait_for_request(node, reader).await {
+            return close;
         }
-        let limits = current_limits(&node);
-        match read_request(&mut reader, &mut out, &limits).await {
+        let limits = current_limits(node);
+        match read_request(reader, out, &limits).await {
             Ok((request, body, received_at)) => {
+                usage.begin(node.protocol.decode_id(&request));
                 let request = Received { request, body, received_at, origin };
-                handle_request(&node, &mut reader, &mut out, request).await;
+                handle_request(node, reader, out, request).await;
+                usage.end();
             }
-            Err(Error::Broken { .. }) => break,
+            Err(Error::Broken { source }) if source.kind() == io::ErrorKind::TimedOut => {
+                return Close::SlowRequest;
+            }
+            Err(Error::Broken { .. }) => return Close::Incomplete,
             Err(Error::Unacceptable { source }) => {
-                reject_unacceptable(&mut reader, &mut out, source).await;
-                break;
+                reject_unacceptable(reader, out, source).await;
+                return Close::Unreadable;
             }
         }
         if !out.keeps_alive() {
-            break;
+            return match out.progress() {
+                Progress::Done if out.announced_close() => Close::Announced,
+                Progress::Done => Close::Unannounced,
+                Progress::Waiting | Progress::Streaming => Close::Unanswered,
+            };
         }
     }
-    out.shutdown().await;
-    if out.progress() == Progress::Done {
-        // Closing a socket with unread input resets the connection, and the caller could
-        // lose a reply that it has not read yet.
-        let _ = timeout(LINGER_TIMEOUT, reader.closed()).await;
-    }
 }
 
 fn current_limits<P: Protocol>(node: &Node<P>) -> Limits {
     node.config().map(|config| config.limits).unwrap_or_default()
 }
 
-/// Waits for the next request; `false` if the connection is to be closed.
-async fn wait_for_request<P, R>(node: &Node<P>, reader: &mut Reader<R>) -> bool
+/// Waits for the next request; returns why the connection is to be closed if none comes.
+async fn wait_for_request<P, R>(node: &Node<P>, reader: &mut Reader<R>) -> Option<Close>
 where
     P: Protocol,
     R: AsyncRead + Unpin,
@@ -140,9 +175,9 @@
     };
     tokio::select! {
         biased;
-        arrived = reader.wait() => matches!(arrived, Ok(true)),
-        () = stopping => false,
-        () = idle_for_too_long(node) => false,
+        arrived = reader.wait() => (!matches!(arrived, Ok(true))).then_some(Close::Caller),
+        () = stopping => Some(Close::Stopping),
+        () = idle_for_too_long(node) => Some(Close::Idle),
     }
 }
 
@@ -173,7 +208,7 @@
     R: AsyncRead + Unpin,
     W: AsyncWrite + Unpin,
 {
-    let timed_out = |_| Error::Broken { source: std::io::ErrorKind::TimedOut.into() };
+    let timed_out = |_| Error::Broken { source: io::ErrorKind::TimedOut.into() };
     out.begin();
     let head = timeout(limits.head_timeout, reader.head(limits.head_bytes));
     let request = head.await.map_err(timed_out)??;
@@ -335,6 +370,7 @@
         first_event_ms =
             trace.first_event.map_or("-".to_owned(), |time| time.as_millis().to_string()),
         longest_gap_ms = trace.longest_gap.as_millis(),
+        limit_ms = job.call.timeout.map_or("-".to_owned(), |time| time.as_millis().to_string()),
         taken_ms = job.call.received_at.elapsed().as_millis()
     );
 }
--- a/crates/winch-relay/src/protocol.rs
+++ b/crates/winch-relay/src/protocol.rs
@@ -146,6 +146,9 @@
     /// `to`.
     fn encode_move_status(&self, service: &str, to: &str, state: State) -> StatusRow;
 
+    /// Decodes the id that a caller gave its request.
+    fn decode_id(&self, request: &head::Request) -> Option<Name>;
+
     /// Whether `request` is the platform's readiness check.
     fn is_ready_request(&self, request: &head::Request) -> bool;
 }
--- a/crates/winch-relay/src/respond.rs
+++ b/crates/winch-relay/src/respond.rs
@@ -35,6 +35,8 @@
     writer: Writer<W>,
     progress: Progress,
     must_close: bool,
+    /// Whether the head of the current reply announces that the connection closes after it.
+    announced_close: bool,
     /// Method of the current request, by which its reply has a body or none.
     method: Method,
     /// Whether the stream that was started has a body.
@@ -50,6 +52,7 @@
             writer: Writer::new(io),
             progress: Progress::Waiting,
             must_close: false,
+            announced_close: false,
             method: Method::GET,
             has_body: true,
             states_code: false,
@@ -87,6 +90,11 @@
         !self.must_close && self.progress == Progress::Done
     }
 
+    /// Whether the head of the last reply announces that the connection closes after it.
+    pub fn announced_close(&self) -> bool {
+        self.announced_close
+    }
+
     /// Closes the connection after the current reply, which announces it unless its head is
     /// already written.
     pub fn close_after(&mut self) {
@@ -115,6 +123,7 @@
             headers.remove(header::CONTENT_LENGTH);
             headers.insert(framing.0, framing.1);
         }
+        self.announced_close = self.must_close;
         if self.must_close {
             headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
