winch-relay: answer before the caller stops waiting

Cause: the daemon counted the caller's time from the receipt of the head and ended the request when all of it had passed, so that its 504 left after the caller had. Besides, some waits knew no deadline: for the first configuration, for a connection, for the attribution of a crash; and the head of a stream without an event was sent as soon as the attempt ended, which made a close of what could have been an error reply.

Now a reply must begin before Call::reply_deadline: the caller's time less the time that a message takes through the daemon, as the platform states it (pass-ms), at most a tenth of the caller's time. The request's way here and the reply's way back are together one such way. The edge holds every request to it, whatever its relay waits for; a stream that has begun keeps its whole time. The time told to a plain service's replica and to another daemon ends then, too, so that the second daemon's error reply comes before the first one's time is over. The trace says who has the request and has not answered, so that 1110 of a caller that left names the replica, and the error code says whether the request may have run. The head of a stream is held back until its first event.

Ruled out: a fixed 50 ms (no relation to the platform's bound), and a measured round trip (not to be had without the system's own figures of a connection).

--- a/crates/winch-relay/src/call.rs
+++ b/crates/winch-relay/src/call.rs
@@ -7,6 +7,9 @@
 
 use crate::prelude::*;
 
+/// Largest share of a caller's time that is kept back for the way of the reply.
+const MAX_RESERVE_SHARE: f64 = 0.1;
+
 /// Size of a generation as its caller states it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Size {
@@ -32,6 +35,15 @@
     pub tokens: u64,
 }
 
+/// Time from the receipt of a request until its reply must begin, if its caller waits for `timeout`.
+///
+/// The caller's time began when it sent the request, and ends when the reply has arrived. How long
+/// the request was on its way cannot be seen here; both ways together take as long as a message on
+/// its way through the daemon, at most `passing_time`.
+pub fn reply_time(timeout: Duration, passing_time: Duration) -> Duration {
+    timeout.saturating_sub(passing_time.min(timeout.mul_f64(MAX_RESERVE_SHARE)))
+}
+
 /// Share of a prompt that need not be read again where `held` parts are cached, 0 to 1.
 ///
 /// A part counts only if all parts before it are cached, too.
@@ -89,6 +101,13 @@
         self.received_at + self.timeout.map_or(route_timeout, |limit| limit.min(route_timeout))
     }
 
+    /// When the reply must begin: at the end of the route's timeout, or early enough to reach the
+    /// caller before its deadline.
+    pub fn reply_deadline(&self, route_timeout: Duration, passing_time: Duration) -> Instant {
+        let limit = self.timeout.map(|timeout| reply_time(timeout, passing_time));
+        self.received_at + limit.map_or(route_timeout, |limit| limit.min(route_timeout))
+    }
+
     /// The id for log lines; `-` if the caller gave none.
     pub fn label(&self) -> &str {
         self.id.as_deref().unwrap_or("-")
--- a/crates/winch-relay/src/edge.rs
+++ b/crates/winch-relay/src/edge.rs
@@ -6,13 +6,13 @@
 mod admission;
 mod close;
 
-use std::io;
+use std::{future::pending, io};
 
 use bytes::Bytes;
 use http::header;
 use tokio::{
     io::{AsyncRead, AsyncWrite},
-    time::{sleep_until, timeout},
+    time::{sleep_until, timeout, timeout_at},
 };
 use winch_http::{
     Fault,
@@ -26,12 +26,13 @@
     close::{Close, Usage},
 };
 use crate::{
+    call::reply_time,
     config::{Limits, Semantics},
     counter,
     job::{Job, Outcome, Trace},
     node::Node,
     prelude::*,
-    respond::{Progress, Responder},
+    respond::{Begun, Progress, Responder},
     stream, unary,
 };
 
@@ -258,10 +259,11 @@
     }
     let Received { request, body, received_at, origin } = received;
     let call = node.protocol.decode_call(request, body, received_at);
-    node.wait_initialized().await;
+    let passing_time = node.tuning().passing_time;
+    wait_initialized(node, &call, passing_time).await;
     let _running = matches!(origin, Origin::Caller).then(|| node.running.enter_own());
     let job = match admission::admit(node, &call, origin) {
-        Ok(admitted) => admitted.into_job(call, origin),
+        Ok(admitted) => admitted.into_job(call, origin, passing_time),
         Err(code) => {
             admission::log_refusal(node, &call, code);
             counter::refused(code);
@@ -274,23 +276,66 @@
     if let Origin::Daemon { sends } = origin {
         trace.sends = sends;
     }
-    let outcome = tokio::select! {
+    let begun = out.begun();
+    let interrupt = tokio::select! {
         biased;
-        outcome = relay(node, &job, out, &mut trace) => Some(outcome),
-        () = reader.closed() => Some(Outcome::CallerGone),
-        () = node.end_requested() => None,
+        outcome = relay(node, &job, out, &mut trace) => Err(outcome),
+        () = reader.closed() => Ok(Interrupt::CallerGone),
+        () = is_overdue(&job, &begun) => Ok(Interrupt::Overdue),
+        () = node.end_requested() => Ok(Interrupt::DaemonEnds),
+    };
+    let outcome = match interrupt {
+        Ok(interrupt) => interrupt.outcome(out.progress(), &mut trace),
+        Err(outcome) => outcome,
     };
-    let outcome = outcome.unwrap_or_else(|| interrupted(out.progress(), &trace));
     finish(node, &job, out, outcome, &trace).await;
 }
 
-/// The outcome of a request that still runs when the daemon ends.
-fn interrupted(progress: Progress, trace: &Trace) -> Outcome {
-    if progress != Progress::Waiting {
-        return Outcome::Aborted(Code::Stopping);
+/// Waits until the daemon is initialized, at most until the reply to `call` must begin.
+async fn wait_initialized<P: Protocol>(node: &Node<P>, call: &Call, passing_time: Duration) {
+    let initialized = node.wait_initialized();
+    let Some(limit) = call.timeout else { return initialized.await };
+    // A timeout is not an error: the request is then refused for what the daemon lacks.
+    let _ = timeout_at(call.received_at + reply_time(limit, passing_time), initialized).await;
+}
+
+/// Completes when the reply to a request must begin and nothing of it has been sent.
+async fn is_overdue(job: &Job, begun: &Begun) {
+    sleep_until(job.reply_deadline).await;
+    if begun.get() {
+        pending().await
+    }
+}
+
+/// What ends a request before its relay does.
+#[derive(Clone, Copy, Debug)]
+enum Interrupt {
+    /// The caller has closed the connection.
+    CallerGone,
+    /// The reply must begin.
+    Overdue,
+    /// The daemon ends.
+    DaemonEnds,
+}
+
+impl Interrupt {
+    /// The outcome of the request, of whose reply so much has been sent.
+    fn outcome(self, progress: Progress, trace: &mut Trace) -> Outcome {
+        let (cause, not_run, may_have_run) = match self {
+            Self::CallerGone => {
+                trace.interrupt("caller gone");
+                return Outcome::CallerGone;
+            }
+            Self::Overdue => ("deadline exceeded", Code::Expired, Code::TimedOut),
+            Self::DaemonEnds => ("daemon ends", Code::Stopping, Code::Broken),
+        };
+        trace.interrupt(cause);
+        match progress {
+            Progress::Waiting if trace.may_have_run => Outcome::Error(may_have_run),
+            Progress::Waiting => Outcome::Error(not_run),
+            Progress::Streaming | Progress::Done => Outcome::Aborted(not_run),
+        }
     }
-    let may_have_run = trace.sends > 0 || trace.was_forwarded;
-    Outcome::Error(if may_have_run { Code::Broken } else { Code::Stopping })
 }
 
 async fn relay<P, W>(
--- a/crates/winch-relay/src/edge/admission.rs
+++ b/crates/winch-relay/src/edge/admission.rs
@@ -33,11 +33,24 @@
 }
 
 impl Admitted {
-    /// The job that carries the request out.
-    pub(super) fn into_job(self, call: Call, origin: Origin) -> Job {
+    /// The job that carries the request out; messages pass through this daemon within
+    /// `passing_time`.
+    pub(super) fn into_job(self, call: Call, origin: Origin, passing_time: Duration) -> Job {
         let Self { route, service, team, priority, cohort, shared_parts, is_trial } = self;
         let is_forwarded = matches!(origin, Origin::Daemon { .. });
-        Job { call, route, service, team, priority, shared_parts, is_trial, is_forwarded, cohort }
+        let reply_deadline = call.reply_deadline(route.timeout, passing_time);
+        Job {
+            call,
+            route,
+            service,
+            team,
+            priority,
+            shared_parts,
+            is_trial,
+            is_forwarded,
+            reply_deadline,
+            cohort,
+        }
     }
 }
 
--- a/crates/winch-relay/src/forward.rs
+++ b/crates/winch-relay/src/forward.rs
@@ -116,7 +116,7 @@
         return false;
     }
     // A deadline that passes meanwhile is found by whoever asks.
-    let _ = timeout_at(job.deadline(), node.wait_paths_clear(&job.service)).await;
+    let _ = timeout_at(job.reply_deadline, node.wait_paths_clear(&job.service)).await;
     job.needs_forwarding(node, trace)
 }
 
@@ -161,7 +161,7 @@
         counter::forwarded("unreachable");
         return Reached::NotTaken;
     };
-    let time_left = job.deadline().saturating_duration_since(Instant::now());
+    let time_left = job.reply_deadline.saturating_duration_since(Instant::now());
     let request = node.protocol.encode_forwarded(&job.call, time_left, after_event);
     let call_reply = CallReply { protocol: &node.protocol, id: job.call.id.as_ref() };
     let matcher = ForwardedReply(call_reply);
@@ -213,19 +213,20 @@
 pub async fn relay<P: Protocol>(node: &Node<P>, job: &Job, trace: &mut Trace) -> Option<Outcome> {
     trace.was_forwarded = true;
     let may_repeat = job.route.semantics.may_repeat();
-    let mut may_have_run = false;
     for daemon in candidates(node) {
-        let time_left = job.deadline().saturating_duration_since(Instant::now());
+        let time_left = job.reply_deadline.saturating_duration_since(Instant::now());
         let share = if may_repeat { MAX_ATTEMPT_SHARE } else { 1.0 };
         let deadline = Instant::now() + time_left.mul_f64(share);
+        trace.pending = Some(daemon.to_string());
         let asked = timeout_at(deadline, ask(node, job, trace.sends, daemon)).await;
+        trace.pending = None;
         trace.steps.push(format!("{daemon}:{}", if asked.is_ok() { "asked" } else { "timed out" }));
         match asked {
             Ok(Asked::Ended(outcome)) => return Some(outcome),
             Ok(Asked::NotTaken) => {}
             Ok(Asked::Broken) | Err(_) => {
                 trace.sends += 1;
-                may_have_run = true;
+                trace.may_have_run = true;
                 if !may_repeat || trace.sends >= job.route.max_attempts {
                     let code = if asked.is_err() { Code::TimedOut } else { Code::Broken };
                     return Some(Outcome::Error(code));
@@ -233,7 +234,7 @@
             }
         }
     }
-    may_have_run.then_some(Outcome::Error(Code::Broken))
+    trace.may_have_run.then_some(Outcome::Error(Code::Broken))
 }
 
 /// How asking one daemon ended.
--- a/crates/winch-relay/src/job.rs
+++ b/crates/winch-relay/src/job.rs
@@ -34,13 +34,15 @@
     pub is_trial: bool,
     /// Whether another daemon has passed the request on, so that it is not passed on again.
     pub is_forwarded: bool,
+    /// When the reply must begin, so that it reaches the caller before its deadline.
+    pub reply_deadline: Instant,
     /// Version of the service, old or new, for which the request was drawn while the service
     /// is moved.
     pub cohort: Cohort,
 }
 
 impl Job {
-    /// The earlier of the caller's deadline and the route's.
+    /// When the request ends: the earlier of the caller's deadline and the route's.
     pub fn deadline(&self) -> Instant {
         self.call.deadline(self.route.timeout)
     }
@@ -50,6 +52,11 @@
         strikes::fingerprint(&self.call, self.team.as_ref().map(|team| &team.name))
     }
 
+    /// Time left until the reply must begin; `None` if the caller set no deadline.
+    pub fn time_to_reply(&self, now: Instant) -> Option<Duration> {
+        self.call.timeout.map(|_| self.reply_deadline.saturating_duration_since(now))
+    }
+
     /// Time left until the caller's own deadline; `None` if the caller set none.
     pub fn time_left(&self, now: Instant) -> Option<Duration> {
         let deadline = self.call.received_at + self.call.timeout?;
@@ -92,6 +99,10 @@
     pub sends: u32,
     /// Result of each attempt, as `replica@dc:result`.
     pub steps: Vec<String>,
+    /// Who has the request and has not replied yet, as `replica@dc` or the address of a daemon.
+    pub pending: Option<String>,
+    /// Whether an attempt that has ended may have run the request.
+    pub may_have_run: bool,
     /// Whether other daemons were asked to take the request.
     pub was_forwarded: bool,
     /// Ids of the replicas that are not chosen again for the request, unless they hold the
@@ -104,8 +115,23 @@
 }
 
 impl Trace {
+    /// Records that the request is being sent to `replica`.
+    pub fn send(&mut self, replica: &Replica) {
+        self.sends += 1;
+        self.pending = Some(format!("{}@{}", replica.id, replica.dc));
+    }
+
+    /// Records that whoever has the request is not waited for any longer.
+    pub fn interrupt(&mut self, cause: &str) {
+        if let Some(pending) = self.pending.take() {
+            self.steps.push(format!("{pending}:{cause}"));
+            self.may_have_run = true;
+        }
+    }
+
     /// Records the result of an attempt at `replica`.
     pub fn record(&mut self, replica: &Replica, result: impl std::fmt::Display) {
+        self.pending = None;
         self.steps.push(format!("{}@{}:{result}", replica.id, replica.dc));
     }
 }
--- a/crates/winch-relay/src/respond.rs
+++ b/crates/winch-relay/src/respond.rs
@@ -3,7 +3,10 @@
 //! The responder sets the framing of each reply, and decides whether the connection stays
 //! open for another request.
 
-use std::io;
+use std::{
+    io,
+    sync::atomic::{AtomicBool, Ordering},
+};
 
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 use tokio::io::AsyncWrite;
@@ -21,19 +24,36 @@
 /// Progress of the reply to the current request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Progress {
-    /// The reply has not been started.
+    /// Nothing of the reply has been sent.
     Waiting,
-    /// A stream has been started and not ended.
+    /// A part of a stream has been sent.
     Streaming,
     /// The reply is complete.
     Done,
 }
 
+/// Tells others whether anything of a connection's current reply has been sent.
+#[derive(Clone, Debug, Default)]
+pub struct Begun(Arc<AtomicBool>);
+
+impl Begun {
+    /// Whether anything of the reply has been sent.
+    pub fn get(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn set(&self, begun: bool) {
+        self.0.store(begun, Ordering::Relaxed);
+    }
+}
+
 /// Writes the replies of one connection, one after another.
 #[derive(Debug)]
 pub struct Responder<W> {
     writer: Writer<W>,
     progress: Progress,
+    /// Whether anything of the current reply has been sent.
+    begun: Begun,
     must_close: bool,
     /// Whether the head of the current reply announces that the connection closes after it.
     announced_close: bool,
@@ -51,6 +71,7 @@
         Self {
             writer: Writer::new(io),
             progress: Progress::Waiting,
+            begun: Begun::default(),
             must_close: false,
             announced_close: false,
             method: Method::GET,
@@ -68,14 +89,19 @@
     /// Prepares for the reply to a request whose head is still to be read. Such a reply announces
     /// that the connection closes after it.
     pub fn begin(&mut self) {
-        self.progress = Progress::Waiting;
+        self.reset();
         self.must_close = true;
         self.method = Method::GET;
     }
 
+    fn reset(&mut self) {
+        self.progress = Progress::Waiting;
+        self.begun.set(false);
+    }
+
     /// Prepares for the reply to `request`.
     pub fn begin_reply(&mut self, request: &Request) {
-        self.progress = Progress::Waiting;
+        self.reset();
         self.must_close = !request.keeps_alive();
         self.method = request.method.clone();
     }
@@ -85,6 +111,11 @@
         self.progress
     }
 
+    /// Tells, from now on, whether anything of the current reply has been sent.
+    pub fn begun(&self) -> Begun {
+        self.begun.clone()
+    }
+
     /// Whether another request may follow on the connection.
     pub fn keeps_alive(&self) -> bool {
         !self.must_close && self.progress == Progress::Done
@@ -118,6 +149,8 @@
         mut headers: HeaderMap,
         framing: (HeaderName, HeaderValue),
     ) {
+        // Drops the head of a stream of which nothing was sent.
+        self.writer.buffer().clear();
         strip_hop_by_hop(&mut headers, &[]);
         if permits_body(&self.method, status) {
             headers.remove(header::CONTENT_LENGTH);
@@ -164,6 +197,7 @@
         if permits_body(&self.method, status) {
             self.writer.buffer().extend_from_slice(body);
         }
+        self.begun.set(true);
         self.writer.flush().await?;
         self.progress = Progress::Done;
         Ok(())
@@ -197,14 +231,13 @@
         self.send_whole(code.status(), headers, body.to_string().as_bytes()).await
     }
 
-    /// Starts a stream and buffers its head, made from the head of a replica's reply; the
-    /// next [`flush`](Self::flush) sends it.
+    /// Prepares a stream and buffers its head, made from the head of a replica's reply; the
+    /// next [`flush`](Self::flush) sends it. Until then, another reply may take its place.
     pub fn begin_stream(&mut self, status: StatusCode, mut headers: HeaderMap) {
         self.strip_daemon_headers(&mut headers);
         let chunked = HeaderValue::from_static("chunked");
         self.put_head(status, headers, (header::TRANSFER_ENCODING, chunked));
         self.has_body = permits_body(&self.method, status);
-        self.progress = Progress::Streaming;
     }
 
     /// Buffers one event; the next [`flush`](Self::flush) sends it.
@@ -219,6 +252,8 @@
     /// # Errors
     /// If the connection is broken.
     pub async fn flush(&mut self) -> io::Result<()> {
+        self.begun.set(true);
+        self.progress = Progress::Streaming;
         self.writer.flush().await
     }
 
@@ -230,7 +265,7 @@
         if self.has_body {
             self.writer.put_last_chunk();
         }
-        self.writer.flush().await?;
+        self.flush().await?;
         self.progress = Progress::Done;
         Ok(())
     }
--- a/crates/winch-relay/src/settings.rs
+++ b/crates/winch-relay/src/settings.rs
@@ -35,6 +35,8 @@
     /// Retries a second that the budgets of a service gain in all daemons together, whatever the
     /// number of requests.
     pub retry_slack_per_s: f64,
+    /// Longest time that a message takes from its sender through this daemon to its receiver.
+    pub passing_time: Duration,
     /// Interval between two reads of the list of replicas, to which jitter is added. A seed
     /// uses its own list interval if that is shorter.
     pub list_interval: Duration,
--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -114,8 +114,6 @@
     first_event_at: Option<Instant>,
     /// Whether the current attempt has lasted so long that a crash is not attributed to it.
     has_survived: bool,
-    /// Whether a replica may have run the request.
-    may_have_run: bool,
     connect_failures: u32,
     stall: Detector,
     /// Time from the receipt of the request to the first event; set only if the first
@@ -156,7 +154,6 @@
         has_forwarded: false,
         first_event_at: None,
         has_survived: false,
-        may_have_run: false,
         connect_failures: 0,
         stall: Detector::new(max_gap, now),
         first_event_latency: None,
@@ -217,7 +214,7 @@
                 Attempt::CallerGone => return Outcome::CallerGone,
                 Attempt::TimedOut => {
                     self.trace.record(&replica, "deadline exceeded");
-                    self.may_have_run = true;
+                    self.trace.may_have_run = true;
                     return self.give_up(Code::TimedOut);
                 }
                 Attempt::Refused => {
@@ -244,7 +241,7 @@
                     counter::retried("failure");
                     let is_last = self.trace.sends >= self.job.route.max_attempts;
                     let may_repeat = self.job.route.semantics.may_repeat();
-                    self.may_have_run = true;
+                    self.trace.may_have_run = true;
                     code = Code::Broken;
                     if self.out.progress() == Progress::Waiting && (is_last || !may_repeat) {
                         return Outcome::Answer { reply, body };
@@ -259,7 +256,7 @@
                     self.trace.excluded.push(replica.id.clone());
                     self.node.eject(target.key, &replica, &cause);
                     self.broken_dc = Some(replica.dc.clone());
-                    self.may_have_run = true;
+                    self.trace.may_have_run = true;
                     counter::retried("lost");
                     if !self.job.route.semantics.may_repeat() {
                         strikes::attribute_crash_later(
@@ -276,7 +273,7 @@
                 }
             }
         }
-        let may_run = !self.may_have_run || self.job.route.semantics.may_repeat();
+        let may_run = !self.trace.may_have_run || self.job.route.semantics.may_repeat();
         if may_run
             && forward::is_last_resort(self.node, self.job, self.trace).await
             && let Some(outcome) = self.forward().await
@@ -325,7 +322,7 @@
         if self.out.progress() == Progress::Streaming {
             return Outcome::Aborted(code);
         }
-        match (code, self.may_have_run) {
+        match (code, self.trace.may_have_run) {
             (Code::TimedOut, false) => Outcome::Error(Code::Expired),
             (Code::TimedOut, true) => Outcome::Error(Code::TimedOut),
             (_, true) => Outcome::Error(Code::Broken),
--- a/crates/winch-relay/src/stream/admission.rs
+++ b/crates/winch-relay/src/stream/admission.rs
@@ -83,7 +83,7 @@
         }
         let received_at = self.job.call.received_at;
         let max_wait = self.job.route.target_latency.mul_f64(MAX_WAIT_SHARE);
-        let wait_until = (received_at + max_wait).min(self.job.deadline());
+        let wait_until = (received_at + max_wait).min(self.job.reply_deadline);
         if let Some(target) = self.place_if_open(true).await {
             return Admission::Started(target);
         }
--- a/crates/winch-relay/src/stream/attempt.rs
+++ b/crates/winch-relay/src/stream/attempt.rs
@@ -38,7 +38,7 @@
             Ok(connection) => connection,
             Err(error) => return Attempt::NotSent(error.to_string()),
         };
-        self.trace.sends += 1;
+        self.trace.send(&target.replica);
         self.first_event_at = None;
         self.has_survived = false;
         let node = self.node;
@@ -53,7 +53,7 @@
     /// Whether the request was lost before, at a replica or with an earlier daemon, and starts
     /// again from its prompt.
     fn is_repeated(&self, target: &Target) -> bool {
-        target.copy_from.is_none() && (self.may_have_run || self.last_event.is_some())
+        target.copy_from.is_none() && (self.trace.may_have_run || self.last_event.is_some())
     }
 
     /// Sends the request on `connection` and handles the reply.
@@ -161,7 +161,8 @@
                 recorder.record(count);
                 self.record_event(target, &mut starting);
             }
-            if self.out.flush().await.is_err() {
+            // Until the first event, the head is held back: an error reply may still take its place.
+            if self.has_forwarded && self.out.flush().await.is_err() {
                 return Attempt::CallerGone;
             }
             match end {
--- a/crates/winch-relay/src/stream/passing.rs
+++ b/crates/winch-relay/src/stream/passing.rs
@@ -40,8 +40,10 @@
             if self.trace.sends >= self.job.route.max_attempts {
                 break;
             }
-            let Ok(forwarded) = timeout_at(deadline, self.forward_to(daemon)).await else {
-                self.may_have_run = true;
+            let forwarded = timeout_at(deadline, self.forward_to(daemon)).await;
+            self.trace.pending = None;
+            let Ok(forwarded) = forwarded else {
+                self.trace.may_have_run = true;
                 return Some(self.give_up(Code::TimedOut));
             };
             match forwarded {
@@ -49,7 +51,7 @@
                 Forwarded::NotTaken => {}
                 Forwarded::Broken => {
                     self.trace.sends += 1;
-                    self.may_have_run = true;
+                    self.trace.may_have_run = true;
                     if !self.job.route.semantics.may_repeat() {
                         return Some(self.give_up(Code::Broken));
                     }
@@ -61,12 +63,13 @@
 
     async fn forward_to(&mut self, daemon: SocketAddr) -> Forwarded {
         self.trace.steps.push(format!("{daemon}:asked"));
+        self.trace.pending = Some(daemon.to_string());
         let (node, job, sends) = (self.node, self.job, self.trace.sends);
         match forward::send(node, job, sends, self.last_event, daemon).await {
             Reached::NotTaken => Forwarded::NotTaken,
             Reached::Broken => Forwarded::Broken,
             Reached::Error(code) => {
-                self.may_have_run |= code.may_have_run();
+                self.trace.may_have_run |= code.may_have_run();
                 Forwarded::Ended(self.give_up(code))
             }
             Reached::Reply(reply, connection) => self.forward_reply(reply, connection).await,
@@ -80,7 +83,7 @@
             }
             return self.forward_all(&mut connection).await;
         }
-        self.may_have_run = true;
+        self.trace.may_have_run = true;
         if self.out.progress() != Progress::Waiting {
             return Forwarded::Ended(self.give_up(Code::Broken));
         }
@@ -102,7 +105,7 @@
             if self.has_forwarded && !had_forwarded {
                 crate::counter::first_event(self.job.call.received_at.elapsed());
             }
-            if self.out.flush().await.is_err() {
+            if self.has_forwarded && self.out.flush().await.is_err() {
                 return Forwarded::Ended(Outcome::CallerGone);
             }
             match end {
--- a/crates/winch-relay/src/unary.rs
+++ b/crates/winch-relay/src/unary.rs
@@ -72,9 +72,9 @@
         return outcome;
     }
     let mut sample = Sample::new(node, job);
-    let deadline = job.deadline();
+    let deadline = job.reply_deadline;
     let may_repeat = job.route.semantics.may_repeat();
-    let (mut may_have_run, mut timed_out) = (false, false);
+    let mut timed_out = false;
     let mut connect_failures = 0;
     let mut error_reply = None;
     let mut code = Code::NoReplica;
@@ -144,7 +144,7 @@
             Attempt::Unusable(cause) | Attempt::Broken(cause) => {
                 trace.record(&replica, &cause);
                 node.rollouts().record_broken(&replica, node.uptime());
-                may_have_run = true;
+                trace.may_have_run = true;
                 counter::retried("broken");
                 if !may_repeat {
                     strikes::attribute_crash_later(node, job, &replica, false);
@@ -157,7 +157,7 @@
             Attempt::TimedOut => {
                 trace.record(&replica, "timed out waiting for the reply");
                 node.rollouts().record_broken(&replica, node.uptime());
-                may_have_run = true;
+                trace.may_have_run = true;
                 counter::retried("timeout");
                 if is_last {
                     return Outcome::Error(Code::TimedOut);
@@ -175,8 +175,8 @@
     }
     match error_reply {
         Some(error_reply) => error_reply,
-        None if may_have_run && timed_out => Outcome::Error(Code::TimedOut),
-        None if may_have_run => Outcome::Error(Code::Broken),
+        None if trace.may_have_run && timed_out => Outcome::Error(Code::TimedOut),
+        None if trace.may_have_run => Outcome::Error(Code::Broken),
         None if timed_out => Outcome::Error(Code::Expired),
         None => Outcome::Error(code),
     }
@@ -186,7 +186,7 @@
 /// latencies of the replica and at least the route's target latency, but within a share of
 /// the time left.
 fn retry_deadline<P: Protocol>(node: &Node<P>, key: Key, job: &Job, now: Instant) -> Instant {
-    let time_left = job.deadline().duration_since(now);
+    let time_left = job.reply_deadline.duration_since(now);
     let latency = node.catalog().get(key).and_then(|entry| entry.latency_ms).unwrap_or_default();
     let expected = Duration::from_secs_f64(latency * ATTEMPT_TIMEOUT_LATENCIES / 1_000.0);
     now + expected.max(job.route.target_latency).min(time_left.mul_f64(MAX_ATTEMPT_SHARE))
@@ -206,7 +206,7 @@
         Ok(connection) => connection,
         Err(error) => return Attempt::NotSent(error.to_string()),
     };
-    trace.sends += 1;
+    trace.send(replica);
     let in_flight = InFlightGuard::new(node, key);
     let sent_at = Instant::now();
     let exchange = exchange(node, job, replica, &mut connection);
@@ -280,7 +280,7 @@
 ) -> Result<(Reply, Bytes), Error> {
     let dispatch = Dispatch {
         replica,
-        time_left: job.time_left(Instant::now()),
+        time_left: job.time_to_reply(Instant::now()),
         team: job.team.as_ref().map(|team| &team.name),
         priority: job.priority.level(false),
         after_event: None,
