winch-relay: close a connection only if the head of its last reply has announced that

Callers saw a connection close without a word right after a complete reply, and a request that they sent on it at once was read and dropped: a stream that had begun before a stop ended during it, its head had not announced the close, and the daemon closed all the same.

Cause: Responder::close_after decided after the head was sent. Now a connection stays open unless the head that was sent announced the close; the next reply announces it.

--- a/crates/winch-relay/src/edge.rs
+++ b/crates/winch-relay/src/edge.rs
@@ -152,8 +152,7 @@
         }
         if !out.keeps_alive() {
             return match out.progress() {
-                Progress::Done if out.announced_close() => Close::Announced,
-                Progress::Done => Close::Unannounced,
+                Progress::Done => Close::Announced,
                 Progress::Waiting | Progress::Streaming => Close::Unanswered,
             };
         }
--- a/crates/winch-relay/src/edge/close.rs
+++ b/crates/winch-relay/src/edge/close.rs
@@ -13,8 +13,6 @@
     Stopping,
     /// The last reply announced it.
     Announced,
-    /// It followed a complete reply that did not announce it.
-    Unannounced,
     /// A request did not arrive completely in time.
     SlowRequest,
     /// The connection ended within a request.
@@ -33,7 +31,6 @@
             Self::Idle => "idle",
             Self::Stopping => "stopping",
             Self::Announced => "announced",
-            Self::Unannounced => "unannounced",
             Self::SlowRequest => "slow_request",
             Self::Incomplete => "incomplete",
             Self::Unreadable => "unreadable",
--- a/crates/winch-relay/src/respond.rs
+++ b/crates/winch-relay/src/respond.rs
@@ -118,16 +118,12 @@
 
     /// Whether another request may follow on the connection.
     pub fn keeps_alive(&self) -> bool {
-        !self.must_close && self.progress == Progress::Done
+        !self.announced_close && self.progress == Progress::Done
     }
 
-    /// Whether the head of the last reply announces that the connection closes after it.
-    pub fn announced_close(&self) -> bool {
-        self.announced_close
-    }
-
-    /// Closes the connection after the current reply, which announces it unless its head is
-    /// already written.
+    /// Closes the connection after the current reply, if its head, which announces that, is still
+    /// to be written. Otherwise the connection stays open: its caller may already have sent
+    /// the next request.
     pub fn close_after(&mut self) {
         self.must_close = true;
     }
