winch-relay: state how long a connection may stay idle, and keep it open for longer

Cause: a request crosses the close of its connection, which only this daemon knew of.

Now each reply that keeps its connection states the idle time (Keep-Alive), at most 3 s, and less where the limit or half the grace period is shorter; the daemon keeps the connection for at least half a second longer, also while it stops (3.5 s in place of 2.5 s).

Ruled out: keeping idle connections to the end of the grace (their streams are refused one by one, and the last close still meets requests); reading on after the close (the request is read and cannot be answered).

What it costs: callers open a connection anew after 3 s without a request. An idle connection of a daemon that stops stays a second longer. edge.rs is split: idle, request.

--- /dev/null
+++ b/crates/winch-relay/src/edge/request.rs
@@ -0,0 +1,208 @@
+//! One request of a caller or of another daemon: admits it, relays it and replies to it.
+
+use std::future::pending;
+
+use bytes::Bytes;
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    time::{sleep_until, timeout_at},
+};
+use winch_http::{head::Request, server::Reader};
+
+use super::admission::{self, Origin};
+use crate::{
+    call::reply_time,
+    config::Semantics,
+    counter,
+    job::{Job, Outcome, Trace},
+    node::Node,
+    prelude::*,
+    respond::{Begun, Progress, Responder},
+    stream, unary,
+};
+
+/// A request that was read completely.
+pub(super) struct Received {
+    pub(super) request: Request,
+    pub(super) body: Bytes,
+    /// When the head had been read.
+    pub(super) received_at: Instant,
+    pub(super) origin: Origin,
+}
+
+/// Admits and relays one request, and replies to it.
+pub(super) async fn handle<P, R, W>(
+    node: &Arc<Node<P>>,
+    reader: &mut Reader<R>,
+    out: &mut Responder<W>,
+    received: Received,
+) where
+    P: Protocol,
+    R: AsyncRead + Unpin,
+    W: AsyncWrite + Unpin,
+{
+    if node.is_stopping() {
+        out.close_after();
+    }
+    let Received { request, body, received_at, origin } = received;
+    let call = node.protocol.decode_call(request, body, received_at);
+    let passing_time = node.tuning().passing_time;
+    wait_initialized(node, &call, passing_time).await;
+    let _running = matches!(origin, Origin::Caller).then(|| node.running.enter_own());
+    let job = match admission::admit(node, &call, origin) {
+        Ok(admitted) => admitted.into_job(call, origin, passing_time),
+        Err(code) => {
+            admission::log_refusal(node, &call, code);
+            counter::refused(code);
+            // An error means that the caller has closed the connection.
+            let _ = out.send_error(code, unary::retry_after(code)).await;
+            return;
+        }
+    };
+    let mut trace = Trace::default();
+    if let Origin::Daemon { sends } = origin {
+        trace.sends = sends;
+    }
+    let begun = out.begun();
+    let interrupt = tokio::select! {
+        biased;
+        outcome = relay(node, &job, out, &mut trace) => Err(outcome),
+        () = reader.closed() => Ok(Interrupt::CallerGone),
+        () = is_overdue(&job, &begun) => Ok(Interrupt::Overdue),
+        () = node.end_requested() => Ok(Interrupt::DaemonEnds),
+    };
+    let outcome = match interrupt {
+        Ok(interrupt) => interrupt.outcome(out.progress(), &mut trace),
+        Err(outcome) => outcome,
+    };
+    finish(node, &job, out, outcome, &trace).await;
+}
+
+/// Waits until the daemon is initialized, at most until the reply to `call` must begin.
+async fn wait_initialized<P: Protocol>(node: &Node<P>, call: &Call, passing_time: Duration) {
+    let initialized = node.wait_initialized();
+    let Some(limit) = call.timeout else { return initialized.await };
+    // A timeout is not an error: the request is then refused for what the daemon lacks.
+    let _ = timeout_at(call.received_at + reply_time(limit, passing_time), initialized).await;
+}
+
+/// Completes when the reply to a request must begin and nothing of it has been sent.
+async fn is_overdue(job: &Job, begun: &Begun) {
+    sleep_until(job.reply_deadline).await;
+    if begun.get() {
+        pending().await
+    }
+}
+
+/// What ends a request before its relay does.
+#[derive(Clone, Copy, Debug)]
+enum Interrupt {
+    /// The caller has closed the connection.
+    CallerGone,
+    /// The reply must begin.
+    Overdue,
+    /// The daemon ends.
+    DaemonEnds,
+}
+
+impl Interrupt {
+    /// The outcome of the request, of whose reply so much has been sent.
+    fn outcome(self, progress: Progress, trace: &mut Trace) -> Outcome {
+        let (cause, not_run, may_have_run) = match self {
+            Self::CallerGone => {
+                trace.interrupt("caller gone");
+                return Outcome::CallerGone;
+            }
+            Self::Overdue => ("deadline exceeded", Code::Expired, Code::TimedOut),
+            Self::DaemonEnds => ("daemon ends", Code::Stopping, Code::Broken),
+        };
+        trace.interrupt(cause);
+        match progress {
+            Progress::Waiting if trace.may_have_run => Outcome::Error(may_have_run),
+            Progress::Waiting => Outcome::Error(not_run),
+            Progress::Streaming | Progress::Done => Outcome::Aborted(not_run),
+        }
+    }
+}
+
+async fn relay<P, W>(
+    node: &Arc<Node<P>>,
+    job: &Job,
+    out: &mut Responder<W>,
+    trace: &mut Trace,
+) -> Outcome
+where
+    P: Protocol,
+    W: AsyncWrite + Unpin,
+{
+    match job.route.semantics {
+        Semantics::Stream { .. } => stream::relay(node, job, out, trace).await,
+        Semantics::Idempotent | Semantics::AtMostOnce => unary::relay(node, job, trace).await,
+    }
+}
+
+/// Logs and counts the outcome of a request, and sends the reply unless it is already sent.
+async fn finish<P, W>(
+    node: &Arc<Node<P>>,
+    job: &Job,
+    out: &mut Responder<W>,
+    outcome: Outcome,
+    trace: &Trace,
+) where
+    P: Protocol,
+    W: AsyncWrite + Unpin,
+{
+    if node.is_stopping() {
+        out.close_after();
+    }
+    let (result, failed) = match &outcome {
+        Outcome::Answer { reply, .. } => (reply.status.as_str(), !reply.status.is_success()),
+        Outcome::Error(code) | Outcome::Shed { code, .. } | Outcome::Aborted(code) => {
+            (code.name(), true)
+        }
+        Outcome::Streamed => ("200", false),
+        Outcome::CallerGone => ("caller_gone", false),
+    };
+    log_ended(job, result, trace, failed);
+    if !failed && !node.strikes().is_empty() {
+        node.strikes().record_completion(job.fingerprint());
+    }
+    let kind = match job.route.semantics {
+        Semantics::Idempotent => "lookup",
+        Semantics::AtMostOnce => "order",
+        Semantics::Stream { .. } => "stream",
+    };
+    let result_label = if failed { "failed" } else { "served" };
+    counter::ended(kind, result_label, job.call.received_at.elapsed());
+    // An error means that the caller has closed the connection.
+    let _ = match outcome {
+        Outcome::Answer { reply, body } => out.send_reply(reply.status, reply.headers, &body).await,
+        Outcome::Error(code) => {
+            counter::refused(code);
+            out.send_error(code, unary::retry_after(code)).await
+        }
+        Outcome::Shed { code, retry_after } => {
+            counter::refused(code);
+            out.send_error(code, Some(retry_after)).await
+        }
+        Outcome::Aborted(_) | Outcome::Streamed | Outcome::CallerGone => Ok(()),
+    };
+}
+
+fn log_ended(job: &Job, result: &str, trace: &Trace, failed: bool) {
+    let event = if failed { Event::RequestFailed } else { Event::RequestEnded };
+    emit!(
+        event,
+        request = job.call.label(),
+        route = job.route.name,
+        service = job.service,
+        result = result,
+        sends = trace.sends,
+        steps = trace.steps.join(" "),
+        first_event_ms =
+            trace.first_event.map_or("-".to_owned(), |time| time.as_millis().to_string()),
+        longest_gap_ms = trace.longest_gap.as_millis(),
+        limit_ms = job.call.timeout.map_or("-".to_owned(), |time| time.as_millis().to_string()),
+        taken_ms = job.call.received_at.elapsed().as_millis()
+    );
+}
--- a/crates/winch-relay/src/exposition.rs
+++ b/crates/winch-relay/src/exposition.rs
@@ -39,7 +39,7 @@
     let (mut reader, mut out) = (Reader::new(read), Responder::new(write));
     loop {
         let request = timeout(IDLE_TIMEOUT, reader.head(MAX_HEAD_BYTES)).await.ok()?.ok()?;
-        out.begin_reply(&request);
+        out.begin_reply(&request, None);
         let (status, body) = answer(&request);
         let mut headers = HeaderMap::new();
         headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
--- a/crates/winch-relay/src/respond.rs
+++ b/crates/winch-relay/src/respond.rs
@@ -21,6 +21,9 @@
     prelude::*,
 };
 
+/// How long the caller may leave the connection idle and use it again.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
 /// Progress of the reply to the current request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Progress {
@@ -57,6 +60,8 @@
     must_close: bool,
     /// Whether the head of the current reply announces that the connection closes after it.
     announced_close: bool,
+    /// Idle time that the reply states, in seconds.
+    idle_time_s: Option<u64>,
     /// Method of the current request, by which its reply has a body or none.
     method: Method,
     /// Whether the stream that was started has a body.
@@ -74,6 +79,7 @@
             begun: Begun::default(),
             must_close: false,
             announced_close: false,
+            idle_time_s: None,
             method: Method::GET,
             has_body: true,
             states_code: false,
@@ -100,9 +106,13 @@
     }
 
     /// Prepares for the reply to `request`.
-    pub fn begin_reply(&mut self, request: &Request) {
+    ///
+    /// `idle_time_s` is stated as the time, in seconds, for which the caller may leave the connection
+    /// idle and use it again.
+    pub fn begin_reply(&mut self, request: &Request, idle_time_s: Option<u64>) {
         self.reset();
         self.must_close = !request.keeps_alive();
+        self.idle_time_s = idle_time_s;
         self.method = request.method.clone();
     }
 
@@ -155,6 +165,9 @@
         self.announced_close = self.must_close;
         if self.must_close {
             headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        } else if let Some(seconds) = self.idle_time_s {
+            let value = HeaderValue::from_str(&format!("timeout={seconds}"));
+            headers.insert(KEEP_ALIVE, value.expect("digits"));
         }
         put_reply(self.writer.buffer(), status, &headers);
     }
