winch-relay: refuse a request that does not arrive in time

Callers that sent a part of a request saw their connection close without a word, after the limit for the head or 20 s after it, however short their own time was.

Now such a request is refused: 408, code 617, not run; its body must arrive before its reply must begin.

--- a/crates/winch-relay/src/code.rs
+++ b/crates/winch-relay/src/code.rs
@@ -75,6 +75,8 @@
     Busy = 615, "busy", SERVICE_UNAVAILABLE, false;
     /// No replica of the service can start the request within the route's target latency.
     Overloaded = 616, "overloaded", SERVICE_UNAVAILABLE, false;
+    /// The request did not arrive completely in time.
+    SlowRequest = 617, "slow_request", REQUEST_TIMEOUT, false;
     /// The connection to the replica broke; the request may have run.
     Broken = 620, "broken", BAD_GATEWAY, true;
     /// The reply of the replica is invalid; the request may have run.
--- a/crates/winch-relay/src/edge.rs
+++ b/crates/winch-relay/src/edge.rs
@@ -26,6 +26,7 @@
     request::Received,
 };
 use crate::{
+    call::reply_time,
     config::Limits,
     counter,
     node::Node,
@@ -117,7 +118,10 @@
                 request::handle(node, reader, out, received).await;
                 usage.end();
             }
-            Err(Unread::Slow) => return Close::SlowRequest,
+            Err(Unread::Slow) => {
+                reject(reader, out, Code::SlowRequest).await;
+                return Close::SlowRequest;
+            }
             Err(Unread::Incomplete) => return Close::Incomplete,
             Err(Unread::Unacceptable(fault)) => {
                 reject_unacceptable(reader, out, fault).await;
@@ -184,7 +188,12 @@
     if request.headers.get(header::EXPECT).is_some_and(|v| v.as_bytes() == b"100-continue") {
         out.send_continue().await.map_err(|_| Unread::Incomplete)?;
     }
-    let body = timeout(BODY_TIMEOUT, reader.body(framing, limits.body_bytes)).await;
+    let reply_time = node.protocol.decode_timeout(&request).map(|timeout| {
+        // What arrives later could not be answered in time.
+        reply_time(timeout, tuning.passing_time)
+    });
+    let body_time = reply_time.map_or(BODY_TIMEOUT, |time| time.min(BODY_TIMEOUT));
+    let body = timeout(body_time, reader.body(framing, limits.body_bytes)).await;
     let body = body.map_err(|_| Unread::Slow)??;
     Ok(Received { request, body, received_at, origin })
 }
@@ -202,6 +211,15 @@
         Fault::BodyTooLarge => Code::BodyTooLarge,
     };
     emit!(Event::RequestUnreadable, code = code as u16, fault = fault);
+    reject(reader, out, code).await;
+}
+
+/// Replies with an error to a request that was not read completely; the connection is then closed.
+async fn reject<R, W>(reader: &mut Reader<R>, out: &mut Responder<W>, code: Code)
+where
+    R: AsyncRead + Unpin,
+    W: AsyncWrite + Unpin,
+{
     counter::refused(code);
     out.close_after();
     if out.send_error(code, None).await.is_ok() {
--- a/crates/winch-relay/src/protocol.rs
+++ b/crates/winch-relay/src/protocol.rs
@@ -146,6 +146,9 @@
     /// `to`.
     fn encode_move_status(&self, service: &str, to: &str, state: State) -> StatusRow;
 
+    /// Decodes how long a caller waits for the reply to its request, if it says so.
+    fn decode_timeout(&self, request: &head::Request) -> Option<Duration>;
+
     /// Decodes the id that a caller gave its request.
     fn decode_id(&self, request: &head::Request) -> Option<Name>;
 
