winch-relay: refuse a request that crosses the close of its connection

A request cannot be kept from crossing a close that its caller learns of too late, but it can be refused: before the daemon closes an idle connection that has carried a request, it sends 408 (code 618, not run), and reads and discards what still arrives. Callers without a request drop the reply with the connection. The stated idle time is the limit itself, for which the daemon keeps every connection anyhow; a stopping daemon closes after 2.5 s again.

--- a/crates/winch-relay/src/call.rs
+++ b/crates/winch-relay/src/call.rs
@@ -9,6 +9,8 @@
 
 /// Largest share of a caller's time that is kept back for the way of the reply.
 const MAX_RESERVE_SHARE: f64 = 0.1;
+/// Least time that is kept back, whatever its share.
+const MIN_RESERVE: Duration = Duration::from_millis(10);
 
 /// Size of a generation as its caller states it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -41,7 +43,8 @@
 /// the request was on its way cannot be seen here; both ways together take as long as a message on
 /// its way through the daemon, at most `passing_time`.
 pub fn reply_time(timeout: Duration, passing_time: Duration) -> Duration {
-    timeout.saturating_sub(passing_time.min(timeout.mul_f64(MAX_RESERVE_SHARE)))
+    let share = timeout.mul_f64(MAX_RESERVE_SHARE).max(MIN_RESERVE);
+    timeout.saturating_sub(passing_time.min(share))
 }
 
 /// Share of a prompt that need not be read again where `held` parts are cached, 0 to 1.
--- a/crates/winch-relay/src/code.rs
+++ b/crates/winch-relay/src/code.rs
@@ -77,6 +77,8 @@
     Overloaded = 616, "overloaded", SERVICE_UNAVAILABLE, false;
     /// The request did not arrive completely in time.
     SlowRequest = 617, "slow_request", REQUEST_TIMEOUT, false;
+    /// The request crossed the close of its idle connection.
+    ClosedIdle = 618, "closed_idle", REQUEST_TIMEOUT, false;
     /// The connection to the replica broke; the request may have run.
     Broken = 620, "broken", BAD_GATEWAY, true;
     /// The reply of the replica is invalid; the request may have run.
--- a/crates/winch-relay/src/edge.rs
+++ b/crates/winch-relay/src/edge.rs
@@ -83,16 +83,22 @@
     let mut usage = Usage::new();
     let close = serve_requests(&node, &mut reader, &mut out, &mut usage).await;
     close.record(&usage);
-    if matches!(close, Close::Caller | Close::Idle | Close::Stopping) {
-        // No reply is outstanding. A request that crosses the close stays unread, so that its
-        // caller knows that it has not run.
+    if close == Close::Caller {
         return;
     }
+    if matches!(close, Close::Idle | Close::Stopping) {
+        if usage.requests == 0 {
+            return;
+        }
+        out.begin();
+        // An error means that the caller has closed the connection.
+        let _ = out.send_error(Code::ClosedIdle, None).await;
+    }
     out.shutdown().await;
     if out.progress() == Progress::Done {
         // Closing a socket with unread input resets the connection, and the caller could
         // lose a reply that it has not read yet.
-        let _ = timeout(LINGER_TIMEOUT, reader.closed()).await;
+        let _ = timeout(LINGER_TIMEOUT, reader.drain()).await;
     }
 }
 
@@ -184,7 +190,7 @@
     let request = head.map_err(|_| Unread::Slow)??;
     let received_at = Instant::now();
     let framing = Framing::of_request(&request)?;
-    out.begin_reply(&request, idle::stated_time_s(&limits, tuning.stop_grace));
+    out.begin_reply(&request, idle::stated_time_s(&limits));
     if request.headers.get(header::EXPECT).is_some_and(|v| v.as_bytes() == b"100-continue") {
         out.send_continue().await.map_err(|_| Unread::Incomplete)?;
     }
--- a/crates/winch-relay/src/edge/idle.rs
+++ b/crates/winch-relay/src/edge/idle.rs
@@ -1,8 +1,9 @@
 //! How long a caller's connection stays open between two requests.
 //!
-//! A request that crosses the close of its connection gets no reply. So each reply states how long
-//! its caller may leave the connection idle and still use it, and the daemon keeps the connection
-//! open for longer than it has stated, also while it stops.
+//! Each reply states how long its caller may leave the connection idle and still use it, and the
+//! daemon keeps it open for longer. A request can still cross the close, since a stopping daemon
+//! closes earlier: the daemon sends a refusal before it closes, which is the reply to such a
+//! request. Callers without a request discard it together with the connection.
 
 use tokio::{
     io::AsyncRead,
@@ -13,21 +14,16 @@
 use super::close::Close;
 use crate::{config::Limits, prelude::*};
 
-/// Longest idle time that replies state.
-const MAX_STATED_TIME: Duration = Duration::from_secs(3);
-/// Largest share of the grace period of a stop that replies state as the idle time.
-const MAX_STATED_SHARE: f64 = 0.5;
-/// How long idle connections stay open after the stop of the daemon has begun: for the idle time
-/// that replies state, and the time that a request needs to arrive.
-const STOP_IDLE_TIMEOUT: Duration = Duration::from_millis(3_500);
+/// How long idle connections stay open after the stop of the daemon has begun, so that
+/// the platform's load balancer stops using the daemon first.
+const STOP_IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time for which a connection stays open beyond the limit, for callers that go by the limit
 /// alone and know a new one earlier than this daemon.
 const TOLERANCE: Duration = Duration::from_secs(3);
 
 /// The idle time that replies state, in seconds; `None` if it is below a second.
-pub(super) fn stated_time_s(limits: &Limits, stop_grace: Duration) -> Option<u64> {
-    let time = MAX_STATED_TIME.min(limits.idle_timeout).min(stop_grace.mul_f64(MAX_STATED_SHARE));
-    Some(time.as_secs()).filter(|seconds| *seconds > 0)
+pub(super) fn stated_time_s(limits: &Limits) -> Option<u64> {
+    Some(limits.idle_timeout.as_secs()).filter(|seconds| *seconds > 0)
 }
 
 /// Waits for the next request; returns why the connection is to be closed if none comes.
