winch-relay: what an independent review of the late replies found

A reviewer who had not seen the work read trace and fix; these are its findings that hold, all of the causes already named. - The caller's time was counted from the end of its head, so that a head in two parts, or a request that waits behind another one on its connection, still got its error reply too late: it counts from the arrival of the first byte. - A request that the guard ends said "not run" although a replica had answered it with a failure; that failure is now kept and sent. One function decides which code a request gets that may have run; it stood four times. - A lookup that no daemon takes goes on at local replicas, as before; a daemon's "not run" does not hide attempts made here. - A begun stream that is passed on keeps its whole time there. - The attribution of a crash is a task of its own, so that the guard does not drop the strike. - The admission of streams looks at the time until the reply must begin. - A connection that has carried no request is closed with the refusal, too.

Not mended: a request that is still being read at the end of the grace is cut without a word; a stop drops the listener's backlog.

--- a/crates/winch-http/src/server.rs
+++ b/crates/winch-http/src/server.rs
@@ -4,7 +4,10 @@
 
 use bytes::{Bytes, BytesMut};
 use snafu::{ResultExt, Snafu};
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::{
+    io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
+    time::Instant,
+};
 
 use crate::{
     Fault,
@@ -40,12 +43,20 @@
 pub struct Reader<R> {
     io: R,
     input: BytesMut,
+    /// When the first of the buffered bytes arrived, or the last one if none is buffered.
+    arrived_at: Instant,
 }
 
 impl<R: AsyncRead + Unpin> Reader<R> {
     /// Makes a reader of a new connection.
     pub fn new(io: R) -> Self {
-        Self { io, input: BytesMut::new() }
+        Self { io, input: BytesMut::new(), arrived_at: Instant::now() }
+    }
+
+    /// When the first byte of the request that is read next arrived; that of the connection itself
+    /// if none has arrived.
+    pub fn arrived_at(&self) -> Instant {
+        self.arrived_at
     }
 
     /// Waits for the first byte of the next request; returns `false` if the peer closes the
@@ -123,7 +134,12 @@
     /// connection.
     async fn fill(&mut self) -> Result<usize, Error> {
         self.input.reserve(READ_BYTES);
-        self.io.read_buf(&mut self.input).await.context(BrokenSnafu)
+        let was_empty = self.input.is_empty();
+        let length = self.io.read_buf(&mut self.input).await.context(BrokenSnafu)?;
+        if was_empty {
+            self.arrived_at = Instant::now();
+        }
+        Ok(length)
     }
 
     /// Reads more input; fails if the peer has closed the connection.
--- a/crates/winch-relay/src/call.rs
+++ b/crates/winch-relay/src/call.rs
@@ -89,7 +89,7 @@
     pub headers: HeaderMap,
     /// Request body.
     pub body: Bytes,
-    /// When the request head had been read.
+    /// When the first byte of the request arrived.
     pub received_at: Instant,
 }
 
--- a/crates/winch-relay/src/edge.rs
+++ b/crates/winch-relay/src/edge.rs
@@ -12,7 +12,7 @@
 use http::header;
 use tokio::{
     io::{AsyncRead, AsyncWrite},
-    time::timeout,
+    time::{timeout, timeout_at},
 };
 use winch_http::{
     Fault,
@@ -87,12 +87,7 @@
         return;
     }
     if matches!(close, Close::Idle | Close::Stopping) {
-        if usage.requests == 0 {
-            return;
-        }
-        out.begin();
-        // An error means that the caller has closed the connection.
-        let _ = out.send_error(Code::ClosedIdle, None).await;
+        refuse_crossing(&mut out).await;
     }
     out.shutdown().await;
     if out.progress() == Progress::Done {
@@ -102,6 +97,13 @@
     }
 }
 
+/// Sends the refusal of a request that may cross the close of an idle connection.
+async fn refuse_crossing<W: AsyncWrite + Unpin>(out: &mut Responder<W>) {
+    out.begin();
+    // An error means that the caller has closed the connection.
+    let _ = out.send_error(Code::ClosedIdle, None).await;
+}
+
 /// Serves one request after another; returns why the connection is to be closed.
 async fn serve_requests<P, R, W>(
     node: &Arc<Node<P>>,
@@ -186,9 +188,10 @@
 {
     let (limits, tuning) = (current_limits(node), node.tuning());
     out.begin();
+    // The caller's time runs while its request arrives, or waits behind another one.
+    let received_at = reader.arrived_at();
     let head = timeout(limits.head_timeout, reader.head(limits.head_bytes)).await;
     let request = head.map_err(|_| Unread::Slow)??;
-    let received_at = Instant::now();
     let framing = Framing::of_request(&request)?;
     out.begin_reply(&request, idle::stated_time_s(&limits));
     if request.headers.get(header::EXPECT).is_some_and(|v| v.as_bytes() == b"100-continue") {
@@ -199,7 +202,7 @@
         reply_time(timeout, tuning.passing_time)
     });
     let body_time = reply_time.map_or(BODY_TIMEOUT, |time| time.min(BODY_TIMEOUT));
-    let body = timeout(body_time, reader.body(framing, limits.body_bytes)).await;
+    let body = timeout_at(received_at + body_time, reader.body(framing, limits.body_bytes)).await;
     let body = body.map_err(|_| Unread::Slow)??;
     Ok(Received { request, body, received_at, origin })
 }
--- a/crates/winch-relay/src/edge/idle.rs
+++ b/crates/winch-relay/src/edge/idle.rs
@@ -1,9 +1,9 @@
 //! How long a caller's connection stays open between two requests.
 //!
 //! Each reply states how long its caller may leave the connection idle and still use it, and the
-//! daemon keeps it open for longer. A request can still cross the close, since a stopping daemon
-//! closes earlier: the daemon sends a refusal before it closes, which is the reply to such a
-//! request. Callers without a request discard it together with the connection.
+//! daemon keeps it open for longer, unless it stops. A request that crosses the close all the same
+//! is refused: the daemon sends a refusal before it closes, which is the reply to such a request.
+//! Callers without a request discard it together with the connection.
 
 use tokio::{
     io::AsyncRead,
--- a/crates/winch-relay/src/edge/request.rs
+++ b/crates/winch-relay/src/edge/request.rs
@@ -25,7 +25,7 @@
 pub(super) struct Received {
     pub(super) request: Request,
     pub(super) body: Bytes,
-    /// When the head had been read.
+    /// When its first byte arrived.
     pub(super) received_at: Instant,
     pub(super) origin: Origin,
 }
@@ -75,6 +75,9 @@
         Ok(interrupt) => interrupt.outcome(out.progress(), &mut trace),
         Err(outcome) => outcome,
     };
+    if matches!(outcome, Outcome::CallerGone) {
+        trace.interrupt("caller gone");
+    }
     finish(node, &job, out, outcome, &trace).await;
 }
 
@@ -108,19 +111,18 @@
 impl Interrupt {
     /// The outcome of the request, of whose reply so much has been sent.
     fn outcome(self, progress: Progress, trace: &mut Trace) -> Outcome {
-        let (cause, not_run, may_have_run) = match self {
-            Self::CallerGone => {
-                trace.interrupt("caller gone");
-                return Outcome::CallerGone;
-            }
-            Self::Overdue => ("deadline exceeded", Code::Expired, Code::TimedOut),
-            Self::DaemonEnds => ("daemon ends", Code::Stopping, Code::Broken),
+        let (cause, code) = match self {
+            Self::CallerGone => return Outcome::CallerGone,
+            Self::Overdue => ("deadline exceeded", Code::TimedOut),
+            Self::DaemonEnds => ("daemon ends", Code::Stopping),
         };
         trace.interrupt(cause);
-        match progress {
-            Progress::Waiting if trace.may_have_run => Outcome::Error(may_have_run),
-            Progress::Waiting => Outcome::Error(not_run),
-            Progress::Streaming | Progress::Done => Outcome::Aborted(not_run),
+        if progress != Progress::Waiting {
+            return Outcome::Aborted(code);
+        }
+        match trace.error_reply.take() {
+            Some((reply, body)) => Outcome::Answer { reply, body },
+            None => trace.error(code),
         }
     }
 }
--- a/crates/winch-relay/src/forward.rs
+++ b/crates/winch-relay/src/forward.rs
@@ -147,12 +147,14 @@
 
 /// Sends a request to another daemon and reads the head of the reply.
 ///
-/// `after_event` is the id of the last event that the caller has of a stream.
+/// `after_event` is the id of the last event that the caller has of a stream. The daemon is told
+/// that the request ends at `deadline`.
 pub async fn send<P: Protocol>(
     node: &Node<P>,
     job: &Job,
     sends: u32,
     after_event: Option<u64>,
+    deadline: Instant,
     daemon: SocketAddr,
 ) -> Reached {
     let opened = timeout(CONNECT_TIMEOUT, peer::open_forwarding(daemon, sends)).await;
@@ -161,7 +163,7 @@
         counter::forwarded("unreachable");
         return Reached::NotTaken;
     };
-    let time_left = job.reply_deadline.saturating_duration_since(Instant::now());
+    let time_left = deadline.saturating_duration_since(Instant::now());
     let request = node.protocol.encode_forwarded(&job.call, time_left, after_event);
     let call_reply = CallReply { protocol: &node.protocol, id: job.call.id.as_ref() };
     let matcher = ForwardedReply(call_reply);
@@ -213,6 +215,7 @@
 pub async fn relay<P: Protocol>(node: &Node<P>, job: &Job, trace: &mut Trace) -> Option<Outcome> {
     trace.was_forwarded = true;
     let may_repeat = job.route.semantics.may_repeat();
+    let mut was_taken = false;
     for daemon in candidates(node) {
         let time_left = job.reply_deadline.saturating_duration_since(Instant::now());
         let share = if may_repeat { MAX_ATTEMPT_SHARE } else { 1.0 };
@@ -222,11 +225,15 @@
         trace.pending = None;
         trace.steps.push(format!("{daemon}:{}", if asked.is_ok() { "asked" } else { "timed out" }));
         match asked {
+            // The other daemon does not know of attempts that were made here.
+            Ok(Asked::Ended(Outcome::Error(code))) if !code.may_have_run() => {
+                return Some(trace.error(code));
+            }
             Ok(Asked::Ended(outcome)) => return Some(outcome),
             Ok(Asked::NotTaken) => {}
             Ok(Asked::Broken) | Err(_) => {
                 trace.sends += 1;
-                trace.may_have_run = true;
+                (was_taken, trace.may_have_run) = (true, true);
                 if !may_repeat || trace.sends >= job.route.max_attempts {
                     let code = if asked.is_err() { Code::TimedOut } else { Code::Broken };
                     return Some(Outcome::Error(code));
@@ -234,7 +241,7 @@
             }
         }
     }
-    trace.may_have_run.then_some(Outcome::Error(Code::Broken))
+    was_taken.then_some(Outcome::Error(Code::Broken))
 }
 
 /// How asking one daemon ended.
@@ -245,7 +252,7 @@
 }
 
 async fn ask<P: Protocol>(node: &Node<P>, job: &Job, sends: u32, daemon: SocketAddr) -> Asked {
-    match send(node, job, sends, None, daemon).await {
+    match send(node, job, sends, None, job.reply_deadline, daemon).await {
         Reached::NotTaken => Asked::NotTaken,
         Reached::Broken => Asked::Broken,
         Reached::Error(code) => Asked::Ended(Outcome::Error(code)),
--- a/crates/winch-relay/src/job.rs
+++ b/crates/winch-relay/src/job.rs
@@ -58,7 +58,7 @@
     }
 
     /// Time left until the caller's own deadline; `None` if the caller set none.
-    pub fn time_left(&self, now: Instant) -> Option<Duration> {
+    pub fn time_to_deadline(&self, now: Instant) -> Option<Duration> {
         let deadline = self.call.received_at + self.call.timeout?;
         Some(deadline.saturating_duration_since(now))
     }
@@ -103,6 +103,8 @@
     pub pending: Option<String>,
     /// Whether an attempt that has ended may have run the request.
     pub may_have_run: bool,
+    /// The complete error reply of a replica, for the caller if no other attempt succeeds.
+    pub error_reply: Option<(Reply, Bytes)>,
     /// Whether other daemons were asked to take the request.
     pub was_forwarded: bool,
     /// Ids of the replicas that are not chosen again for the request, unless they hold the
@@ -129,6 +131,18 @@
         }
     }
 
+    /// The error reply of a request that is given up because of `code`: it says that the request has
+    /// not run only if that is certain.
+    pub fn error(&self, code: Code) -> Outcome {
+        let code = match (code, self.may_have_run) {
+            (Code::TimedOut | Code::Expired, true) => Code::TimedOut,
+            (Code::TimedOut | Code::Expired, false) => Code::Expired,
+            (_, true) => Code::Broken,
+            (code, false) => code,
+        };
+        Outcome::Error(code)
+    }
+
     /// Records the result of an attempt at `replica`.
     pub fn record(&mut self, replica: &Replica, result: impl std::fmt::Display) {
         self.pending = None;
--- a/crates/winch-relay/src/node/admission.rs
+++ b/crates/winch-relay/src/node/admission.rs
@@ -20,7 +20,7 @@
             ranks: job.priority.ranks.min(2),
             target: job.route.target_latency,
             elapsed: now - job.call.received_at,
-            time_left: job.deadline().saturating_duration_since(now),
+            time_left: job.reply_deadline.saturating_duration_since(now),
         };
         let (now, phase) = (now - self.started_at, self.rng().random());
         let admitted = {
--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -307,7 +307,7 @@
     /// Attributes the crash of `replica` to the request if the replica is dead and this attempt
     /// has not survived. Returns whether the strikes against the request now forbid further
     /// attempts.
-    async fn attribute_crash(&self, replica: &Replica) -> bool {
+    async fn attribute_crash(&self, replica: &Arc<Replica>) -> bool {
         if self.has_survived {
             return false;
         }
@@ -322,11 +322,6 @@
         if self.out.progress() == Progress::Streaming {
             return Outcome::Aborted(code);
         }
-        match (code, self.trace.may_have_run) {
-            (Code::TimedOut, false) => Outcome::Error(Code::Expired),
-            (Code::TimedOut, true) => Outcome::Error(Code::TimedOut),
-            (_, true) => Outcome::Error(Code::Broken),
-            (code, false) => Outcome::Error(code),
-        }
+        self.trace.error(code)
     }
 }
--- a/crates/winch-relay/src/stream/attempt.rs
+++ b/crates/winch-relay/src/stream/attempt.rs
@@ -60,7 +60,7 @@
     async fn exchange(&mut self, target: &Target, connection: &mut Connection) -> Attempt {
         let dispatch = Dispatch {
             replica: &target.replica,
-            time_left: self.job.time_left(Instant::now()),
+            time_left: self.job.time_to_deadline(Instant::now()),
             team: self.job.team.as_ref().map(|team| &team.name),
             priority: self.job.priority.level(self.is_repeated(target)),
             after_event: self.last_event,
--- a/crates/winch-relay/src/stream/passing.rs
+++ b/crates/winch-relay/src/stream/passing.rs
@@ -65,7 +65,9 @@
         self.trace.steps.push(format!("{daemon}:asked"));
         self.trace.pending = Some(daemon.to_string());
         let (node, job, sends) = (self.node, self.job, self.trace.sends);
-        match forward::send(node, job, sends, self.last_event, daemon).await {
+        // The edge sees to it that a stream which has not begun gets its reply earlier.
+        let deadline = job.deadline();
+        match forward::send(node, job, sends, self.last_event, deadline, daemon).await {
             Reached::NotTaken => Forwarded::NotTaken,
             Reached::Broken => Forwarded::Broken,
             Reached::Error(code) => {
--- a/crates/winch-relay/src/strikes/attribution.rs
+++ b/crates/winch-relay/src/strikes/attribution.rs
@@ -1,6 +1,6 @@
 //! Attributes crashes of replicas to the requests that ran there.
 
-use tokio::time::sleep;
+use tokio::{task::JoinHandle, time::sleep};
 use winch_route::{
     quarantine::Part,
     suspect::{Crash, Disposition},
@@ -40,9 +40,11 @@
 pub async fn attribute_crash<P: Protocol>(
     node: &Arc<Node<P>>,
     job: &Job,
-    replica: &Replica,
+    replica: &Arc<Replica>,
 ) -> Disposition {
-    attribute_crash_to(node, job, replica, job.shared_parts.clone()).await
+    // A task, so that the strike is recorded even if the request ends meanwhile.
+    let attribution = spawn_attribution(node, job, replica, job.shared_parts.clone());
+    attribution.await.unwrap_or(Disposition::Clear)
 }
 
 /// Like [`attribute_crash`], in a separate task that does not delay the caller's answer.
@@ -56,9 +58,18 @@
     has_survived: bool,
 ) {
     let parts = if has_survived { Arc::default() } else { job.shared_parts.clone() };
+    spawn_attribution(node, job, replica, parts);
+}
+
+fn spawn_attribution<P: Protocol>(
+    node: &Arc<Node<P>>,
+    job: &Job,
+    replica: &Arc<Replica>,
+    parts: Arc<[Part]>,
+) -> JoinHandle<Disposition> {
     let (node, job, replica) = (node.clone(), job.clone(), replica.clone());
     let tasks = node.tasks.clone();
-    tasks.spawn(async move { attribute_crash_to(&node, &job, &replica, parts).await });
+    tasks.spawn(async move { attribute_crash_to(&node, &job, &replica, parts).await })
 }
 
 async fn attribute_crash_to<P: Protocol>(
--- a/crates/winch-relay/src/unary.rs
+++ b/crates/winch-relay/src/unary.rs
@@ -76,7 +76,6 @@
     let may_repeat = job.route.semantics.may_repeat();
     let mut timed_out = false;
     let mut connect_failures = 0;
-    let mut error_reply = None;
     let mut code = Code::NoReplica;
     while trace.sends < job.route.max_attempts && connect_failures < MAX_CONNECT_FAILURES {
         let now = Instant::now();
@@ -124,7 +123,8 @@
             Attempt::Complete(reply, body) if reply.status.is_server_error() && !is_last => {
                 trace.record(&replica, reply.status.as_u16());
                 counter::retried("failure");
-                error_reply = Some(Outcome::Answer { reply, body });
+                trace.may_have_run = true;
+                trace.error_reply = Some((reply, body));
             }
             Attempt::Complete(reply, body) => {
                 trace.record(&replica, reply.status.as_u16());
@@ -166,19 +166,16 @@
         }
     }
     // What may have run is repeated only if it is idempotent: everything else has returned above.
-    if error_reply.is_none()
+    if trace.error_reply.is_none()
         && !timed_out
         && forward::is_last_resort(node, job, trace).await
         && let Some(outcome) = forward::relay(node, job, trace).await
     {
         return outcome;
     }
-    match error_reply {
-        Some(error_reply) => error_reply,
-        None if trace.may_have_run && timed_out => Outcome::Error(Code::TimedOut),
-        None if trace.may_have_run => Outcome::Error(Code::Broken),
-        None if timed_out => Outcome::Error(Code::Expired),
-        None => Outcome::Error(code),
+    match trace.error_reply.take() {
+        Some((reply, body)) => Outcome::Answer { reply, body },
+        None => trace.error(if timed_out { Code::TimedOut } else { code }),
     }
 }
 
