wisteriawinch: a stopping daemon announces the close of its connections

What callers saw: a caller of `serve` that keeps its connection got a refusal (116) without `Connection: close`, and a moment later the connection was closed. At the end of a stream that had begun before the stop the connection was closed without any announcement. A request that crossed one of these closes got neither an answer nor a refusal.

Cause: only the HTTP library's graceful shutdown, which begins 2 s after the stop, announced a close, and it cannot where the head has been sent; it closes such a connection right after the body.

Change: every reply of a stopping daemon has `Connection: close`. The graceful shutdown begins when all work has ended and 500 ms have passed, so that the next request on the connection of a stream is refused with 116, which announces the close. The listener closes then too, in place of after 2 s: until the end new connections get 116, where they were refused by the system before.

Not covered: a request on a connection that was idle for the whole stop, in the moment of its end.

Tests: `refusal_announces_close` and `request_after_stream` failed before (no `Connection: close`; "unexpected end of file" in place of a reply) and pass now, with `planned_stop`.

--- a/crates/wisteriawinch/src/daemon.rs
+++ b/crates/wisteriawinch/src/daemon.rs
@@ -23,9 +23,13 @@
     prelude::*,
 };
 
-/// How long connections are still accepted after the daemon reports not ready, so that
-/// the load balancer notices first.
+/// Shortest time for which connections are still accepted after the daemon reports not ready, so
+/// that the load balancer notices first.
 const BALANCER_GRACE: Duration = Duration::from_secs(2);
+/// How long connections stay open after the last request has ended. The reply to a request that
+/// began before the stop cannot announce the close; the next request on its connection gets a
+/// refusal that does.
+const LAST_REPLY_GRACE: Duration = Duration::from_millis(500);
 /// Longest time for which a daemon with a configuration waits for the refused requests.
 const SUSPECTS_WAIT: Duration = Duration::from_millis(500);
 /// Time between two checks whether the first configuration is in force.
@@ -95,9 +99,11 @@
     let drained = async {
         fleet.stopping.send_replace(true);
         sleep(BALANCER_GRACE).await;
+        fleet.work.close();
+        fleet.work.wait().await;
+        sleep(LAST_REPLY_GRACE).await;
         let _ = close.send(());
         let _ = server.await;
-        fleet.work.close();
         fleet.work.wait().await;
     };
     tokio::select! {
--- a/crates/wisteriawinch/src/edge.rs
+++ b/crates/wisteriawinch/src/edge.rs
@@ -14,7 +14,7 @@
 use warp::{
     Filter, Rejection, Reply,
     filters::path::FullPath,
-    http::{HeaderMap, Method, StatusCode},
+    http::{HeaderMap, HeaderValue, Method, StatusCode},
     reply::Response,
 };
 use winch_config::object::Team;
@@ -73,6 +73,7 @@
         self,
     ) -> impl Filter<Extract = (impl Reply,), Error = Infallible> + Clone + Send + Sync + 'static
     {
+        let fleet = self.fleet.clone();
         let edge = warp::any().map(move || self.clone());
         let query = warp::query::raw().or(warp::any().map(String::new)).unify();
         warp::method()
@@ -91,6 +92,7 @@
                 edge.handle(Request { method, path, query, headers, body }).await
             })
             .recover(reject)
+            .map(move |reply| announce_close(&fleet, reply))
     }
 
     async fn handle(&self, request: Request) -> Response {
@@ -168,6 +170,16 @@
     Ok(kept.freeze())
 }
 
+/// States in the replies of a stopping daemon that it closes their connections, so that callers
+/// send no request that crosses the close.
+fn announce_close(fleet: &Fleet, reply: impl Reply) -> Response {
+    let mut response = reply.into_response();
+    if fleet.is_stopping() {
+        response.headers_mut().insert("connection", HeaderValue::from_static("close"));
+    }
+    response
+}
+
 async fn reject(_: Rejection) -> Result<Response, Infallible> {
     Ok(refuse(Code::BadRequest, "the request cannot be read"))
 }
