winch-route: refuse queued calls whose last upstream has left the configuration

What callers saw: a call that waited in the admission queue of `serve` when a change of the configuration removed all upstreams of its version or service got its refusal (114) only at the end of its wait, up to 20 s later, although a new call got 115 at once.

Cause: the queue was only served when an upstream had room and emptied by deadlines.

The refusal says as before that the call has not run.

--- a/crates/winch-route/src/router.rs
+++ b/crates/winch-route/src/router.rs
@@ -66,7 +66,7 @@
 pub enum Wake {
     /// It starts on this upstream.
     Start(WaiterId, Key),
-    /// It does not run, as its deadline passed or no upstream is eligible.
+    /// It does not run, as its deadline passed, no upstream is eligible or none is configured.
     Expired(WaiterId),
 }
 
@@ -236,6 +236,12 @@
         let Some(queued) = self.queues.get_mut(runs) else {
             return;
         };
+        if self.pool.members(runs).is_empty() {
+            // The configuration lists no upstream any more that could take them.
+            wakes.extend(queued.calls.values().map(|(waiter, _)| Wake::Expired(*waiter)));
+            self.queues.remove(runs);
+            return;
+        }
         for queue_id in queued.queue.expire(now) {
             if let Some((waiter, _)) = queued.calls.remove(&queue_id) {
                 wakes.push(Wake::Expired(waiter));
