wisteriawinch: a call is sent within its service's timeout, or refused

What callers saw: with a service whose timeout is shorter than the wait of a lookup or order (1 s), a queued call was refused after 1 s, or was sent when its time had passed and ended as "upstream failed". The claim of an order's key in the table could take four reads and writes of 2 s each before the order was sent or refused with 119, whatever the service's timeout.

Cause: neither wait knew the call's time; a lookup's time was only looked at after the wait.

Change: a call has one time until which it may be sent, its arrival plus `timeout_ms`, which bounds the claim and the queue. A claim that is confirmed later is settled as not run, so that the key can be used again. A service that deduplicates calls gets the order without a claim then, as when the table is unavailable. The upstream has the whole timeout for an order from when it is sent, as before.

What it costs: a keyed order whose claim takes longer than the service's timeout was late and is now refused.

Tests: `busy_service_refuses` failed before ("GET: 1.013273763s", bound 700 ms at a timeout of 300 ms), `slow_ledger_refuses` too (the order ran after the table's 2 s in place of a refusal). Both pass now, with the 9 of `order_effects`.

--- a/crates/wisteriawinch/src/edge/plain.rs
+++ b/crates/wisteriawinch/src/edge/plain.rs
@@ -59,7 +59,8 @@
     let Some(service) = edge.fleet.snapshot.load().service(&request.path).cloned() else {
         return refuse(Code::NoRoute, "no route serves this path");
     };
-    let call = ServiceCall { edge: edge.clone(), service, team, request };
+    let send_deadline = Instant::now() + Duration::from_millis(service.timeout_ms);
+    let call = ServiceCall { edge: edge.clone(), service, team, request, send_deadline };
     let is_idempotent =
         call.service.idempotent.iter().any(|m| **m == *call.request.method.as_str());
     // An order continues if its caller disconnects, so that its outcome is recorded.
@@ -79,6 +80,8 @@
     service: Arc<Service>,
     team: Arc<Team>,
     request: Request,
+    /// Time until which the call may be sent: its arrival plus the service's timeout.
+    send_deadline: Instant,
 }
 
 impl ServiceCall {
@@ -89,7 +92,6 @@
     /// Sends an idempotent call, and after a failure sends it to another upstream, within the
     /// service's timeout and the retry budget.
     async fn call_idempotent(&self) -> Result<StoredReply, Code> {
-        let deadline = Instant::now() + self.timeout();
         let fleet = &self.edge.fleet;
         let mut tried = Vec::new();
         for attempt in 0..IDEMPOTENT_ATTEMPTS {
@@ -97,7 +99,7 @@
                 break;
             }
             let key = self.choose_upstream(&tried).await?;
-            let sent = timeout_at(deadline, self.send(&fleet.client, key)).await;
+            let sent = timeout_at(self.send_deadline, self.send(&fleet.client, key)).await;
             let sent = sent.unwrap_or(SendResult::Unknown);
             fleet.finish(key, finish_of(&sent));
             match sent {
@@ -107,7 +109,7 @@
                 SendResult::Unknown => counter::retried("lookup_broken"),
             }
             tried.push(key);
-            if Instant::now() >= deadline {
+            if Instant::now() >= self.send_deadline {
                 break;
             }
         }
@@ -143,17 +145,37 @@
             now: unix_now(),
             pending_limit_secs: PENDING_LIMIT_SECONDS + self.service.timeout_ms / 1_000,
         };
-        match claim(&fleet.platform, &options).await {
-            Ok(claim::Outcome::Claimed(claim)) => self.run_order(Some(claim)).await,
-            Ok(claim::Outcome::Done(reply)) => Ok(reply),
-            Ok(claim::Outcome::InProgress) => Err(Code::InProgress),
-            Ok(claim::Outcome::Unknown) => Err(Code::OutcomeUnknown),
-            Err(claim::Error::Mismatch) => Err(Code::KeyMismatch),
-            Err(claim::Error::Table { .. }) if self.service.dedupes => self.run_order(None).await,
-            Err(_) => Err(Code::LedgerUnavailable),
+        match self.claim(options).await {
+            Some(Ok(claim::Outcome::Claimed(claim))) => self.run_order(Some(claim)).await,
+            Some(Ok(claim::Outcome::Done(reply))) => Ok(reply),
+            Some(Ok(claim::Outcome::InProgress)) => Err(Code::InProgress),
+            Some(Ok(claim::Outcome::Unknown)) => Err(Code::OutcomeUnknown),
+            Some(Err(claim::Error::Mismatch)) => Err(Code::KeyMismatch),
+            Some(Err(claim::Error::Table { .. })) | None if self.service.dedupes => {
+                self.run_order(None).await
+            }
+            Some(Err(_)) | None => Err(Code::LedgerUnavailable),
         }
     }
 
+    /// Claims a key; `None` if the table has not confirmed that before the order must be sent. A
+    /// claim that succeeds later is settled as not run.
+    async fn claim(&self, options: claim::Request) -> Option<Result<claim::Outcome, claim::Error>> {
+        let fleet = self.edge.fleet.clone();
+        let platform = fleet.platform.clone();
+        let mut claiming = Box::pin(async move { claim(&platform, &options).await });
+        if let Ok(claimed) = timeout_at(self.send_deadline, &mut claiming).await {
+            return Some(claimed);
+        }
+        let work = fleet.work.clone();
+        work.spawn(async move {
+            if let Ok(claim::Outcome::Claimed(claim)) = claiming.await {
+                record_outcome(&fleet, claim, State::NotRun);
+            }
+        });
+        None
+    }
+
     /// Runs an order. It is sent to another upstream only if no byte was sent before.
     async fn run_order(&self, claim: Option<Claim>) -> Result<StoredReply, Code> {
         let fleet = &self.edge.fleet;
@@ -225,11 +247,13 @@
         SendResult::Unknown
     }
 
-    /// Chooses an upstream with a free slot; the call is queued until there is one. A retry takes
+    /// Chooses an upstream with a free slot; the call is queued until there is one, but no longer
+    /// than it may be sent. A retry takes
     /// an upstream that was not tried, without queueing.
     async fn choose_upstream(&self, tried: &[Key]) -> Result<Key, Code> {
         let fleet = &self.edge.fleet;
         let urgency = Urgency::Immediate;
+        let time_left = self.send_deadline.saturating_duration_since(Instant::now());
         let call = Call {
             runs: self.service.name.clone(),
             prefix: rand::random(),
@@ -239,7 +263,7 @@
                 team: self.team.name.clone(),
                 weight: self.team.weight,
                 urgency,
-                max_wait: fleet.urgency.max_wait(urgency),
+                max_wait: fleet.urgency.max_wait(urgency).min(time_left),
             },
         };
         if !tried.is_empty() {
