wisteriawinch: an answer's waits for its turn end

What callers saw: a generation whose request is isolated waited for the other isolated requests of the daemon, and one that resumes for the resumes before it, for as long as those take, without a word: neither the longest wait of its class nor the 60 s without progress applied.

Cause: `check_disposition` and `wait_for_pacer` had no limit of their own.

Tests: `isolation_wait_ends` and `pacer_wait_ends` failed before (no end within 90 s of paused time), pass now.

--- a/crates/wisteriawinch/src/generate/drive/recover.rs
+++ b/crates/wisteriawinch/src/generate/drive/recover.rs
@@ -1,6 +1,6 @@
 //! Start of an answer, recovery after lost attempts, and resumption by a cursor.
 
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use winch_generation::{answer::Answer, cursor::Cursor};
 use winch_route::{pool::Key, router::Call, suspect::Disposition};
 
@@ -28,7 +28,9 @@
     /// Starts the first attempt: at the cursor of a caller that resumes, on the new version of a
     /// move if the answer is assigned to it and a replica has room, and after admission otherwise.
     pub(super) async fn begin(&mut self) -> Result<(), End> {
-        self.check_disposition().await?;
+        let max_wait = self.call.arrival.max_wait;
+        let checked = timeout(max_wait, self.check_disposition()).await;
+        checked.unwrap_or_else(|_| Err(end_from_admission(admit::Error::Expired)))?;
         if let Some(point) = self.job.resume.clone() {
             return self.resume_at(point.cursor, point.tokens);
         }
@@ -169,7 +171,8 @@
         if self.replay_until > self.answer.len() {
             return Err(End::Failed(resume_unavailable()));
         }
-        self.check_disposition().await?;
+        let checked = timeout(self.progress_time_left(), self.check_disposition()).await;
+        checked.unwrap_or_else(|_| Err(no_progress()))?;
         if self.is_unsent() {
             self.fall_back();
         }
@@ -211,11 +214,12 @@
 
     /// Fails an answer without progress for [`PROGRESS_TIMEOUT`].
     fn check_progress(&self) -> Result<(), End> {
-        if self.fleet.now().saturating_sub(self.progressed_at) <= PROGRESS_TIMEOUT {
-            return Ok(());
-        }
-        let message = "no engine could go on with the answer".to_owned();
-        Err(End::Failed((Code::GenerationFailed, message)))
+        if self.progress_time_left().is_zero() { Err(no_progress()) } else { Ok(()) }
+    }
+
+    /// Time after which the answer fails unless there is progress.
+    fn progress_time_left(&self) -> Duration {
+        PROGRESS_TIMEOUT.saturating_sub(self.fleet.now().saturating_sub(self.progressed_at))
     }
 
     /// Restarts the answer on the version that the route has now, the old one during a move, if
@@ -250,7 +254,8 @@
                     return Ok(());
                 }
             }
-            if let Err(end) = self.wait_before_retry().await {
+            let waited = self.wait_before_retry().await;
+            if let Err(end) = waited.and_then(|()| self.check_progress()) {
                 let now = self.fleet.now();
                 self.fleet.routing().router.pacer(&self.call.runs, now).0.remove(waiter);
                 return Err(end);
@@ -284,6 +289,12 @@
     format!("{}; try again in {seconds} s", code.name())
 }
 
+/// How an answer ends that has made no progress for [`PROGRESS_TIMEOUT`].
+fn no_progress() -> End {
+    let message = "no engine could go on with the answer".to_owned();
+    End::Failed((Code::GenerationFailed, message))
+}
+
 fn no_upstream() -> Refusal {
     (Code::NoUpstream, "no upstream can take the request".to_owned())
 }
--- a/crates/wisteriawinch/tests/driver_steps.rs
+++ b/crates/wisteriawinch/tests/driver_steps.rs
@@ -6,17 +6,20 @@
     collections::VecDeque,
     net::SocketAddr,
     sync::{Arc, Mutex},
+    time::Duration,
 };
 
 use futures_util::{StreamExt, stream};
 use serde_json::json;
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, time::timeout};
 use winch_config::{change::Change, object::Team, set::Set};
 use winch_generation::{
     cursor::{Cursor, Key},
     digest::Digest,
 };
+use winch_route::{pace::Pacer, suspect::Crash};
 use wisteriawinch::{
+    code::Code,
     fleet::Fleet,
     generate::{
         drive::Driver,
@@ -27,6 +30,8 @@
     rollout::Assignment,
 };
 
+/// Time after which an answer without progress must have ended.
+const MAX_ANSWER_WAIT: Duration = Duration::from_secs(90);
 const KEY: &[u8] = b"fleet-key-0123456789";
 
 /// Engine that replays the scripted attempts in order and records the submissions. It is busy
@@ -205,3 +210,41 @@
     let waiters: Vec<u64> = (0..2).map(|_| pacer.enqueue(1)).collect();
     assert!(waiters.into_iter().all(|waiter| pacer.try_start(waiter, 1)));
 }
+
+/// Drives a job whose first attempt breaks, with the daemon's state `fleet`; returns the code with
+/// which the answer fails. The test fails if it does not end.
+async fn failure_after_break(fleet: Arc<Fleet>, job: Job) -> Code {
+    let script = Script::new([vec![Err(Error::Broken)]]);
+    let (output, head, _chunks) = Output::new(job.request, false);
+    let assignment = Assignment { version: "v1".into(), move_subset: None, fallback: None };
+    let driver = Driver::new(fleet, script, job, output, assignment);
+    timeout(MAX_ANSWER_WAIT, driver.run()).await.expect("the answer ends");
+    head.await.expect("a word").expect_err("a refusal").0
+}
+
+// Guards against an answer that waits for its turn to be resumed for as long as others take.
+#[tokio::test(start_paused = true)]
+async fn pacer_wait_ends() {
+    let fleet = fleet();
+    {
+        let mut routing = fleet.routing();
+        let (pacer, replicas) = routing.router.pacer(&"v1".into(), fleet.now());
+        for _ in 0..replicas * Pacer::RESUMES_PER_REPLICA {
+            let waiter = pacer.enqueue(0);
+            assert!(pacer.try_start(waiter, replicas));
+        }
+    }
+    assert_eq!(failure_after_break(fleet, job(4, None)).await, Code::GenerationFailed);
+}
+
+// Guards against an answer that waits for other isolated requests for as long as they take.
+#[tokio::test(start_paused = true)]
+async fn isolation_wait_ends() {
+    let fleet = fleet();
+    let _permit = fleet.isolation.clone().try_acquire_owned().unwrap();
+    let job = job(4, None);
+    for crash in [1, 2] {
+        fleet.suspects().record_crash(Crash(crash), &[job.fingerprint], fleet.now());
+    }
+    assert_eq!(failure_after_break(fleet, job).await, Code::Expired);
+}
