winch-relay: refuse a forwarded request for which there is no connection left

What callers saw: a daemon that reaches no replica passes a request on; if the other daemon already served 512 connections of daemons, it closed the new one without a word. The first daemon then answered an order with 620, "may have run", although nothing of it had been read, and asked nobody else.

Cause: `peer::serve` dropped the connection before it knew what was to come on it.

Change: up to 256 further connections are read. Notices of crashes are taken, and followers are closed as before. Above 512 + 256 connections the close stays.

--- a/crates/winch-relay/src/peer/serve.rs
+++ b/crates/winch-relay/src/peer/serve.rs
@@ -5,12 +5,13 @@
 use futures_util::StreamExt;
 use prost::Message;
 use tokio::{
-    io::AsyncReadExt,
+    io::{AsyncRead, AsyncReadExt, AsyncWrite},
     net::{TcpListener, TcpStream},
     task::JoinSet,
     time::{sleep, sleep_until, timeout},
 };
 use tokio_util::codec::FramedParts;
+use winch_http::server::Reader;
 use winch_roster::{cursor::Cursor, frame, interest::Interest, pace::Pace};
 
 use super::{
@@ -22,12 +23,17 @@
     speeds::decode_samples,
 };
 use crate::{
-    edge, edition::Edition, fleet::FollowerKey, listen, node::Node, prelude::*, speed,
-    strikes::Notice,
+    counter, edge, edition::Edition, fleet::FollowerKey, listen, node::Node, prelude::*,
+    respond::Responder, speed, strikes::Notice,
 };
 
-/// Largest number of connections that are served at once; further ones are closed.
+/// Largest number of connections that are served at once. On further ones requests are refused, and
+/// nobody gets updates.
 const MAX_CONNECTIONS: usize = 512;
+/// Largest number of such further connections; more are closed.
+const MAX_UNSERVED_CONNECTIONS: usize = 256;
+/// How long the input of a refused request is read.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Largest first frame of a connection, in bytes: a request, or strikes and cleared parts.
 const MAX_REQUEST_BYTES: usize = 128 * 1024;
 /// Largest report of a follower, in bytes.
@@ -177,22 +183,32 @@
 
 /// Accepts connections of other daemons and serves them, for as long as the daemon runs.
 pub async fn serve<P: Protocol>(node: Arc<Node<P>>, listener: TcpListener) {
-    let mut connections = JoinSet::new();
+    let (mut served, mut unserved) = (JoinSet::new(), JoinSet::new());
     loop {
         let stream = listen::accept(&listener).await;
-        while connections.try_join_next().is_some() {}
-        if connections.len() >= MAX_CONNECTIONS {
+        for connections in [&mut served, &mut unserved] {
+            while connections.try_join_next().is_some() {}
+        }
+        let has_room = served.len() < MAX_CONNECTIONS;
+        let connections = if has_room { &mut served } else { &mut unserved };
+        if !has_room && connections.len() >= MAX_UNSERVED_CONNECTIONS {
             continue;
         }
         let node = node.clone();
         connections.spawn(async move {
             // An error only means that the peer has disconnected or sent an invalid frame.
-            let _ = serve_connection(&node, stream).await;
+            let _ = serve_connection(&node, stream, has_room).await;
         });
     }
 }
 
-async fn serve_connection<P: Protocol>(node: &Arc<Node<P>>, stream: TcpStream) -> io::Result<()> {
+/// Serves one connection. Without room for it, notices are taken all the same, and a caller's
+/// request is refused.
+async fn serve_connection<P: Protocol>(
+    node: &Arc<Node<P>>,
+    stream: TcpStream,
+    has_room: bool,
+) -> io::Result<()> {
     let mut framed = frame_stream(stream, MAX_REQUEST_BYTES);
     let received = timeout(REQUEST_TIMEOUT, framed.next()).await?.transpose()?;
     let Some(request) = received else { return Ok(()) };
@@ -206,7 +222,14 @@
         let FramedParts { io, read_buf, .. } = framed.into_parts();
         let (read, write) = io.into_split();
         let read = io::Cursor::new(read_buf).chain(read);
-        edge::serve_forwarded(node, read, write, forwarding.sends).await;
+        if has_room {
+            edge::serve_forwarded(node, read, write, forwarding.sends).await;
+        } else {
+            refuse_forwarded(read, write).await;
+        }
+        return Ok(());
+    }
+    if !has_room {
         return Ok(());
     }
     let mut sent = Sent::new(node, &request);
@@ -218,6 +241,23 @@
     serve_follower(node, &mut framed, sent).await
 }
 
+/// Refuses the request that another daemon passes on. A close in place of the refusal would leave
+/// that daemon in doubt whether the request has run.
+async fn refuse_forwarded<R, W>(read: R, write: W)
+where
+    R: AsyncRead + Unpin,
+    W: AsyncWrite + Unpin,
+{
+    counter::taken("busy");
+    let mut out = Responder::for_daemon(write);
+    out.close_after();
+    if out.send_error(Code::Busy, None).await.is_ok() {
+        out.shutdown().await;
+        // Closing a socket with unread input resets the connection, and the refusal could be lost.
+        let _ = timeout(LINGER_TIMEOUT, Reader::new(read).drain()).await;
+    }
+}
+
 async fn serve_follower<P: Protocol>(
     node: &Node<P>,
     framed: &mut FramedStream,
