winch-relay: keep no connection to a replica that has carried no reply

What callers could see: 502 for an order on a kept connection that its replica closes in that moment.

Cause: the check of a service in doubt put connections that had carried no request into the pool, with the limit of 3 s for replicas that name none. Such a replica may name a shorter one in each reply; on this connection it had not sent any.

Change: the pool closes connections without an exchange; the check only opens them, as it needs no more. The next request opens one.

Test: `unused_connection_closed` failed before, passes now; `used_connection_kept` passed before and now. The race itself was not shown.

--- a/crates/winch-relay/src/pool.rs
+++ b/crates/winch-relay/src/pool.rs
@@ -39,9 +39,10 @@
     }
 
     /// Returns a connection to the pool; closes it if its last exchange does not allow
-    /// another one, or if the pool holds enough for this replica.
+    /// another one, or if the pool holds enough for this replica. A connection without any exchange
+    /// is closed, too: its replica has not named the time for which it stays open.
     pub fn put(&self, address: SocketAddr, mut connection: Connection) {
-        if !connection.is_reusable() {
+        if connection.exchanges() == 0 || !connection.is_reusable() {
             return;
         }
         connection.start_idle();
--- a/crates/winch-relay/src/reach.rs
+++ b/crates/winch-relay/src/reach.rs
@@ -121,7 +121,7 @@
     }
 }
 
-/// Opens connections to a few replicas of a service, and keeps those that succeed for later requests.
+/// Opens connections to a few replicas of a service, which records whether that succeeds.
 async fn check<P: Protocol>(node: &Node<P>, service: &Name) {
     let replicas = {
         let catalog = node.catalog();
@@ -133,10 +133,6 @@
         node.paths().services.remove(service);
         return;
     }
-    let openings = replicas.iter().map(|replica| async {
-        if let Ok(connection) = node.open_new(replica).await {
-            node.pool.put(replica.address, connection);
-        }
-    });
+    let openings = replicas.iter().map(|replica| node.open_new(replica));
     futures_util::future::join_all(openings).await;
 }
