winch-http: an idle connection's time counts from the arrival of the reply's end

What callers could see: 502 for an order, or a repeated attempt, on a kept connection that its replica closes in that moment, after a stream whose caller reads slowly.

Cause: the idle time began when the connection was put back. A caller that reads slowly delays the read of the stream's end, while the replica counts its Keep-Alive from when it sent the end. The margin of 800 ms is used up by a delay of as much.

Change: the connection notes when input was read, or, if it was there already, the time of the read before, since it may have arrived at any time after that; the idle time counts from there.

Tests: `idle_since_arrival` and `idle_since_unread_end` failed before (usable 500 and 600 ms after the end with `timeout=1`, of which 200 ms are left by the margin), pass now. The race with a replica was not shown. A stated limit of 0 or 1 s gives 0 or 200 ms, so that neither reaches the replica's close.

--- a/crates/winch-http/src/client.rs
+++ b/crates/winch-http/src/client.rs
@@ -87,6 +87,10 @@
     input: BytesMut,
     decoder: Decoder,
     reusable: bool,
+    /// When input was last read.
+    read_at: Instant,
+    /// A time after which the last input has arrived, for the start of the idle time.
+    arrived_after: Instant,
     idle_until: Instant,
     idle_limit: Duration,
     exchanges: u32,
@@ -107,12 +111,15 @@
 
     /// Makes a connection of an open stream, on which nothing but a request is expected next.
     pub fn new(io: TcpStream) -> Self {
+        let now = Instant::now();
         Self {
             io,
             input: BytesMut::new(),
             decoder: Decoder::new(Framing::Length(0)),
             reusable: true,
-            idle_until: Instant::now(),
+            read_at: now,
+            arrived_after: now,
+            idle_until: now,
             idle_limit: DEFAULT_IDLE_LIMIT,
             exchanges: 0,
         }
@@ -130,8 +137,11 @@
 
     /// Starts the idle time of the connection, after which [`is_usable`](Self::is_usable)
     /// returns `false`.
+    ///
+    /// The time counts from the arrival of the end of the reply, which may have been read much
+    /// later.
     pub fn start_idle(&mut self) {
-        self.idle_until = Instant::now() + self.idle_limit;
+        self.idle_until = self.arrived_after + self.idle_limit;
     }
 
     /// Returns whether an idle connection can be used: it has not expired, the server has
@@ -202,7 +212,10 @@
                 _ = &mut write, if !written => written = true,
                 read = reader.read_buf(&mut self.input) => match read {
                     Ok(0) => return Err(broken(io::ErrorKind::UnexpectedEof)),
-                    Ok(_) => {}
+                    Ok(_) => {
+                        self.read_at = Instant::now();
+                        self.arrived_after = self.read_at;
+                    }
                     Err(source) => return Err(Error::Broken { source }),
                 },
             }
@@ -223,8 +236,7 @@
                 Step::Done => return Ok(None),
                 Step::More => {}
             }
-            self.input.reserve(READ_BYTES);
-            match self.io.read_buf(&mut self.input).await {
+            match self.fill().await {
                 Ok(0) if self.decoder.ends_with_connection() => {
                     self.decoder = Decoder::new(Framing::Length(0));
                     self.reusable = false;
@@ -236,6 +248,26 @@
         }
     }
 
+    /// Reads more input and returns the number of bytes; zero if the server has closed the
+    /// connection.
+    async fn fill(&mut self) -> io::Result<usize> {
+        self.input.reserve(READ_BYTES);
+        let read = match self.io.try_read_buf(&mut self.input) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                let read = self.io.read_buf(&mut self.input).await;
+                self.arrived_after = Instant::now();
+                read
+            }
+            read => {
+                // It may have arrived at any time since the last read.
+                self.arrived_after = self.read_at;
+                read
+            }
+        };
+        self.read_at = Instant::now();
+        read
+    }
+
     /// Reads the rest of the reply's body.
     ///
     /// # Errors
--- a/crates/winch-http/tests/client_exchange.rs
+++ b/crates/winch-http/tests/client_exchange.rs
@@ -164,3 +164,45 @@
         assert_matches!(error, Error::Unacceptable { source } if source == expected, "{repeated}");
     }
 }
+
+// Guards against an idle time that starts when a slow reader takes the end of a reply, although it
+// arrived long before: the server counts from when it sent the end.
+#[tokio::test]
+async fn idle_since_arrival() {
+    let text = "HTTP/1.1 200 X\r\nKeep-Alive: timeout=1\r\nTransfer-Encoding: chunked\r\n\r\n\
+                2\r\nab\r\n0\r\n\r\n";
+    let address = server(text, false).await;
+    let mut connection = Connection::open(address, CONNECT_TIMEOUT).await.unwrap();
+    let request = b"GET / HTTP/1.1\r\n\r\n";
+    connection.exchange(&Method::GET, request, &NotOld).await.unwrap();
+    assert_eq!(connection.chunk().await.unwrap().unwrap(), "ab");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert!(connection.chunk().await.unwrap().is_none());
+    connection.start_idle();
+    assert!(!connection.is_usable(), "the stated limit less the margin has passed");
+}
+
+// Guards against the same if the end of the reply had arrived, but was not read yet.
+#[tokio::test]
+async fn idle_since_unread_end() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut bytes = [0; 1_000];
+        let head = b"HTTP/1.1 200 X\r\nKeep-Alive: timeout=1\r\nTransfer-Encoding: chunked\r\n\r\n";
+        stream.write_all(head).await.unwrap();
+        stream.write_all(b"2\r\nab\r\n").await.unwrap();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        stream.write_all(b"0\r\n\r\n").await.unwrap();
+        while stream.read(&mut bytes).await.is_ok_and(|length| length > 0) {}
+    });
+    let mut connection = Connection::open(address, CONNECT_TIMEOUT).await.unwrap();
+    let request = b"GET / HTTP/1.1\r\n\r\n";
+    connection.exchange(&Method::GET, request, &NotOld).await.unwrap();
+    assert_eq!(connection.chunk().await.unwrap().unwrap(), "ab");
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    assert!(connection.chunk().await.unwrap().is_none());
+    connection.start_idle();
+    assert!(!connection.is_usable(), "the stated limit less the margin has passed");
+}
