wisteriawinch: tests of orders whose service is removed, and of late replies during a stop

An order that is at its upstream when a change of the configuration removes route, service and upstream gets its reply (`removal_keeps_order`). A stop waits for the late reply of an order whose caller has got "outcome unknown", and records it (`stop_keeps_order`).

--- a/crates/wisteriawinch/tests/order_effects.rs
+++ b/crates/wisteriawinch/tests/order_effects.rs
@@ -2,8 +2,10 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{World, base_objects, order_objects, service};
-use serde_json::Value;
+use serde_json::{Value, json};
 use winch_standin::{platform, service as standin};
 
 /// Daemons with an upstream for orders, whose calls time out after `timeout_ms`.
@@ -128,6 +130,38 @@
     assert_eq!(total_effects(&service), 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn removal_keeps_order() {
+    let (world, service) = world_with_orders(2, 2_000).await;
+    service.set_fault(standin::Fault { delay_before_ms: 800, ..Default::default() });
+    let call = world.call(0, "POST", "/orders/x", Some("k8"), "row 7");
+    let removal = async {
+        // The order waits at its upstream while its route, service and upstream are removed.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let id = |kind: &str, name: &str| json!({ "kind": kind, "name": name });
+        let deletes = [id("route", "orders"), id("service", "orders"), id("upstream", "orders-1")];
+        let body = json!({ "edit": { "deletes": deletes }, "wait_ms": 10_000 });
+        let (status, body) = world.admin(0, "/admin/apply", Some(body)).await;
+        assert_eq!((status, total_effects(&service)), (200, 0), "{body}");
+    };
+    let ((status, _), ()) = tokio::join!(call, removal);
+    assert_eq!((status, total_effects(&service)), (201, 1));
+    let (_, body) = world.call(0, "POST", "/orders/x", Some("k8"), "row 7").await;
+    assert_eq!((code(&body), &body["error"]["not_run"]), (104, &Value::Bool(true)));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_keeps_order() {
+    let (mut world, service) = world_with_orders(2, 300).await;
+    service.set_fault(standin::Fault { delay_after_ms: 1_500, ..Default::default() });
+    let first = world.call(0, "POST", "/orders/x", Some("k9"), "row 7").await;
+    assert_eq!((first.0, code(&first.1)), (504, 201));
+    // The late reply arrives during the stop.
+    world.daemons.remove(0).stop().await;
+    let (status, body) = world.call(0, "POST", "/orders/x", Some("k9"), "row 7").await;
+    assert_eq!((status, total_effects(&service)), (201, 1), "{body}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn unkeyed_order_not_retried() {
     let (world, service) = world_with_orders(1, 2_000).await;
