--- a/crates/wisteriawinch/src/edge/plain.rs
+++ b/crates/wisteriawinch/src/edge/plain.rs
@@ -248,8 +248,7 @@
     }
 
     /// Chooses an upstream with a free slot; the call is queued until there is one, but no longer
-    /// than it may be sent. A retry takes
-    /// an upstream that was not tried, without queueing.
+    /// than it may be sent. A retry takes an upstream that was not tried, without queueing.
     async fn choose_upstream(&self, tried: &[Key]) -> Result<Key, Code> {
         let fleet = &self.edge.fleet;
         let urgency = Urgency::Immediate;
