winch-bench: all policies of a replay get the same streams

Cause: one generator drew the arrivals and the choices of the policy. A policy that draws more numbers for a placement changed the times, sizes and daemons of all later streams, so each policy was measured on streams of its own: in this failure a mean of 307.8 for the relay and 336.4 for "least own". How much a restart costs depends on the streams that run at that time.

Change: arrivals have a generator of their own, from which the other one is derived once at the start.

With the change replay_load passes (7 of 7 tests).

--- a/crates/winch-bench/src/replay/simulation.rs
+++ b/crates/winch-bench/src/replay/simulation.rs
@@ -96,6 +96,9 @@
     pub(super) pattern: &'a Pattern,
     pub(super) kinds: Vec<Kind>,
     policy: Policy,
+    /// Draws what arrives. It draws nothing else, so that all policies get the same streams.
+    arrivals_rng: SmallRng,
+    /// Draws what follows from the policy's choices.
     rng: SmallRng,
     /// Instant of the simulated time 0.
     base: Instant,
@@ -147,6 +150,7 @@
             let turn = number * dcs.len() / pattern.daemons;
             Daemon::new(format!("dc-{}", number % pattern.replicas.len()), catalog(pattern), turn)
         };
+        let mut arrivals_rng = SmallRng::seed_from_u64(seed);
         let mut step_factors = pattern.step_factors.clone();
         step_factors.extend(pattern.step_factors.is_empty().then_some(1.0));
         let step_factors = step_factors.into_iter().cycle();
@@ -154,7 +158,8 @@
             pattern,
             kinds: pattern.kinds(),
             policy,
-            rng: SmallRng::seed_from_u64(seed),
+            rng: SmallRng::from_rng(&mut arrivals_rng),
+            arrivals_rng,
             base: Instant::now(),
             now: 0.0,
             events: BinaryHeap::new(),
@@ -244,13 +249,13 @@
             pattern.prompt * bursts().map(|burst| burst.prompt).product::<f64>();
         let rate = streams * wave * bursts().map(|burst| burst.streams).product::<f64>();
         let mut draw_around = |mean: f64, spread: f64| {
-            (mean * self.rng.random_range(1.0 - spread..1.0 + spread)) as u64
+            (mean * self.arrivals_rng.random_range(1.0 - spread..1.0 + spread)) as u64
         };
         let stream = Stream {
             kind,
             prompt_tokens: draw_around(prompt_tokens, 0.5),
             answer_tokens: draw_around(pattern.answer, 0.35),
-            daemon: self.rng.random_range(0..self.daemons.len()),
+            daemon: self.arrivals_rng.random_range(0..self.daemons.len()),
             arrived_at: self.now,
             produced_tokens: 0,
             last_event_at: None,
@@ -266,7 +271,7 @@
         self.schedule(now + CALLER_TIMEOUT_S, Event::GiveUp(number));
         self.place(number);
         // The times between arrivals are exponentially distributed.
-        let next = self.now - (1.0 - self.rng.random::<f64>()).ln() / rate;
+        let next = self.now - (1.0 - self.arrivals_rng.random::<f64>()).ln() / rate;
         if next < pattern.seconds {
             self.schedule(next, Event::Arrive(kind));
         }
--- a/crates/winch-bench/tests/replay_load.rs
+++ b/crates/winch-bench/tests/replay_load.rs
@@ -67,6 +67,21 @@
     assert!(outcome.preemptions > 0.0 && outcome.wasted > 0.0, "the memory is full: {outcome:?}");
 }
 
+// Guards against policies that are compared on different streams.
+#[test]
+fn policies_get_same_streams() {
+    for name in ["restarts", "competing burst"] {
+        let arrived = |policy| {
+            let outcome = replay::simulate(&find(name), policy, 1);
+            outcome.kinds.iter().map(|kind| kind.streams).collect::<Vec<_>>()
+        };
+        let relay = arrived(Policy::Relay);
+        for policy in Policy::ALL {
+            assert_eq!(arrived(policy), relay, "{name}: {}", policy.name());
+        }
+    }
+}
+
 #[test]
 fn runs_are_reproducible() {
     let pattern = &pattern::all()[1];
