--- a/crates/wisteriawinch/tests/entry/mod.rs
+++ b/crates/wisteriawinch/tests/entry/mod.rs
@@ -64,7 +64,7 @@
     format!(
         "node-name = \"daemon-{number}\"\nzone = \"{dc}\"\nseed-nodes = [{seeds}]\n\
          [listen-addrs]\nfront = \"{callers}\"\nready = \"{ready}\"\ncontrol = \"{control}\"\n\
-         [bounds]\ndrain-ms = 2000\ngrace-s = 8\nretry-budget-ratio = 0.8\n\
+         [bounds]\npass-ms = 300\ndrain-ms = 2000\ngrace-s = 8\nretry-budget-ratio = 0.8\n\
          [platform-config]\naddress = \"{store}\"\n"
     )
 }
--- a/crates/wisteriawinch/tests/fault_soak.rs
+++ b/crates/wisteriawinch/tests/fault_soak.rs
@@ -2,7 +2,7 @@
 //!
 //! A seed determines a series of faults and the choices of the callers. The test
 //! fails if an order runs twice, an order or stream runs after a refusal, a stream has a gap, a
-//! success is not signed by a replica, an answer belongs to another request, a daemon exits
+//! success is not signed by a replica, an order gets no word before its caller stops waiting, an answer belongs to another request, a daemon exits
 //! by itself or a graceful stop fails, or if a daemon does not serve again after the
 //! faults.
 //!
@@ -62,7 +62,12 @@
     }
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut violations = Vec::new();
-    for _ in 0..FAULTS {
+    // A generator of its own, so that the series of faults of a seed stays as it was.
+    let mut silence_rng = SmallRng::seed_from_u64(!seed);
+    for number in 0..FAULTS {
+        if number == FAULTS / 2 {
+            violations.extend(fault::silence(&fleet, &mut silence_rng).await);
+        }
         violations.extend(fault::inject(&fleet, &mut rng).await);
     }
     violations.extend(fault::clear(&fleet).await);
--- a/crates/wisteriawinch/tests/soak/fault.rs
+++ b/crates/wisteriawinch/tests/soak/fault.rs
@@ -22,6 +22,28 @@
 /// Longest time between two faults; shorter than most faults last.
 const MAX_INTERVAL_MS: u64 = 400;
 
+/// Time for which a caller waits while all replicas are silent.
+const SILENCE_DEADLINE: Duration = Duration::from_secs(3);
+
+/// Silences all replicas, and sends orders to a random daemon over a kept connection; returns an error
+/// if one gets no word before its caller stops waiting. A connection that breaks is a word.
+pub(crate) async fn silence(fleet: &Fleet, rng: &mut SmallRng) -> Option<String> {
+    let mut caller = fleet.caller(rng.random_range(0..3)).await?;
+    for target in &fleet.replicas {
+        target.replica.pause(SILENCE_DEADLINE);
+    }
+    let deadline_ms = SILENCE_DEADLINE.as_millis().to_string();
+    for number in 0..2 {
+        let id = format!("silence-{number}-{:x}", rng.random::<u64>());
+        let order = Request::order(&id).with("deadline-ms", &deadline_ms);
+        let Ok(reply) = timeout(SILENCE_DEADLINE, caller.send(order)).await else {
+            return Some(format!("{id} got no word before its caller stopped waiting"));
+        };
+        reply.ok()?;
+    }
+    None
+}
+
 /// Starts one random fault or ends all network and store faults; returns the
 /// violated guarantees.
 pub(crate) async fn inject(fleet: &Fleet, rng: &mut SmallRng) -> Vec<String> {
