winch-move: one stall does not count as many slow attempts

Seen: beside six busy processes a good version is taken back ("it is slower" or "a daemon found a fault").

Cause: the sequential test takes attempts for independent. A trace of every attempt in 12 runs shows that they are not: those that end together on one daemon have nearly the same times (five first tokens between 74.9 and 78.4 ms within 3 ms). So the product is at fault, not the real time of the engines; engines and tests are unchanged.

Change: the finding "slow" needs, besides the present test, the same test on batches of at least 0.5 s, each of which weighs as one attempt by its fraction of slow ones. The ratio is exponential in that fraction, hence convex, so its expectation is at most that of one attempt with the same rate: the false-alarm rate holds for any dependence within a batch, if batches are independent. "Good" and "failing" are found as before, so no move takes longer, and a run that would have completed still does. Nothing changes on the wire.

Ruled out: different thresholds for the versions (both are compared with the same estimate, at the same time).

--- a/crates/winch-bench/src/moves.rs
+++ b/crates/winch-bench/src/moves.rs
@@ -9,7 +9,8 @@
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use winch_move::{
-    evidence::{self, Cohort, Collector, Finding, Quantile, Tally, sequential_test},
+    batch::Batches,
+    evidence::{self, Cohort, Collector, Finding, Quantile, Tally},
     machine::{Decision, Input, Machine, Window},
     schedule::{LAST_STAGE, replica_count, share},
     verdict::Verdict,
@@ -87,6 +88,8 @@
     config: Config,
     rng: SmallRng,
     collectors: Vec<Collector>,
+    /// Slowness of the new version as each daemon sees it.
+    batches: Vec<Batches>,
     /// Quantile of the seconds to the first token with the old version.
     first_token: Quantile,
     now: f64,
@@ -165,6 +168,7 @@
             config,
             rng: SmallRng::seed_from_u64(seed),
             collectors: vec![Collector::default(); config.daemons],
+            batches: vec![Batches::default(); config.daemons],
             first_token: Quantile::new(0.9),
             now: 0.0,
             stage: 0,
@@ -309,16 +313,19 @@
         self.stage = stage;
         self.stage_since = self.now;
         self.collectors.iter_mut().for_each(Collector::reset);
+        self.batches.fill(Batches::default());
     }
 
     /// Lets the move machine decide; returns the verdict if the move has ended.
     fn step_machine(&mut self, machine: &mut Machine) -> Option<Verdict> {
         let options = evidence::Options::default().at_stage(self.stage);
         let daemons = self.config.daemons;
-        let local =
-            self.collectors.iter().map(|c| sequential_test(c.new, c.old, &options, daemons));
-        let is_bad = |finding| matches!(finding, Finding::Failing | Finding::Slow);
-        self.fault_seen |= local.into_iter().any(is_bad);
+        let now = self.now;
+        for (collector, batches) in self.collectors.iter().zip(&mut self.batches) {
+            batches.update(collector.new, now);
+            let finding = batches.test(collector.new, collector.old, &options, daemons);
+            self.fault_seen |= matches!(finding, Finding::Failing | Finding::Slow);
+        }
         let (new, old) = self.received_tallies();
         let input = Input {
             now: self.now,
--- a/crates/winch-move/src/evidence.rs
+++ b/crates/winch-move/src/evidence.rs
@@ -105,23 +105,17 @@
 /// independently, they divide the false-alarm rate among them (Bonferroni
 /// correction).
 pub fn sequential_test(new: Tally, old: Tally, options: &Options, daemons: usize) -> Finding {
-    let alpha = options.false_alarm_rate / daemons.max(1) as f64;
-    let faulty_threshold = ((1.0 - options.miss_rate) / alpha).ln();
+    let alpha = false_alarm_rate(options, daemons);
+    let faulty_threshold = faulty_threshold(options, daemons);
     let good_threshold = (options.miss_rate / (1.0 - alpha)).ln();
     let failure_rate = smoothed_rate(old.failed, old.total(), PRIOR_FAILURE_RATE);
-    let slow_rate = smoothed_rate(old.slow, old.total(), PRIOR_SLOW_RATE);
     let failure_log_ratio = log_likelihood_ratio(
-        new.failed,
-        new.total(),
+        new.failed as f64,
+        new.total() as f64,
         failure_rate,
         failure_rate + options.failure_rate_increase.max(failure_rate),
     );
-    let slow_log_ratio = log_likelihood_ratio(
-        new.slow,
-        new.total(),
-        slow_rate,
-        (slow_rate + options.slow_rate_increase).min(0.95),
-    );
+    let slow_log_ratio = slow_log_ratio(new.slow as f64, new.total() as f64, old, options);
     if failure_log_ratio >= faulty_threshold {
         Finding::Failing
     } else if slow_log_ratio >= faulty_threshold {
@@ -133,6 +127,35 @@
     }
 }
 
+/// Whether `slow` of `total` independent attempts on the new version show that it is slower than
+/// the old one. The numbers may be fractions of attempts.
+pub(crate) fn shows_slowness(
+    slow: f64,
+    total: f64,
+    old: Tally,
+    options: &Options,
+    daemons: usize,
+) -> bool {
+    slow_log_ratio(slow, total, old, options) >= faulty_threshold(options, daemons)
+}
+
+/// The false-alarm rate of each of `daemons` that test independently.
+fn false_alarm_rate(options: &Options, daemons: usize) -> f64 {
+    options.false_alarm_rate / daemons.max(1) as f64
+}
+
+/// The logarithm of the likelihood ratio from which on the new version is found faulty.
+fn faulty_threshold(options: &Options, daemons: usize) -> f64 {
+    ((1.0 - options.miss_rate) / false_alarm_rate(options, daemons)).ln()
+}
+
+/// Logarithm of the likelihood ratio of a slow new version over a good one.
+fn slow_log_ratio(slow: f64, total: f64, old: Tally, options: &Options) -> f64 {
+    let slow_rate = smoothed_rate(old.slow, old.total(), PRIOR_SLOW_RATE);
+    let faulty = (slow_rate + options.slow_rate_increase).min(0.95);
+    log_likelihood_ratio(slow, total, slow_rate, faulty)
+}
+
 /// The observed rate, smoothed towards `prior` while there are few counts, and kept between half
 /// of `prior` and 0.6.
 fn smoothed_rate(hits: u64, total: u64, prior: f64) -> f64 {
@@ -144,10 +167,10 @@
 
 /// Logarithm of the likelihood ratio of the rate `faulty` over the rate `normal`, given `hits` in
 /// `total` attempts.
-fn log_likelihood_ratio(hits: u64, total: u64, normal: f64, faulty: f64) -> f64 {
+fn log_likelihood_ratio(hits: f64, total: f64, normal: f64, faulty: f64) -> f64 {
     let faulty = faulty.clamp(normal + 0.01, 0.99);
-    let misses = total.saturating_sub(hits) as f64;
-    hits as f64 * (faulty / normal).ln() + misses * ((1.0 - faulty) / (1.0 - normal)).ln()
+    let misses = (total - hits).max(0.0);
+    hits * (faulty / normal).ln() + misses * ((1.0 - faulty) / (1.0 - normal)).ln()
 }
 
 /// Running estimate of a quantile by stochastic approximation (Robbins, Monro 1951).
--- a/crates/winch-move/src/machine.rs
+++ b/crates/winch-move/src/machine.rs
@@ -4,6 +4,7 @@
 //! in the move's record. Only the daemon that holds the move's lease may advance it.
 
 use crate::{
+    batch::Batches,
     evidence::{self, Finding, Tally},
     schedule,
     verdict::Verdict,
@@ -55,6 +56,8 @@
     stage: u32,
     /// Time at which this daemon entered the stage or took over the move in it, in seconds.
     stage_began: f64,
+    /// Evidence of slowness in the stage.
+    batches: Batches,
 }
 
 /// Minimum time in one stage, in seconds.
@@ -71,7 +74,7 @@
     /// Creates the state of a move that is in `stage` when this daemon takes it
     /// over at `now`, in seconds since the origin of `window`.
     pub fn new(window: Window, options: evidence::Options, stage: u32, now: f64) -> Self {
-        Self { window, options, stage, stage_began: now }
+        Self { window, options, stage, stage_began: now, batches: Batches::default() }
     }
 
     /// The current stage.
@@ -89,7 +92,8 @@
             return Decision::End(Verdict::TakenBack, "a daemon found a fault");
         }
         let options = self.options.at_stage(self.stage);
-        match evidence::sequential_test(input.new, input.old, &options, 1) {
+        self.batches.update(input.new, input.now);
+        match self.batches.test(input.new, input.old, &options, 1) {
             Finding::Failing => return Decision::End(Verdict::TakenBack, "it fails more often"),
             Finding::Slow => return Decision::End(Verdict::TakenBack, "it is slower"),
             Finding::Good => {
@@ -137,6 +141,7 @@
         }
         self.stage += 1;
         self.stage_began = now;
+        self.batches.restart();
         Decision::Advance(self.stage)
     }
 
--- a/crates/wisteriawinch/src/control/moves.rs
+++ b/crates/wisteriawinch/src/control/moves.rs
@@ -123,7 +123,7 @@
                 return;
             };
             rollout.observer.collector.count_crashes(now);
-            let finding = rollout.finding(self.alive.len() + 1);
+            let finding = rollout.finding(self.alive.len() + 1, now);
             let is_new_fault =
                 matches!(finding, Finding::Failing | Finding::Slow) && !rollout.fault_found;
             is_new_fault.then_some((finding, rollout.observer.collector.new))
--- a/crates/wisteriawinch/src/rollout.rs
+++ b/crates/wisteriawinch/src/rollout.rs
@@ -9,7 +9,8 @@
 use winch_config::object::Move;
 use winch_gossip::facts::Fact;
 use winch_move::{
-    evidence::{self, Cohort, Finding, Tally},
+    batch::Batches,
+    evidence::{self, Cohort, Collector, Finding, Tally},
     machine::Machine,
     observer::Observer,
     schedule,
@@ -50,6 +51,8 @@
     pub reason: String,
     /// Evidence from this daemon's own attempts.
     pub observer: Observer,
+    /// Slowness of the new version in this daemon's own attempts.
+    batches: Batches,
     /// Tallies of the new and the old version that other daemons reported for the current
     /// stage, by daemon. Kept by the lease holder only.
     pub reports: HashMap<Name, (Tally, Tally)>,
@@ -71,6 +74,7 @@
             verdict: None,
             reason: String::new(),
             observer: Observer::default(),
+            batches: Batches::default(),
             reports: HashMap::new(),
             machine: None,
             record: Record::default(),
@@ -119,24 +123,23 @@
         }
         if self.grant.as_ref().is_none_or(|current| current.stage != grant.stage) {
             self.observer.collector.reset();
+            self.batches = Batches::default();
             self.reports.clear();
         }
         self.grant = Some(grant);
     }
 
-    /// Tests this daemon's own evidence about the current stage.
+    /// Tests this daemon's own evidence about the current stage at `now`, as given by
+    /// [`Fleet::now`].
     ///
     /// `daemons` is the number of daemons that test at the same time; the false-alarm rate is
     /// divided among them.
-    pub fn finding(&self, daemons: usize) -> Finding {
+    pub fn finding(&mut self, daemons: usize, now: Duration) -> Finding {
         let stage = self.grant.as_ref().map_or(0, |grant| grant.stage);
         let options = evidence::Options::default().at_stage(stage);
-        evidence::sequential_test(
-            self.observer.collector.new,
-            self.observer.collector.old,
-            &options,
-            daemons,
-        )
+        let Collector { new, old, .. } = self.observer.collector;
+        self.batches.update(new, now.as_secs_f64());
+        self.batches.test(new, old, &options, daemons)
     }
 }
 
