winch-relay: do not let idle connections prolong a stop

Since connections stay open after a reply that did not announce their close, one on which a stream ended during a stop was kept for another 2.5 s, so that stops lasted up to their grace period, and more daemons of a rolling stop were away at once.

connection_close, stop_not_prolonged: failed before (the daemon had not ended 6.1 s after the signal).

--- a/crates/winch-relay/src/edge/idle.rs
+++ b/crates/winch-relay/src/edge/idle.rs
@@ -17,6 +17,9 @@
 /// How long idle connections stay open after the stop of the daemon has begun, so that
 /// the platform's load balancer stops using the daemon first.
 const STOP_IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// How long a connection that is opened or becomes idle during the stop stays open, for the request
+/// that its caller may already have sent.
+const LATE_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for which a connection stays open beyond the limit, for callers that go by the limit
 /// alone and know a new one earlier than this daemon.
 const TOLERANCE: Duration = Duration::from_secs(3);
@@ -33,8 +36,9 @@
     R: AsyncRead + Unpin,
 {
     let stopping = async {
+        let timeout = if node.is_stopping() { LATE_IDLE_TIMEOUT } else { STOP_IDLE_TIMEOUT };
         node.stop_requested().await;
-        sleep(STOP_IDLE_TIMEOUT).await;
+        sleep(timeout).await;
     };
     tokio::select! {
         biased;
