winch-relay: keep a replica's error reply when the last attempt takes too long

Cause: a lookup whose last attempt ended at the deadline returned at once, past the error reply of an earlier attempt; which replica is asked first is drawn, so that the test passed in its earlier runs. The loop now ends there, and the stored reply is sent.

--- a/crates/winch-relay/src/unary.rs
+++ b/crates/winch-relay/src/unary.rs
@@ -160,7 +160,8 @@
                 trace.may_have_run = true;
                 counter::retried("timeout");
                 if is_last {
-                    return Outcome::Error(Code::TimedOut);
+                    timed_out = true;
+                    break;
                 }
             }
         }
