winch-relay: say which answers were cut, and how late the daemon is for its own timers

A request that had begun and was broken off by us looked like one that got an error reply (1111 had the code only, and `finish` counted error replies only), and nothing on an `entry` daemon said that it had had no processor time itself.

No decision has changed.

--- a/crates/winch-relay/src/counter.rs
+++ b/crates/winch-relay/src/counter.rs
@@ -16,6 +16,16 @@
     counter!("winch_refused_total", "code" => code.name()).increment(1);
 }
 
+/// Counts an answer that had begun and that this daemon broke off, by the code that it ended with.
+pub fn cut(code: Code) {
+    counter!("winch_cut_total", "code" => code.name()).increment(1);
+}
+
+/// Records by how much this process was late for a timer.
+pub fn timer_lag(lag: Duration) {
+    histogram!("winch_timer_lag_seconds").record(lag.as_secs_f64());
+}
+
 /// Counts a caller's connection that was closed, by reason.
 pub fn closed(reason: &'static str) {
     counter!("winch_connections_closed_total", "reason" => reason).increment(1);
--- a/crates/winch-relay/src/daemon.rs
+++ b/crates/winch-relay/src/daemon.rs
@@ -13,7 +13,7 @@
 use winch_platform::table::Table;
 
 use crate::{
-    controller, edge, exposition, listen, node::Node, peer, prelude::*, quarantine, reach,
+    controller, edge, exposition, listen, node::Node, peer, prelude::*, pulse, quarantine, reach,
     settings::Settings, store::Access, watch,
 };
 
@@ -100,6 +100,7 @@
     background_tasks.spawn(peer::serve(node.clone(), sockets.peers));
     background_tasks.spawn(sweep(node.clone()));
     background_tasks.spawn(reach::run(node.clone()));
+    background_tasks.spawn(pulse::run());
     if let Some(listener) = sockets.metrics {
         background_tasks.spawn(serve_metrics(listener));
     }
--- a/crates/winch-relay/src/edge/request.rs
+++ b/crates/winch-relay/src/edge/request.rs
@@ -165,7 +165,10 @@
         Outcome::Streamed => ("200", false),
         Outcome::CallerGone => ("caller_gone", false),
     };
-    log_ended(job, result, trace, failed);
+    if let Outcome::Aborted(code) = &outcome {
+        counter::cut(*code);
+    }
+    log_ended(job, result, trace, failed, matches!(outcome, Outcome::Aborted(_)));
     if !failed && !node.strikes().is_empty() {
         node.strikes().record_completion(job.fingerprint());
     }
@@ -191,7 +194,8 @@
     };
 }
 
-fn log_ended(job: &Job, result: &str, trace: &Trace, failed: bool) {
+/// Logs the end of a request; `is_cut` if its answer had begun and this daemon broke it off.
+fn log_ended(job: &Job, result: &str, trace: &Trace, failed: bool, is_cut: bool) {
     let event = if failed { Event::RequestFailed } else { Event::RequestEnded };
     emit!(
         event,
@@ -199,6 +203,7 @@
         route = job.route.name,
         service = job.service,
         result = result,
+        cut = is_cut,
         sends = trace.sends,
         steps = trace.steps.join(" "),
         first_event_ms =
--- a/crates/winch-relay/src/lib.rs
+++ b/crates/winch-relay/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod priority;
 pub mod probe;
 pub mod protocol;
+mod pulse;
 pub mod quarantine;
 pub mod reach;
 pub mod replica;
