winch-relay: keep the replica of a begun stream until another one has the stream

Cause: a step that gave up what it had before the next thing was certain. A begun stream left its silent replica after 434 ms, live or not, closed the connection, and then asked the holder of its copy. In a full fleet the holder refuses, also if it had had no room for the copy; the stream started again from its prompt, queued, met the next silence, and each send, refused or not, counted. After `max-attempts` it was cut. The retry was asked for (`has_retry`), not taken, before the replica was left, so that of many streams that left at once some found the budget empty and were cut at once.

Now both connections are open until one of them yields an event: the holder is asked for its report, then room for its copy and a retry are taken, then the request is sent, and the stream moves with its first event. If the holder refuses or fails, or a live replica would be left for one that has not begun to reply within 300 ms, the stream stays. A rule of the platform allows 400 ms of work at two replicas. One send is kept back while the replica is alive. A replica that answers no probe is given up for one that has no copy only after 1.2 s, longer than a sound one pauses. A refusal is recorded in the catalog as for unary requests.

--- a/crates/winch-relay/src/counter.rs
+++ b/crates/winch-relay/src/counter.rs
@@ -21,6 +21,13 @@
     counter!("winch_cut_total", "code" => code.name()).increment(1);
 }
 
+/// Counts an attempt that abandoned its replica, by what spoke against the replica: `silent` if it
+/// was alive, `unresponsive` if it did not answer probes, `lost` if its reports showed that it had
+/// lost the run, `replaced` if another incarnation answered in its place.
+pub fn abandoned(reason: &'static str) {
+    counter!("winch_abandoned_total", "reason" => reason).increment(1);
+}
+
 /// Records by how much this process was late for a timer.
 pub fn timer_lag(lag: Duration) {
     histogram!("winch_timer_lag_seconds").record(lag.as_secs_f64());
--- a/crates/winch-relay/src/job.rs
+++ b/crates/winch-relay/src/job.rs
@@ -120,6 +120,11 @@
     /// Records that the request is being sent to `replica`.
     pub fn send(&mut self, replica: &Replica) {
         self.sends += 1;
+        self.expect(replica);
+    }
+
+    /// Records that `replica` has the request and is expected to answer.
+    pub fn expect(&mut self, replica: &Replica) {
         self.pending = Some(format!("{}@{}", replica.id, replica.dc));
     }
 
--- a/crates/winch-relay/src/kv_snapshot.rs
+++ b/crates/winch-relay/src/kv_snapshot.rs
@@ -65,6 +65,11 @@
         Self { node: node.clone(), source, copy, task: task.abort_handle() }
     }
 
+    /// The newest snapshot; `None` if there is none yet.
+    pub fn copy(&self) -> Option<KvCopy> {
+        self.copy.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Stops the task and returns the newest snapshot, which is not freed.
     pub fn into_copy(self) -> Option<KvCopy> {
         self.take()
--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -3,13 +3,16 @@
 //!
 //! [`relay`] takes an admitted request, writes the events to the caller's connection and
 //! returns the outcome. `target` chooses the replica of each attempt among those that `survey` has
-//! asked for their load; `attempt` sends the request to it and forwards the events, and
-//! `liveness` decides when it abandons a replica that sends none.
+//! asked for their load; `attempt` sends the request to it and forwards the events, `liveness`
+//! decides when it abandons a replica that sends none, and `handover` moves a stream that has begun
+//! without giving up what it has.
 
 pub(crate) mod admission;
 mod attempt;
+mod handover;
 mod liveness;
 mod passing;
+mod run;
 mod survey;
 mod target;
 
@@ -180,7 +183,7 @@
                 Choice::Refused(outcome) => return outcome,
                 Choice::Target(target) => target,
             };
-            let Some(target) = target else {
+            let Some(mut target) = target else {
                 if self.job.needs_forwarding(self.node, self.trace) {
                     continue;
                 }
@@ -196,8 +199,9 @@
                 code = Code::NoBudget;
                 break;
             }
+            let attempt = timeout_at(deadline, self.attempt(&mut target)).await;
+            // The stream may have moved.
             let replica = target.replica.clone();
-            let attempt = timeout_at(deadline, self.attempt(&target)).await;
             match attempt.unwrap_or(Attempt::TimedOut) {
                 Attempt::Complete => {
                     // A resumed stream is not representative of a replica's latency.
@@ -220,6 +224,7 @@
                 Attempt::Refused => {
                     self.trace.record(&replica, "refused");
                     counter::retried("refused");
+                    self.node.catalog().record_full(target.key, Instant::now());
                     code = Code::Refused;
                     // The replica did not run the request, so it made no copy.
                     self.copy = None;
--- a/crates/winch-relay/src/stream/attempt.rs
+++ b/crates/winch-relay/src/stream/attempt.rs
@@ -8,46 +8,62 @@
     head::Reply,
 };
 
-use super::{Attempt, Session, Target};
+use super::{
+    Attempt, Session, Target,
+    run::{End, Read, Run, Source, StartingGuard, record_answer},
+};
 use crate::{
-    catalog::{Entry, Key},
     counter,
     exchange::CallReply,
     forward,
-    job::InFlightGuard,
     kv_snapshot::{self, Refresher},
-    memory::{self, Reservation},
-    node::Node,
+    memory,
     prelude::*,
     protocol::{Dispatch, KvCopy},
     respond::Progress,
-    speed::Recorder,
-    sse::{Event as StreamEvent, Splitter},
+    sse::Event as StreamEvent,
     strikes::{self, SURVIVAL_TIME},
 };
 
-/// Largest total size of consecutive events that do not advance a stream, in bytes.
-const MAX_PASSIVE_BYTES: usize = 64 * 1024;
 /// Largest body of a reply that is not a stream.
 const MAX_BODY_BYTES: usize = 1024 * 1024;
 
-impl<P: Protocol, W: AsyncWrite + Unpin> Session<'_, P, W> {
-    /// Sends the request to `target` and forwards its events to the caller.
-    pub(super) async fn attempt(&mut self, target: &Target) -> Attempt {
+impl<'a, P: Protocol, W: AsyncWrite + Unpin> Session<'a, P, W> {
+    /// Sends the request to `target` and forwards its events to the caller. If the stream moves to
+    /// another replica meanwhile, `target` becomes that one.
+    pub(super) async fn attempt(&mut self, target: &mut Target) -> Attempt {
         let mut connection = match self.node.open(&target.replica).await {
             Ok(connection) => connection,
             Err(error) => return Attempt::NotSent(error.to_string()),
         };
         self.trace.send(&target.replica);
+        self.begin_run(target);
+        let run = Run::new(self.node, target);
+        let reply = match self.request(target, &mut connection).await {
+            Ok(reply) => reply,
+            Err(attempt) => {
+                if matches!(attempt, Attempt::Refused | Attempt::ErrorReply(..)) {
+                    self.node.pool.put(target.replica.address, connection);
+                }
+                return attempt;
+            }
+        };
+        if self.out.progress() == Progress::Waiting {
+            self.out.begin_stream(StatusCode::OK, reply.headers);
+        }
+        let source = Source::new(connection, &self.node.body_blocks);
+        self.forward_events(target, run, source).await
+    }
+
+    /// Updates the session for a run that begins at `target`.
+    pub(super) fn begin_run(&mut self, target: &Target) {
         self.first_event_at = None;
         self.has_survived = false;
-        let node = self.node;
-        let _in_flight = InFlightGuard::new(node, target.key);
-        let result = self.exchange(target, &mut connection).await;
-        if matches!(result, Attempt::Complete | Attempt::Refused | Attempt::ErrorReply(..)) {
-            node.pool.put(target.replica.address, connection);
+        if let (Some(replica), Some(run)) = (&target.copy_to, &self.job.call.id) {
+            counter::copy_requested();
+            let (lookup_address, name) = (replica.address, run.clone());
+            self.copy = Some(KvCopy { replica: replica.clone(), lookup_address, name });
         }
-        result
     }
 
     /// Whether the request was lost before, at a replica or with an earlier daemon, and starts
@@ -56,8 +72,15 @@
         target.copy_from.is_none() && (self.trace.may_have_run || self.last_event.is_some())
     }
 
-    /// Sends the request on `connection` and handles the reply.
-    async fn exchange(&mut self, target: &Target, connection: &mut Connection) -> Attempt {
+    /// Sends the request on `connection`, and reads the head of a stream.
+    ///
+    /// # Errors
+    /// How the attempt has ended, if the reply is no stream or does not come.
+    pub(super) async fn request(
+        &self,
+        target: &Target,
+        connection: &mut Connection,
+    ) -> Result<Reply, Attempt> {
         let dispatch = Dispatch {
             replica: &target.replica,
             time_left: self.job.time_to_deadline(Instant::now()),
@@ -68,19 +91,24 @@
             copy_from: target.copy_from.as_ref(),
         };
         let request = self.node.protocol.encode_request(&self.job.call, &dispatch);
-        if let (Some(replica), Some(run)) = (&target.copy_to, &self.job.call.id) {
-            counter::copy_requested();
-            let (lookup_address, name) = (replica.address, run.clone());
-            self.copy = Some(KvCopy { replica: replica.clone(), lookup_address, name });
-        }
-        let starting = StartingGuard::new(self.node, target.key);
-        let mut reply = match self.await_head(&request, target, connection).await {
-            Ok(Ok(reply)) => reply,
-            Ok(Err(error)) => return Attempt::Broken(error.to_string()),
-            Err(Unresponsive) => {
-                return Attempt::Broken("replica unresponsive before its reply".to_owned());
+        let matcher = CallReply { protocol: &self.node.protocol, id: self.job.call.id.as_ref() };
+        let reply = tokio::select! {
+            biased;
+            reply = connection.exchange(&self.job.call.method, &request, &matcher) => reply,
+            () = self.abandoned_before_first_event(target) => {
+                return Err(Attempt::Broken("replica unresponsive before its reply".to_owned()));
             }
         };
+        self.check_reply(target, reply.map_err(broken)?, connection).await
+    }
+
+    /// Takes what the replica says in the head of its reply; returns the reply if it is a stream.
+    async fn check_reply(
+        &self,
+        target: &Target,
+        mut reply: Reply,
+        connection: &mut Connection,
+    ) -> Result<Reply, Attempt> {
         let meta = self.node.protocol.decode_reply_meta(&reply);
         self.node.apply_reply(&target.replica, &meta, &reply);
         if self.job.is_forwarded {
@@ -88,25 +116,20 @@
         }
         if meta.not_run {
             // The connection can be reused only after the body of the reply has been read.
-            let read = self.read_body(connection).await;
-            return read.map_or_else(|e| Attempt::Broken(e.to_string()), |_| Attempt::Refused);
+            self.read_body(connection).await.map_err(broken)?;
+            return Err(Attempt::Refused);
         }
         if !meta.signed || meta.encoded {
-            return Attempt::Broken(format!(
+            return Err(Attempt::Broken(format!(
                 "reply with status {} is unsigned or encoded",
                 reply.status.as_u16()
-            ));
+            )));
         }
         if !reply.status.is_success() {
-            return match self.read_body(connection).await {
-                Ok(body) => Attempt::ErrorReply(reply, body),
-                Err(error) => Attempt::Broken(error.to_string()),
-            };
-        }
-        if self.out.progress() == Progress::Waiting {
-            self.out.begin_stream(StatusCode::OK, reply.headers);
+            let body = self.read_body(connection).await.map_err(broken)?;
+            return Err(Attempt::ErrorReply(reply, body));
         }
-        self.forward_events(target, connection, starting).await
+        Ok(reply)
     }
 
     /// Reads the body of a reply that is not a stream.
@@ -114,52 +137,27 @@
         memory::read_body(connection, &self.node.body_blocks, MAX_BODY_BYTES).await
     }
 
-    /// Sends the request and reads the head of the reply; fails with [`Unresponsive`] if
-    /// the attempt abandons its replica first.
-    async fn await_head(
-        &self,
-        request: &[u8],
-        target: &Target,
-        connection: &mut Connection,
-    ) -> Result<Result<Reply, Error>, Unresponsive> {
-        let node = self.node;
-        let matcher = CallReply { protocol: &node.protocol, id: self.job.call.id.as_ref() };
-        tokio::select! {
-            biased;
-            reply = connection.exchange(&self.job.call.method, request, &matcher) => Ok(reply),
-            () = self.abandoned_before_first_event(target) => Err(Unresponsive),
-        }
-    }
-
     /// Forwards events until the stream ends, breaks or stalls, or the caller is gone.
-    ///
-    /// `starting` is dropped when the first new event arrives.
     async fn forward_events(
         &mut self,
-        target: &Target,
-        connection: &mut Connection,
-        starting: StartingGuard<'_, P>,
+        target: &mut Target,
+        mut run: Run<'a, P>,
+        mut source: Source,
     ) -> Attempt {
-        let mut starting = Some(starting);
-        let mut splitter = Splitter::default();
-        let mut reservation = Reservation::new(&self.node.body_blocks);
-        let mut recorder = Recorder::new(self.node, &target.replica);
         loop {
-            // Only progress restarts the detection of a stall; other bytes do not.
-            let read = tokio::select! {
-                biased;
-                read = read_events(connection, &mut splitter, &mut reservation, self.last_event) => read,
-                () = self.abandoned(target, starting.is_some()) => {
-                    let idle_ms = self.stall.idle_time(Instant::now()).as_millis();
-                    return Attempt::Broken(format!("no event for {idle_ms} ms"));
+            let read = match self.next_events(target, &mut run, source).await {
+                Ok((reused, read)) => {
+                    source = reused;
+                    read
                 }
+                Err(cause) => return Attempt::Broken(cause),
             };
             let Read { events, end } = read;
             let advances = |event: &&StreamEvent| event.is_progress(self.last_event);
             let count = events.iter().filter(advances).count();
             if self.buffer_events(events) {
-                recorder.record(count);
-                self.record_event(target, &mut starting);
+                run.recorder.record(count);
+                self.record_event(target, &mut run.starting);
             }
             // Until the first event, the head is held back: an error reply may still take its place.
             if self.has_forwarded && self.out.flush().await.is_err() {
@@ -171,10 +169,12 @@
                     record_answer(self.node, target.key);
                     self.record_answer_time(target);
                     self.record_survival();
-                    return match self.out.end_stream().await {
-                        Ok(()) => Attempt::Complete,
-                        Err(_) => Attempt::CallerGone,
-                    };
+                    let is_written = self.out.end_stream().await.is_ok();
+                    if !is_written {
+                        return Attempt::CallerGone;
+                    }
+                    self.node.pool.put(target.replica.address, source.into_connection());
+                    return Attempt::Complete;
                 }
                 Some(End::Failed(cause)) => return Attempt::Broken(cause),
             }
@@ -287,102 +287,9 @@
         let run = kv_snapshot::Run { id, source, ttl, tokens, service: self.service() };
         self.refresher = Some(Refresher::start(self.node, run));
     }
-
-    async fn abandoned(&self, target: &Target, before_first_event: bool) {
-        if before_first_event {
-            self.abandoned_before_first_event(target).await;
-        } else {
-            self.abandoned_between_events(target).await;
-        }
-    }
-}
-
-/// How a stream ended at its replica.
-pub(super) enum End {
-    /// With its last event.
-    Complete,
-    /// For this reason.
-    Failed(String),
-}
-
-/// Events that were read, and whether the stream ended after them.
-pub(super) struct Read {
-    pub(super) events: Vec<StreamEvent>,
-    pub(super) end: Option<End>,
-}
-
-/// Reads until an event advances the stream after `last`, or the stream ends.
-///
-/// A replica that sends bytes without progress has failed once they exceed a limit.
-pub(super) async fn read_events(
-    connection: &mut Connection,
-    splitter: &mut Splitter,
-    reservation: &mut Reservation,
-    last: Option<u64>,
-) -> Read {
-    let mut events = Vec::new();
-    let mut passive_bytes = 0;
-    loop {
-        let end = match connection.chunk().await {
-            Ok(Some(data)) if !splitter.push(&data) => {
-                Some(End::Failed("event exceeds the size limit".to_owned()))
-            }
-            Ok(Some(_)) => {
-                let room = reservation.grow_to(splitter.pending_bytes());
-                room.err().map(|_| End::Failed("no memory for a long event".to_owned()))
-            }
-            Ok(None) if splitter.has_partial() => {
-                Some(End::Failed("stream ended inside an event".to_owned()))
-            }
-            Ok(None) => Some(End::Complete),
-            Err(error) => Some(End::Failed(error.to_string())),
-        };
-        let mut has_progress = false;
-        while let Some(event) = splitter.next_event() {
-            has_progress |= event.is_progress(last);
-            passive_bytes += event.bytes.len();
-            events.push(event);
-        }
-        if splitter.pending_bytes() == 0 {
-            reservation.clear();
-        }
-        if has_progress || end.is_some() {
-            return Read { events, end };
-        }
-        if passive_bytes > MAX_PASSIVE_BYTES {
-            let cause = format!("no progress in {passive_bytes} bytes");
-            return Read { events: Vec::new(), end: Some(End::Failed(cause)) };
-        }
-    }
-}
-
-/// The attempt abandons its replica.
-struct Unresponsive;
-
-/// Records that a replica answered, without a sample of its latency.
-fn record_answer<P: Protocol>(node: &Node<P>, key: Key) {
-    node.catalog().record_answer(key, None, false, Instant::now());
-}
-
-/// Guard that counts a stream of this daemon as waiting for its first event.
-struct StartingGuard<'a, P: Protocol> {
-    node: &'a Node<P>,
-    key: Key,
-    started_at: Instant,
-}
-
-impl<'a, P: Protocol> StartingGuard<'a, P> {
-    fn new(node: &'a Node<P>, key: Key) -> Self {
-        node.catalog().update(key, |entry| entry.starting += 1);
-        Self { node, key, started_at: Instant::now() }
-    }
 }
 
-impl<P: Protocol> Drop for StartingGuard<'_, P> {
-    fn drop(&mut self) {
-        let decrement = |entry: &mut Entry| {
-            entry.starting = entry.starting.saturating_sub(1);
-        };
-        self.node.catalog().update(self.key, decrement);
-    }
+/// The end of an attempt whose connection broke.
+fn broken(error: Error) -> Attempt {
+    Attempt::Broken(error.to_string())
 }
--- /dev/null
+++ b/crates/winch-relay/src/stream/handover.rs
@@ -0,0 +1,287 @@
+//! Hands a begun stream over from a silent replica to the holder of its KV cache copy.
+//!
+//! A silent replica may still go on, and the holder may refuse. So the run at the former replica is
+//! given up only once the other one has the stream: until then both connections are open, for a
+//! short time, and the first one that yields an event keeps the stream.
+
+use std::{
+    future::Future,
+    pin::{Pin, pin},
+    sync::atomic::{AtomicBool, Ordering},
+};
+
+use futures_util::future::{Fuse, FutureExt};
+use tokio::{io::AsyncWrite, time::sleep};
+use winch_http::client::Connection;
+
+use super::{
+    Attempt, Session, Target,
+    liveness::{Leave, Silence, Watch},
+    run::{End, Read, Run, Source, record_answer},
+};
+use crate::{counter, prelude::*, probe, strikes};
+
+/// Longest time for which a run is asked for at a second replica while the first one may go on.
+const MAX_OVERLAP: Duration = Duration::from_millis(300);
+
+/// What became of a handover.
+enum Handover<'a, P: Protocol> {
+    /// The former replica keeps the stream, and is still silent.
+    Kept,
+    /// The former replica has yielded this.
+    Resumed(Box<Source>, Read),
+    /// The other replica has the stream.
+    Moved(Box<Successor<'a, P>>),
+    /// Neither replica has it, the former one for this reason.
+    Lost(String),
+}
+
+/// The run that continues the stream at another replica.
+struct Successor<'a, P: Protocol> {
+    target: Target,
+    run: Run<'a, P>,
+    source: Source,
+    /// Its first events.
+    read: Read,
+}
+
+/// How a request at a second replica ended.
+enum Opened {
+    Resumed(Source, Read),
+    Begun(Source, Read),
+    Failed(Attempt),
+    /// Neither replica has yielded anything in time.
+    Undecided,
+}
+
+impl<'a, P: Protocol, W: AsyncWrite + Unpin> Session<'a, P, W> {
+    /// Reads until an event advances the stream or the stream ends; hands it over to another replica
+    /// if `target` is silent. Then `target` and `run` become those of the other one.
+    ///
+    /// # Errors
+    /// Why the attempt has left its replica.
+    pub(super) async fn next_events(
+        &mut self,
+        target: &mut Target,
+        run: &mut Run<'a, P>,
+        source: Source,
+    ) -> Result<(Source, Read), String> {
+        let mut reading = pin!(source.next(self.last_event).fuse());
+        let mut watch = Watch::default();
+        loop {
+            // Only progress restarts the detection of a stall; other bytes do not.
+            let leave = tokio::select! {
+                biased;
+                read = reading.as_mut() => return Ok(read),
+                leave = self.abandoned(target, run.starting.is_some(), &mut watch) => leave,
+            };
+            let silence = match leave {
+                Leave::GivenUp(reason) => {
+                    counter::abandoned(reason);
+                    return Err(self.idle_cause());
+                }
+                Leave::Silent(silence) => silence,
+            };
+            match self.hand_over(target, reading.as_mut(), silence).await {
+                Handover::Kept => {}
+                Handover::Resumed(source, read) => return Ok((*source, read)),
+                Handover::Lost(cause) => return Err(cause),
+                Handover::Moved(successor) => {
+                    self.leave(target);
+                    let Successor { target: next, run: next_run, source, read } = *successor;
+                    self.begin_run(&next);
+                    (*target, *run) = (next, next_run);
+                    return Ok((source, read));
+                }
+            }
+        }
+    }
+
+    /// Why a replica without events is left.
+    fn idle_cause(&self) -> String {
+        format!("no event for {} ms", self.stall.idle_time(Instant::now()).as_millis())
+    }
+
+    /// Asks the holder of the copy to continue the run of `former`, from which `reading` still reads.
+    async fn hand_over<F>(
+        &mut self,
+        former: &Target,
+        mut reading: Pin<&mut Fuse<F>>,
+        silence: Silence,
+    ) -> Handover<'a, P>
+    where
+        F: Future<Output = (Source, Read)>,
+    {
+        let place = tokio::select! {
+            biased;
+            (source, read) = reading.as_mut() => return Handover::Resumed(source.into(), read),
+            place = self.choose_successor() => place,
+        };
+        let Some((target, connection)) = place else { return Handover::Kept };
+        self.node.eject(former.key, &former.replica, &self.idle_cause());
+        self.trace.send(&target.replica);
+        let run = Run::new(self.node, &target);
+        let mut lost = None;
+        let opened = self.race(&target, connection, reading, silence, &mut lost).await;
+        match opened {
+            Opened::Begun(source, read) => {
+                self.trace.record(&former.replica, lost.unwrap_or_else(|| self.idle_cause()));
+                self.trace.expect(&target.replica);
+                Handover::Moved(Box::new(Successor { target, run, source, read }))
+            }
+            Opened::Resumed(source, read) => {
+                record_answer(self.node, former.key);
+                self.withdraw(former, &target, "withdrawn");
+                Handover::Resumed(source.into(), read)
+            }
+            Opened::Undecided => {
+                self.withdraw(former, &target, "no event in time");
+                Handover::Kept
+            }
+            Opened::Failed(attempt) => {
+                self.record_failure(&target, attempt);
+                self.trace.expect(&former.replica);
+                lost.map_or(Handover::Kept, Handover::Lost)
+            }
+        }
+    }
+
+    /// Sends the request to `target` and waits for the first event there or from `reading`. `lost`
+    /// is set if the former run has ended, or is given up, meanwhile.
+    async fn race<F>(
+        &self,
+        target: &Target,
+        connection: Connection,
+        mut reading: Pin<&mut Fuse<F>>,
+        silence: Silence,
+        lost: &mut Option<String>,
+    ) -> Opened
+    where
+        F: Future<Output = (Source, Read)>,
+    {
+        let is_accepted = AtomicBool::new(false);
+        let mut opening = pin!(self.open(target, connection, &is_accepted));
+        let mut overlap = pin!(sleep(MAX_OVERLAP).fuse());
+        loop {
+            tokio::select! {
+                biased;
+                (source, read) = reading.as_mut() => match read.failure() {
+                    Some(cause) => *lost = Some(cause.to_owned()),
+                    None => return Opened::Resumed(source, read),
+                },
+                opened = &mut opening => {
+                    return opened.map_or_else(Opened::Failed, |(source, read)| Opened::Begun(source, read));
+                }
+                () = overlap.as_mut() => {
+                    if silence == Silence::Alive && !is_accepted.load(Ordering::Relaxed) && lost.is_none() {
+                        return Opened::Undecided;
+                    }
+                    reading.set(Fuse::terminated());
+                    lost.get_or_insert_with(|| self.idle_cause());
+                }
+            }
+        }
+    }
+
+    /// Sends the request to `target` and reads its first events; `is_accepted` is set once it has
+    /// begun to reply.
+    async fn open(
+        &self,
+        target: &Target,
+        mut connection: Connection,
+        is_accepted: &AtomicBool,
+    ) -> Result<(Source, Read), Attempt> {
+        self.request(target, &mut connection).await?;
+        is_accepted.store(true, Ordering::Relaxed);
+        let source = Source::new(connection, &self.node.body_blocks);
+        let (source, read) = tokio::select! {
+            biased;
+            read = source.next(self.last_event) => read,
+            () = self.abandoned_before_first_event(target) => {
+                return Err(Attempt::Broken("replica unresponsive before its first event".to_owned()));
+            }
+        };
+        match read.failure() {
+            Some(cause) => Err(Attempt::Broken(cause.to_owned())),
+            None => Ok((source, read)),
+        }
+    }
+
+    /// The holder of the copy with a connection to it, if it is alive, and a retry for it was taken
+    /// from the budget. `None` if the stream has to stay where it is.
+    async fn choose_successor(&mut self) -> Option<(Target, Connection)> {
+        let copy = self.newest_copy()?;
+        let report = probe::request_report(self.node, &copy.replica).await?;
+        if report.draining {
+            return None;
+        }
+        let mut target = self.target_from_copy(copy).await?;
+        let connection = match self.node.open(&target.replica).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                self.node.eject(target.key, &target.replica, &error.to_string());
+                return None;
+            }
+        };
+        let newest = self.take_copy().filter(|copy| copy.replica.id == target.replica.id);
+        if newest.is_some() && self.spend_retry() {
+            target.copy_from = newest;
+            return Some((target, connection));
+        }
+        self.copy = newest;
+        self.node.pool.put(target.replica.address, connection);
+        None
+    }
+
+    /// Leaves `former`, whose stream another replica has.
+    fn leave(&mut self, former: &Target) {
+        counter::abandoned("silent");
+        counter::retried("lost");
+        self.node.rollouts().record_broken(&former.replica, self.node.uptime());
+        self.broken_dc = Some(former.replica.dc.clone());
+        self.trace.may_have_run = true;
+    }
+
+    /// Takes the request back from `target`; the stream stays at `former`.
+    fn withdraw(&mut self, former: &Target, target: &Target, result: &str) {
+        counter::retried("withdrawn");
+        self.trace.record(&target.replica, result);
+        self.trace.expect(&former.replica);
+    }
+
+    /// Records that `target` did not take the stream.
+    fn record_failure(&mut self, target: &Target, attempt: Attempt) {
+        match attempt {
+            Attempt::Broken(cause) => {
+                self.trace.excluded.push(target.replica.id.clone());
+                self.trace.record(&target.replica, &cause);
+                self.node.rollouts().record_broken(&target.replica, self.node.uptime());
+                self.node.eject(target.key, &target.replica, &cause);
+                counter::retried("lost");
+                strikes::attribute_crash_later(self.node, self.job, &target.replica, false);
+            }
+            Attempt::ErrorReply(reply, _) => {
+                self.trace.excluded.push(target.replica.id.clone());
+                self.trace.record(&target.replica, reply.status.as_u16());
+                self.node.rollouts().record_error_reply(&target.replica);
+                counter::retried("failure");
+            }
+            // `open` ends in no other way.
+            _ => {
+                self.trace.record(&target.replica, "refused");
+                self.node.catalog().record_full(target.key, Instant::now());
+                counter::retried("refused");
+            }
+        }
+    }
+}
+
+impl Read {
+    /// Why the stream has failed before an event advanced it; `None` otherwise.
+    fn failure(&self) -> Option<&str> {
+        match &self.end {
+            Some(End::Failed(cause)) if self.events.is_empty() => Some(cause),
+            _ => None,
+        }
+    }
+}
--- a/crates/winch-relay/src/stream/liveness.rs
+++ b/crates/winch-relay/src/stream/liveness.rs
@@ -1,9 +1,10 @@
 //! Decides when an attempt abandons a replica that sends nothing.
 //!
-//! A healthy replica may pause for a second or so and go on. An attempt that can fail over abandons
-//! it early, because a failover costs less than a long pause. One that cannot would lose
-//! everything: it waits until its replica is known to be gone, its connection ends or its deadline
-//! passes.
+//! A healthy replica may pause for a second or so and go on. A stream that has begun stays at a
+//! silent replica until another one has taken it ([`handover`](super::handover)); it gives the
+//! replica up only if that has been unresponsive for longer than a pause. One that cannot fail over
+//! would lose everything: it waits until its replica is known to be gone, its connection ends or
+//! its deadline passes.
 
 use tokio::{
     io::AsyncWrite,
@@ -24,6 +25,9 @@
 /// Missed probes in a row after which an attempt that can fail over abandons a replica about which
 /// nothing else is wrong.
 const MAX_MISSES: u32 = 2;
+/// Time without a report after which a stream that has begun gives its replica up, although no other
+/// one is certain to take it. Longer than a healthy replica pauses.
+const UNRESPONSIVE_TIME: Duration = Duration::from_millis(1_200);
 /// Time without a report after which a replica that is no longer listed is gone. Longer than a
 /// healthy replica pauses, since one that is not listed any more may still serve.
 const GONE_TIME: Duration = Duration::from_secs(3);
@@ -58,7 +62,57 @@
     }
 }
 
+/// Why an attempt abandons its replica, or hands its stream over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Leave {
+    /// The replica is given up, for this reason.
+    GivenUp(&'static str),
+    /// The replica is silent. It is given up only once another one has the stream.
+    Silent(Silence),
+}
+
+/// How a replica is silent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Silence {
+    /// It sends reports, but no events.
+    Alive,
+    /// It sends nothing.
+    Unresponsive,
+}
+
+/// What an attempt has found out about its silent replica since the last event.
+#[derive(Debug, Default)]
+pub(super) struct Watch {
+    probes: Probes,
+    /// Whether a probe was answered.
+    was_alive: bool,
+    /// Whether the replica was probed.
+    was_probed: bool,
+}
+
+impl Watch {
+    /// Missed probes in a row after which the stream is handed over.
+    fn max_misses(&self) -> u32 {
+        // The missing events already speak against the replica.
+        if self.was_alive { MAX_MISSES } else { 1 }
+    }
+}
+
 impl<P: Protocol, W: AsyncWrite + Unpin> Session<'_, P, W> {
+    /// Completes when the attempt abandons its replica or hands its stream over.
+    pub(super) async fn abandoned(
+        &self,
+        target: &Target,
+        is_starting: bool,
+        watch: &mut Watch,
+    ) -> Leave {
+        if is_starting {
+            self.abandoned_before_first_event(target).await;
+            return Leave::GivenUp("unresponsive");
+        }
+        self.abandoned_between_events(target, watch).await
+    }
+
     /// Completes when the attempt abandons its replica, which has sent no event yet.
     pub(super) async fn abandoned_before_first_event(&self, target: &Target) {
         let mut probes = Probes::default();
@@ -68,10 +122,10 @@
             if started_at.elapsed() >= LATE_TIME && !std::mem::replace(&mut is_reported, true) {
                 self.report_late(target, started_at.elapsed()).await;
             }
-            let mut abandons = self.should_abandon(target, &mut probes, MAX_MISSES).await;
+            let mut abandons = self.should_abandon(target, &mut probes).await;
             if !abandons && probes.misses > 0 {
                 // One missed probe says little, so it is repeated at once.
-                abandons = self.should_abandon(target, &mut probes, MAX_MISSES).await;
+                abandons = self.should_abandon(target, &mut probes).await;
             }
             if abandons {
                 return;
@@ -79,29 +133,53 @@
         }
     }
 
-    /// Completes when the attempt abandons its replica, which has sent events: the replica seems
-    /// dead or has sent none for too long.
-    pub(super) async fn abandoned_between_events(&self, target: &Target) {
-        sleep_until(self.stall.probe_at()).await;
-        let mut probes = Probes::default();
-        // The missing events already speak against the replica.
-        let mut max_misses = 1;
+    /// Completes when the attempt abandons its replica, which has sent events, or hands its stream
+    /// over: the replica seems dead or has sent none for too long.
+    async fn abandoned_between_events(&self, target: &Target, watch: &mut Watch) -> Leave {
         loop {
-            if self.should_abandon(target, &mut probes, max_misses).await {
-                return;
+            match std::mem::replace(&mut watch.was_probed, true) {
+                false => sleep_until(self.stall.probe_at()).await,
+                true => sleep(STALL_PROBE_INTERVAL).await,
             }
-            if probes.misses == 0 {
-                max_misses = MAX_MISSES;
-                // Without a copy, the failover would start again from the prompt: the stream waits
-                // for its live replica, which may still continue.
-                if self.copy.is_some() && self.can_fail_over(target) {
-                    return sleep_until(self.stall.failover_at()).await;
+            match probe::probe(self.node, &target.replica).await {
+                Finding::Replaced => return Leave::GivenUp("replaced"),
+                Finding::Alive(_) => {
+                    watch.probes = Probes::default();
+                    watch.was_alive = true;
+                    // A send is left for the case that the next replica is lost.
+                    if self.can_hand_over(target, 1) {
+                        sleep_until(self.stall.failover_at()).await;
+                        return Leave::Silent(Silence::Alive);
+                    }
+                }
+                Finding::Unresponsive => {
+                    watch.probes.record_miss(Instant::now());
+                    if let Some(leave) = self.leave_unresponsive(target, watch) {
+                        return leave;
+                    }
                 }
             }
-            sleep(STALL_PROBE_INTERVAL).await;
         }
     }
 
+    /// Whether the attempt leaves a replica that has missed a probe; `None` if it stays.
+    fn leave_unresponsive(&self, target: &Target, watch: &Watch) -> Option<Leave> {
+        let time = watch.probes.unresponsive_time(Instant::now());
+        if self.is_gone(target, time) {
+            return Some(Leave::GivenUp("gone"));
+        }
+        if time >= UNRESPONSIVE_TIME && self.can_fail_over(target) {
+            return Some(Leave::GivenUp("unresponsive"));
+        }
+        let is_due = watch.probes.misses >= watch.max_misses() && self.can_hand_over(target, 0);
+        is_due.then_some(Leave::Silent(Silence::Unresponsive))
+    }
+
+    /// Whether a replica without a report for `time` is gone for good.
+    fn is_gone(&self, target: &Target, time: Duration) -> bool {
+        time >= GONE_TIME && !self.node.catalog().is_listed(&target.replica)
+    }
+
     /// Logs that the first event is late, with the load of the replica.
     async fn report_late(&self, target: &Target, waited: Duration) {
         let report = probe::request_report(self.node, &target.replica).await;
@@ -122,8 +200,8 @@
         );
     }
 
-    /// Probes the replica once; returns whether the attempt abandons it.
-    async fn should_abandon(&self, target: &Target, probes: &mut Probes, max_misses: u32) -> bool {
+    /// Probes the replica once before its first event; returns whether the attempt abandons it.
+    async fn should_abandon(&self, target: &Target, probes: &mut Probes) -> bool {
         match probe::probe(self.node, &target.replica).await {
             Finding::Replaced => true,
             Finding::Alive(report) => {
@@ -134,9 +212,13 @@
             Finding::Unresponsive => {
                 let now = Instant::now();
                 probes.record_miss(now);
-                let is_gone = probes.unresponsive_time(now) >= GONE_TIME
-                    && !self.node.catalog().is_listed(&target.replica);
-                is_gone || (probes.misses >= max_misses && self.can_fail_over(target))
+                let time = probes.unresponsive_time(now);
+                let is_unresponsive = match self.has_forwarded {
+                    // Each place is dear to a stream that has begun.
+                    true => time >= UNRESPONSIVE_TIME,
+                    false => probes.misses >= MAX_MISSES,
+                };
+                self.is_gone(target, time) || (is_unresponsive && self.can_fail_over(target))
             }
         }
     }
@@ -163,6 +245,17 @@
             && self.has_alternative(target)
     }
 
+    /// Whether the holder of the copy may continue the stream, and so many sends are left beyond
+    /// the one to it.
+    fn can_hand_over(&self, target: &Target, spare_sends: u32) -> bool {
+        self.job.route.semantics.may_repeat()
+            && self.trace.sends + spare_sends < self.job.route.max_attempts
+            && self.has_retry()
+            && self.newest_copy().is_some_and(|copy| {
+                copy.replica.id != target.replica.id && self.usable_holder(&copy).is_some()
+            })
+    }
+
     /// Whether another replica may take the stream.
     fn has_alternative(&self, target: &Target) -> bool {
         let rule = self.node.rule(&self.job.service, self.job.cohort);
--- a/crates/winch-relay/src/stream/passing.rs
+++ b/crates/winch-relay/src/stream/passing.rs
@@ -8,7 +8,7 @@
 
 use super::{
     Session,
-    attempt::{End, Read, read_events},
+    run::{End, Read, read_events},
 };
 use crate::{
     forward::{self, Reached},
--- a/crates/winch-relay/src/stream/target.rs
+++ b/crates/winch-relay/src/stream/target.rs
@@ -10,7 +10,7 @@
     survey::{Rated, Survey},
 };
 use crate::{
-    config::Engine, copy_holder::Wanted, counter, kv_snapshot::Refresher, prelude::*,
+    catalog::Key, config::Engine, copy_holder::Wanted, counter, kv_snapshot::Refresher, prelude::*,
     protocol::KvCopy,
 };
 
@@ -68,28 +68,36 @@
         }
     }
 
+    /// The newest copy of the run.
+    pub(super) fn newest_copy(&self) -> Option<KvCopy> {
+        let snapshot = self.refresher.as_ref().and_then(Refresher::copy);
+        snapshot.or_else(|| self.copy.clone())
+    }
+
     /// Takes the newest copy, which the session forgets.
-    fn take_copy(&mut self) -> Option<KvCopy> {
+    pub(super) fn take_copy(&mut self) -> Option<KvCopy> {
         let snapshot = self.refresher.take().and_then(Refresher::into_copy);
         snapshot.or(self.copy.take())
     }
 
-    /// The holder of `copy`, if it may serve the request, and a holder for the next copy.
-    async fn target_from_copy(&self, copy: KvCopy) -> Option<Target> {
+    /// The holder of `copy`, if it may serve the request.
+    pub(super) fn usable_holder(&self, copy: &KvCopy) -> Option<(Key, Arc<Replica>)> {
         if self.node.rule(&self.job.service, self.job.cohort).excludes(&copy.replica.version) {
             return None;
         }
-        let now = Instant::now();
-        let (key, replica) = {
-            let mut catalog = self.node.catalog();
-            let key = catalog.key(&copy.replica.id)?;
-            let entry = catalog.get(key)?;
-            if entry.replica.draining || entry.is_ejected(now) || entry.is_paused(now) {
-                return None;
-            }
-            let replica = entry.replica.clone();
-            catalog.take_slot(key, now).then_some((key, replica))?
-        };
+        let (catalog, now) = (self.node.catalog(), Instant::now());
+        let key = catalog.key(&copy.replica.id)?;
+        let entry = catalog.get(key)?;
+        let is_unusable = entry.replica.draining || entry.is_ejected(now) || entry.is_paused(now);
+        (!is_unusable).then(|| (key, entry.replica.clone()))
+    }
+
+    /// The holder of `copy`, if it may serve the request, and a holder for the next copy.
+    pub(super) async fn target_from_copy(&self, copy: KvCopy) -> Option<Target> {
+        let (key, replica) = self.usable_holder(&copy)?;
+        if !self.node.catalog().take_slot(key, Instant::now()) {
+            return None;
+        }
         let copy_to = if self.keeps_copy() {
             let broken_dc = self.broken_dc.as_deref().unwrap_or_default();
             let copy_to = self.wanted_copy(&replica, broken_dc).ask(self.node).await;
