winch-relay: let a begun stream wait for a retry or a replica

What callers saw: a begun stream whose replica was lost was cut at once if the retry budget of its daemon was empty at that moment, or if no replica could be chosen for a second.

A request that has not begun can be refused; one that has begun can only be cut.

A begun stream takes its retry before it looks for a replica, waits for both until its deadline, and is cut only if this daemon reaches no replica of its service: then its caller can resume it elsewhere.

--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -16,7 +16,10 @@
 mod survey;
 mod target;
 
-use tokio::{io::AsyncWrite, time::timeout_at};
+use tokio::{
+    io::AsyncWrite,
+    time::{sleep, timeout_at},
+};
 use winch_http::head::Reply;
 use winch_route::suspect::Disposition;
 
@@ -38,6 +41,9 @@
 /// separately because they do not count as sends.
 const MAX_CONNECT_FAILURES: u32 = 6;
 
+/// Interval at which a stream that has begun asks again for a retry.
+const RETRY_INTERVAL: Duration = Duration::from_millis(50);
+
 /// How one attempt at a replica ended.
 enum Attempt {
     /// The stream is complete.
@@ -118,6 +124,8 @@
     /// Whether the current attempt has lasted so long that a crash is not attributed to it.
     has_survived: bool,
     connect_failures: u32,
+    /// Whether a retry for the next send was taken from the budget.
+    holds_retry: bool,
     stall: Detector,
     /// Time from the receipt of the request to the first event; set only if the first
     /// attempt yields one.
@@ -158,6 +166,7 @@
         first_event_at: None,
         has_survived: false,
         connect_failures: 0,
+        holds_retry: false,
         stall: Detector::new(max_gap, now),
         first_event_latency: None,
     };
@@ -179,12 +188,16 @@
             {
                 return outcome;
             }
+            if !self.wait_for_retry().await {
+                code = Code::NoBudget;
+                break;
+            }
             let target = match self.choose_target().await {
                 Choice::Refused(outcome) => return outcome,
                 Choice::Target(target) => target,
             };
             let Some(mut target) = target else {
-                if self.job.needs_forwarding(self.node, self.trace) {
+                if self.job.needs_forwarding(self.node, self.trace) || self.may_wait() {
                     continue;
                 }
                 if self.trace.sends == 0 && self.node.is_limited(&self.job.service) {
@@ -195,7 +208,7 @@
             if self.is_quarantined() {
                 return self.give_up(Code::SuspectPart);
             }
-            if self.trace.sends > 0 && !self.spend_retry() {
+            if self.trace.sends > 0 && !self.holds_retry && !self.spend_retry() {
                 code = Code::NoBudget;
                 break;
             }
@@ -288,6 +301,31 @@
         self.give_up(code)
     }
 
+    /// Waits until the next send of a stream that has begun has a retry, at most until its deadline;
+    /// `false` if there is none. Other requests take theirs once they have a target.
+    async fn wait_for_retry(&mut self) -> bool {
+        if !self.has_forwarded || self.trace.sends == 0 {
+            return true;
+        }
+        while !self.holds_retry {
+            self.holds_retry = self.spend_retry();
+            if self.holds_retry {
+                break;
+            }
+            if Instant::now() + RETRY_INTERVAL >= self.job.deadline() {
+                return false;
+            }
+            sleep(RETRY_INTERVAL).await;
+        }
+        true
+    }
+
+    /// Whether the stream waits for a replica although there is none now: it has begun, and this
+    /// daemon reaches replicas of its service.
+    fn may_wait(&self) -> bool {
+        self.has_forwarded && !self.node.is_isolated(&self.job.service)
+    }
+
     /// Takes one retry from the budget of the service; `false` if the budget is exhausted.
     fn spend_retry(&self) -> bool {
         if self.has_forwarded {
--- a/crates/winch-relay/src/stream/attempt.rs
+++ b/crates/winch-relay/src/stream/attempt.rs
@@ -36,6 +36,7 @@
             Ok(connection) => connection,
             Err(error) => return Attempt::NotSent(error.to_string()),
         };
+        self.holds_retry = false;
         self.trace.send(&target.replica);
         self.begin_run(target);
         let run = Run::new(self.node, target);
