winch-relay: keep the place of a queued stream whose replica pauses

What callers saw: streams whose first event had not come waited at a second and a third replica and met their deadline there, or began so late that they were cut at it.

A stream without an event left a replica that missed two probes, after 0.8 s, which a sound one may miss, whether or not another one would take it; elsewhere it was refused or queued behind others.

Now such a stream asks first: it leaves only if another replica can start it at once, or if its own has been unresponsive for 1.2 s.

--- a/crates/winch-relay/src/stream/liveness.rs
+++ b/crates/winch-relay/src/stream/liveness.rs
@@ -213,16 +213,27 @@
                 let now = Instant::now();
                 probes.record_miss(now);
                 let time = probes.unresponsive_time(now);
-                let is_unresponsive = match self.has_forwarded {
-                    // Each place is dear to a stream that has begun.
-                    true => time >= UNRESPONSIVE_TIME,
-                    false => probes.misses >= MAX_MISSES,
-                };
-                self.is_gone(target, time) || (is_unresponsive && self.can_fail_over(target))
+                if self.is_gone(target, time) {
+                    return true;
+                }
+                let is_due = time >= UNRESPONSIVE_TIME || probes.misses >= MAX_MISSES;
+                is_due
+                    && self.can_fail_over(target)
+                    && (time >= UNRESPONSIVE_TIME || self.has_open_alternative(target).await)
             }
         }
     }
 
+    /// Whether a stream that has not begun could start at once at another replica. Otherwise it
+    /// would give up its place in the queue for a later one.
+    async fn has_open_alternative(&self, target: &Target) -> bool {
+        if self.has_forwarded {
+            return false;
+        }
+        let survey = self.survey(self.draw(0), false).await;
+        survey.rated.iter().any(|rated| rated.answer.key != target.key && rated.forecast.is_open)
+    }
+
     /// Whether a report of the live replica shows that the first event will not come: the replica
     /// has made events of this run, and none has arrived; or it knows nothing of the run, which is
     /// neither queued nor in prefill nor running.
