--- a/crates/winch-relay/src/counter.rs
+++ b/crates/winch-relay/src/counter.rs
@@ -21,9 +21,8 @@
     counter!("winch_cut_total", "code" => code.name()).increment(1);
 }
 
-/// Counts an attempt that abandoned its replica, by what spoke against the replica: `silent` if it
-/// was alive, `unresponsive` if it did not answer probes, `lost` if its reports showed that it had
-/// lost the run, `replaced` if another incarnation answered in its place.
+/// Counts a stream that left a silent replica: `silent` if another one has it, `unresponsive`,
+/// `replaced` or `gone` if the replica was given up.
 pub fn abandoned(reason: &'static str) {
     counter!("winch_abandoned_total", "reason" => reason).increment(1);
 }
--- a/crates/winch-relay/src/stream/attempt.rs
+++ b/crates/winch-relay/src/stream/attempt.rs
@@ -97,6 +97,7 @@
             biased;
             reply = connection.exchange(&self.job.call.method, &request, &matcher) => reply,
             () = self.abandoned_before_first_event(target) => {
+                counter::abandoned("unresponsive");
                 return Err(Attempt::Broken("replica unresponsive before its reply".to_owned()));
             }
         };
