winch-relay: what an independent review of the handover found

Callers would have seen, and now:

- A begun stream without a replica overran its route's timeout by 1.1 s (timeout_without_replica): the choice of a replica is held to the deadline.
- A replica that only paused was left after 300 ms for a holder that had not replied (paused_replica_kept: cut after 5 events): it is kept, whether it answers probes or not; a holder that has begun to reply has accepted the run.
- A holder that had lost the run was waited for until the deadline (headed_holder_yields_nothing): its reports are heeded again.
- A stream that waited for a replica never asked one again that had refused it, and spent its last send on a full one (refused_everywhere_once; the review's form, in which replicas refuse but report no load, still fails): all are asked again, and the last send goes to a replica that can start at once while half of the time is left.
- A daemon without paths kept a stream waiting for a retry (isolated_without_budget: 9.7 s): it does not wait then.
The holder is asked once in each silence.

--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -48,8 +48,8 @@
 enum Attempt {
     /// The stream is complete.
     Complete,
-    /// The replica states that it did not run the request.
-    Refused,
+    /// The replica states that it did not run the request; whether because it was full.
+    Refused { is_full: bool },
     /// The replica sent a complete error reply.
     ErrorReply(Reply, bytes::Bytes),
     /// No connection could be opened; nothing was sent.
@@ -62,6 +62,13 @@
     TimedOut,
 }
 
+impl Attempt {
+    /// Whether the connection of the attempt can carry another request.
+    fn leaves_connection(&self) -> bool {
+        matches!(self, Self::Refused { .. } | Self::ErrorReply(..))
+    }
+}
+
 /// The replica of an attempt, and the KV cache copies that the attempt uses and makes.
 struct Target {
     key: Key,
@@ -115,6 +122,8 @@
     copy: Option<KvCopy>,
     /// Makes snapshots while the run has no copy; `None` as long as it has one.
     refresher: Option<Refresher<P>>,
+    /// Whether the holder of the copy has refused to continue the run, maybe for want of the copy.
+    is_copy_refused: bool,
     /// Data centre of the last attempt that broke.
     broken_dc: Option<Name>,
     /// Whether an event has been forwarded to the caller.
@@ -161,6 +170,7 @@
         last_event_at: now,
         copy: None,
         refresher: None,
+        is_copy_refused: false,
         broken_dc: None,
         has_forwarded: false,
         first_event_at: None,
@@ -192,12 +202,18 @@
                 code = Code::NoBudget;
                 break;
             }
-            let target = match self.choose_target().await {
-                Choice::Refused(outcome) => return outcome,
-                Choice::Target(target) => target,
+            let target = match timeout_at(deadline, self.choose_target()).await {
+                Err(_) => return self.give_up(Code::TimedOut),
+                Ok(Choice::Refused(outcome)) => return outcome,
+                Ok(Choice::Target(target)) => target,
             };
             let Some(mut target) = target else {
-                if self.job.needs_forwarding(self.node, self.trace) || self.may_wait() {
+                if self.job.needs_forwarding(self.node, self.trace) {
+                    continue;
+                }
+                if self.may_wait() {
+                    // A replica that has refused the stream, or was silent, may take it now.
+                    self.trace.excluded.clear();
                     continue;
                 }
                 if self.trace.sends == 0 && self.node.is_limited(&self.job.service) {
@@ -208,7 +224,7 @@
             if self.is_quarantined() {
                 return self.give_up(Code::SuspectPart);
             }
-            if self.trace.sends > 0 && !self.holds_retry && !self.spend_retry() {
+            if self.trace.sends > 0 && !self.take_retry() {
                 code = Code::NoBudget;
                 break;
             }
@@ -234,10 +250,12 @@
                     self.trace.may_have_run = true;
                     return self.give_up(Code::TimedOut);
                 }
-                Attempt::Refused => {
+                Attempt::Refused { is_full } => {
                     self.trace.record(&replica, "refused");
                     counter::retried("refused");
-                    self.node.catalog().record_full(target.key, Instant::now());
+                    if is_full {
+                        self.node.catalog().record_full(target.key, Instant::now());
+                    }
                     code = Code::Refused;
                     // The replica did not run the request, so it made no copy.
                     self.copy = None;
@@ -301,18 +319,15 @@
         self.give_up(code)
     }
 
-    /// Waits until the next send of a stream that has begun has a retry, at most until its deadline;
-    /// `false` if there is none. Other requests take theirs once they have a target.
+    /// Waits until the next send of a stream that has begun has a retry, at most until its deadline
+    /// and while this daemon reaches its service; `false` if there is none. Other requests take
+    /// theirs once they have a target.
     async fn wait_for_retry(&mut self) -> bool {
         if !self.has_forwarded || self.trace.sends == 0 {
             return true;
         }
-        while !self.holds_retry {
-            self.holds_retry = self.spend_retry();
-            if self.holds_retry {
-                break;
-            }
-            if Instant::now() + RETRY_INTERVAL >= self.job.deadline() {
+        while !self.take_retry() {
+            if Instant::now() + RETRY_INTERVAL >= self.job.deadline() || !self.may_wait() {
                 return false;
             }
             sleep(RETRY_INTERVAL).await;
@@ -320,6 +335,12 @@
         true
     }
 
+    /// Takes a retry for the next send, unless one is held; `false` if the budget is exhausted.
+    fn take_retry(&mut self) -> bool {
+        self.holds_retry = self.holds_retry || self.spend_retry();
+        self.holds_retry
+    }
+
     /// Whether the stream waits for a replica although there is none now: it has begun, and this
     /// daemon reaches replicas of its service.
     fn may_wait(&self) -> bool {
--- a/crates/winch-relay/src/stream/attempt.rs
+++ b/crates/winch-relay/src/stream/attempt.rs
@@ -43,7 +43,7 @@
         let reply = match self.request(target, &mut connection).await {
             Ok(reply) => reply,
             Err(attempt) => {
-                if matches!(attempt, Attempt::Refused | Attempt::ErrorReply(..)) {
+                if attempt.leaves_connection() {
                     self.node.pool.put(target.replica.address, connection);
                 }
                 return attempt;
@@ -60,6 +60,7 @@
     pub(super) fn begin_run(&mut self, target: &Target) {
         self.first_event_at = None;
         self.has_survived = false;
+        self.is_copy_refused = false;
         if let (Some(replica), Some(run)) = (&target.copy_to, &self.job.call.id) {
             counter::copy_requested();
             let (lookup_address, name) = (replica.address, run.clone());
@@ -119,7 +120,11 @@
         if meta.not_run {
             // The connection can be reused only after the body of the reply has been read.
             self.read_body(connection).await.map_err(broken)?;
-            return Err(Attempt::Refused);
+            // A replica that names a limit refuses requests although it has room for them.
+            let is_unavailable = reply.status == StatusCode::SERVICE_UNAVAILABLE;
+            return Err(Attempt::Refused {
+                is_full: is_unavailable && meta.statement.limit.is_none(),
+            });
         }
         if !meta.signed || meta.encoded {
             return Err(Attempt::Broken(format!(
@@ -281,6 +286,7 @@
             Some(copy) => self.node.catalog().key(&copy.replica.id).is_none(),
             None => self.keeps_copy(),
         };
+        let needs_copy = needs_copy || self.is_copy_refused;
         let ttl = self.engine().and_then(|engine| engine.snapshot_ttl);
         let (true, Some(ttl), Some(id)) = (needs_copy, ttl, self.job.call.id.clone()) else {
             return;
--- a/crates/winch-relay/src/stream/handover.rs
+++ b/crates/winch-relay/src/stream/handover.rs
@@ -2,7 +2,8 @@
 //!
 //! A silent replica may still go on, and the holder may refuse. So the run at the former replica is
 //! given up only once the other one has the stream: until then both connections are open, for a
-//! short time, and the first one that yields an event keeps the stream.
+//! short time, and the first one that yields an event keeps the stream. A holder that has begun to
+//! reply at the end of that time has accepted the run, and keeps it, too.
 
 use std::{
     future::Future,
@@ -13,11 +14,12 @@
 use futures_util::future::{Fuse, FutureExt};
 use tokio::{io::AsyncWrite, time::sleep};
 use winch_http::client::Connection;
+use winch_route::suspect::Disposition;
 
 use super::{
     Attempt, Session, Target,
-    liveness::{Leave, Silence, Watch},
-    run::{End, Read, Run, Source, record_answer},
+    liveness::{Leave, Watch},
+    run::{End, Read, Run, Source},
 };
 use crate::{counter, prelude::*, probe, strikes};
 
@@ -75,19 +77,18 @@
                 read = reading.as_mut() => return Ok(read),
                 leave = self.abandoned(target, run.starting.is_some(), &mut watch) => leave,
             };
-            let silence = match leave {
-                Leave::GivenUp(reason) => {
-                    counter::abandoned(reason);
-                    return Err(self.idle_cause());
-                }
-                Leave::Silent(silence) => silence,
-            };
-            match self.hand_over(target, reading.as_mut(), silence).await {
+            match leave {
+                Leave::Silent => {}
+                // Without a retry the stream would only wait elsewhere.
+                Leave::Unresponsive if !self.take_retry() => continue,
+                Leave::Unresponsive => return Err(self.give_up_replica("unresponsive")),
+                Leave::Gone(reason) => return Err(self.give_up_replica(reason)),
+            }
+            match self.hand_over(target, reading.as_mut(), &mut watch).await {
                 Handover::Kept => {}
                 Handover::Resumed(source, read) => return Ok((*source, read)),
                 Handover::Lost(cause) => return Err(cause),
                 Handover::Moved(successor) => {
-                    self.leave(target);
                     let Successor { target: next, run: next_run, source, read } = *successor;
                     self.begin_run(&next);
                     (*target, *run) = (next, next_run);
@@ -97,6 +98,12 @@
         }
     }
 
+    /// Counts a replica that is given up; returns why.
+    fn give_up_replica(&self, reason: &'static str) -> String {
+        counter::abandoned(reason);
+        self.idle_cause()
+    }
+
     /// Why a replica without events is left.
     fn idle_cause(&self) -> String {
         format!("no event for {} ms", self.stall.idle_time(Instant::now()).as_millis())
@@ -107,7 +114,7 @@
         &mut self,
         former: &Target,
         mut reading: Pin<&mut Fuse<F>>,
-        silence: Silence,
+        watch: &mut Watch,
     ) -> Handover<'a, P>
     where
         F: Future<Output = (Source, Read)>,
@@ -118,19 +125,17 @@
             place = self.choose_successor() => place,
         };
         let Some((target, connection)) = place else { return Handover::Kept };
-        self.node.eject(former.key, &former.replica, &self.idle_cause());
+        watch.record_handover();
         self.trace.send(&target.replica);
         let run = Run::new(self.node, &target);
         let mut lost = None;
-        let opened = self.race(&target, connection, reading, silence, &mut lost).await;
-        match opened {
+        match self.race(&target, connection, reading, &mut lost).await {
             Opened::Begun(source, read) => {
-                self.trace.record(&former.replica, lost.unwrap_or_else(|| self.idle_cause()));
+                self.leave(former, lost);
                 self.trace.expect(&target.replica);
                 Handover::Moved(Box::new(Successor { target, run, source, read }))
             }
             Opened::Resumed(source, read) => {
-                record_answer(self.node, former.key);
                 self.withdraw(former, &target, "withdrawn");
                 Handover::Resumed(source.into(), read)
             }
@@ -153,7 +158,6 @@
         target: &Target,
         connection: Connection,
         mut reading: Pin<&mut Fuse<F>>,
-        silence: Silence,
         lost: &mut Option<String>,
     ) -> Opened
     where
@@ -165,7 +169,7 @@
         loop {
             tokio::select! {
                 biased;
-                (source, read) = reading.as_mut() => match read.failure() {
+                (source, read) = reading.as_mut() => match read.failure(self.last_event) {
                     Some(cause) => *lost = Some(cause.to_owned()),
                     None => return Opened::Resumed(source, read),
                 },
@@ -173,7 +177,7 @@
                     return opened.map_or_else(Opened::Failed, |(source, read)| Opened::Begun(source, read));
                 }
                 () = overlap.as_mut() => {
-                    if silence == Silence::Alive && !is_accepted.load(Ordering::Relaxed) && lost.is_none() {
+                    if !is_accepted.load(Ordering::Relaxed) && lost.is_none() {
                         return Opened::Undecided;
                     }
                     reading.set(Fuse::terminated());
@@ -191,7 +195,12 @@
         mut connection: Connection,
         is_accepted: &AtomicBool,
     ) -> Result<(Source, Read), Attempt> {
-        self.request(target, &mut connection).await?;
+        if let Err(attempt) = self.request(target, &mut connection).await {
+            if attempt.leaves_connection() {
+                self.node.pool.put(target.replica.address, connection);
+            }
+            return Err(attempt);
+        }
         is_accepted.store(true, Ordering::Relaxed);
         let source = Source::new(connection, &self.node.body_blocks);
         let (source, read) = tokio::select! {
@@ -201,7 +210,7 @@
                 return Err(Attempt::Broken("replica unresponsive before its first event".to_owned()));
             }
         };
-        match read.failure() {
+        match read.failure(self.last_event) {
             Some(cause) => Err(Attempt::Broken(cause.to_owned())),
             None => Ok((source, read)),
         }
@@ -210,12 +219,15 @@
     /// The holder of the copy with a connection to it, if it is alive, and a retry for it was taken
     /// from the budget. `None` if the stream has to stay where it is.
     async fn choose_successor(&mut self) -> Option<(Target, Connection)> {
+        if self.is_quarantined() || self.is_refused() {
+            return None;
+        }
         let copy = self.newest_copy()?;
         let report = probe::request_report(self.node, &copy.replica).await?;
         if report.draining {
             return None;
         }
-        let mut target = self.target_from_copy(copy).await?;
+        let target = self.target_from_copy(copy).await?;
         let connection = match self.node.open(&target.replica).await {
             Ok(connection) => connection,
             Err(error) => {
@@ -223,21 +235,34 @@
                 return None;
             }
         };
-        let newest = self.take_copy().filter(|copy| copy.replica.id == target.replica.id);
-        if newest.is_some() && self.spend_retry() {
-            target.copy_from = newest;
+        if self.spend_retry() {
             return Some((target, connection));
         }
-        self.copy = newest;
         self.node.pool.put(target.replica.address, connection);
         None
     }
 
-    /// Leaves `former`, whose stream another replica has.
-    fn leave(&mut self, former: &Target) {
+    /// Whether strikes against the request forbid further sends.
+    fn is_refused(&self) -> bool {
+        let (request, parts) = (self.job.fingerprint(), &self.job.shared_parts);
+        let disposition = self.node.strikes().disposition(request, parts, Instant::now());
+        disposition == Disposition::Refused
+    }
+
+    /// Leaves `former`, whose stream another replica has; its connection may have been `lost`.
+    fn leave(&mut self, former: &Target, lost: Option<String>) {
         counter::abandoned("silent");
         counter::retried("lost");
+        let is_lost = lost.is_some();
+        let cause = lost.unwrap_or_else(|| self.idle_cause());
+        self.trace.record(&former.replica, &cause);
+        self.node.eject(former.key, &former.replica, &cause);
         self.node.rollouts().record_broken(&former.replica, self.node.uptime());
+        if is_lost && !self.has_survived {
+            strikes::attribute_crash_later(self.node, self.job, &former.replica, false);
+        }
+        // The copy is used.
+        self.take_copy();
         self.broken_dc = Some(former.replica.dc.clone());
         self.trace.may_have_run = true;
     }
@@ -268,8 +293,12 @@
             }
             // `open` ends in no other way.
             _ => {
+                let is_full = matches!(attempt, Attempt::Refused { is_full: true });
                 self.trace.record(&target.replica, "refused");
-                self.node.catalog().record_full(target.key, Instant::now());
+                self.is_copy_refused = true;
+                if is_full {
+                    self.node.catalog().record_full(target.key, Instant::now());
+                }
                 counter::retried("refused");
             }
         }
@@ -277,10 +306,11 @@
 }
 
 impl Read {
-    /// Why the stream has failed before an event advanced it; `None` otherwise.
-    fn failure(&self) -> Option<&str> {
+    /// Why the stream has failed before an event advanced it after `last`; `None` otherwise.
+    fn failure(&self, last: Option<u64>) -> Option<&str> {
+        let has_progress = self.events.iter().any(|event| event.is_progress(last));
         match &self.end {
-            Some(End::Failed(cause)) if self.events.is_empty() => Some(cause),
+            Some(End::Failed(cause)) if !has_progress => Some(cause),
             _ => None,
         }
     }
--- a/crates/winch-relay/src/stream/liveness.rs
+++ b/crates/winch-relay/src/stream/liveness.rs
@@ -25,8 +25,8 @@
 /// Missed probes in a row after which an attempt that can fail over abandons a replica about which
 /// nothing else is wrong.
 const MAX_MISSES: u32 = 2;
-/// Time without a report after which a stream that has begun gives its replica up, although no other
-/// one is certain to take it. Longer than a healthy replica pauses.
+/// Time without a report after which a stream gives its replica up, although no other one is certain
+/// to take it. Longer than a healthy replica pauses.
 const UNRESPONSIVE_TIME: Duration = Duration::from_millis(1_200);
 /// Time without a report after which a replica that is no longer listed is gone. Longer than a
 /// healthy replica pauses, since one that is not listed any more may still serve.
@@ -65,19 +65,12 @@
 /// Why an attempt abandons its replica, or hands its stream over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Leave {
-    /// The replica is given up, for this reason.
-    GivenUp(&'static str),
-    /// The replica is silent. It is given up only once another one has the stream.
-    Silent(Silence),
-}
-
-/// How a replica is silent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Silence {
-    /// It sends reports, but no events.
-    Alive,
-    /// It sends nothing.
+    /// The replica no longer has the run, for this reason.
+    Gone(&'static str),
+    /// The replica has answered no probe for longer than a healthy one pauses.
     Unresponsive,
+    /// The replica is silent. It is given up only once another one has the stream.
+    Silent,
 }
 
 /// What an attempt has found out about its silent replica since the last event.
@@ -86,11 +79,19 @@
     probes: Probes,
     /// Whether a probe was answered.
     was_alive: bool,
+    /// Whether the holder of the copy was asked to continue the run.
+    was_handed_over: bool,
     /// Whether the replica was probed.
     was_probed: bool,
 }
 
 impl Watch {
+    /// Records that the holder of the copy was asked to continue the run; it is asked once in each
+    /// silence.
+    pub(super) fn record_handover(&mut self) {
+        self.was_handed_over = true;
+    }
+
     /// Missed probes in a row after which the stream is handed over.
     fn max_misses(&self) -> u32 {
         // The missing events already speak against the replica.
@@ -108,7 +109,7 @@
     ) -> Leave {
         if is_starting {
             self.abandoned_before_first_event(target).await;
-            return Leave::GivenUp("unresponsive");
+            return Leave::Gone("unresponsive");
         }
         self.abandoned_between_events(target, watch).await
     }
@@ -137,19 +138,19 @@
     /// over: the replica seems dead or has sent none for too long.
     async fn abandoned_between_events(&self, target: &Target, watch: &mut Watch) -> Leave {
         loop {
-            match std::mem::replace(&mut watch.was_probed, true) {
-                false => sleep_until(self.stall.probe_at()).await,
-                true => sleep(STALL_PROBE_INTERVAL).await,
+            if std::mem::replace(&mut watch.was_probed, true) {
+                sleep(STALL_PROBE_INTERVAL).await;
+            } else {
+                sleep_until(self.stall.probe_at()).await;
             }
             match probe::probe(self.node, &target.replica).await {
-                Finding::Replaced => return Leave::GivenUp("replaced"),
+                Finding::Replaced => return Leave::Gone("replaced"),
                 Finding::Alive(_) => {
                     watch.probes = Probes::default();
                     watch.was_alive = true;
-                    // A send is left for the case that the next replica is lost.
-                    if self.can_hand_over(target, 1) {
+                    if self.can_hand_over(target, watch) {
                         sleep_until(self.stall.failover_at()).await;
-                        return Leave::Silent(Silence::Alive);
+                        return Leave::Silent;
                     }
                 }
                 Finding::Unresponsive => {
@@ -164,15 +165,17 @@
 
     /// Whether the attempt leaves a replica that has missed a probe; `None` if it stays.
     fn leave_unresponsive(&self, target: &Target, watch: &Watch) -> Option<Leave> {
-        let time = watch.probes.unresponsive_time(Instant::now());
-        if self.is_gone(target, time) {
-            return Some(Leave::GivenUp("gone"));
+        let now = Instant::now();
+        if self.is_gone(target, watch.probes.unresponsive_time(now)) {
+            return Some(Leave::Gone("gone"));
         }
-        if time >= UNRESPONSIVE_TIME && self.can_fail_over(target) {
-            return Some(Leave::GivenUp("unresponsive"));
+        let is_long =
+            watch.probes.misses >= MAX_MISSES && self.stall.idle_time(now) >= UNRESPONSIVE_TIME;
+        if is_long && self.can_fail_over(target) {
+            return Some(Leave::Unresponsive);
         }
-        let is_due = watch.probes.misses >= watch.max_misses() && self.can_hand_over(target, 0);
-        is_due.then_some(Leave::Silent(Silence::Unresponsive))
+        let is_due = watch.probes.misses >= watch.max_misses() && self.can_hand_over(target, watch);
+        is_due.then_some(Leave::Silent)
     }
 
     /// Whether a replica without a report for `time` is gone for good.
@@ -238,9 +241,7 @@
     /// has made events of this run, and none has arrived; or it knows nothing of the run, which is
     /// neither queued nor in prefill nor running.
     fn is_lost(&self, report: &Report) -> bool {
-        let Some(id) = self.job.call.id.as_deref().filter(|_| self.first_event_at.is_none()) else {
-            return false;
-        };
+        let Some(id) = self.job.call.id.as_deref() else { return false };
         match report.events_of(id) {
             Some(events) => events > 0,
             None => report.waiting == 0 && report.prefilling == 0,
@@ -256,11 +257,12 @@
             && self.has_alternative(target)
     }
 
-    /// Whether the holder of the copy may continue the stream, and so many sends are left beyond
-    /// the one to it.
-    fn can_hand_over(&self, target: &Target, spare_sends: u32) -> bool {
+    /// Whether the holder of the copy may continue the stream, and a send is left beyond the one to
+    /// it, for the case that a replica is lost.
+    fn can_hand_over(&self, target: &Target, watch: &Watch) -> bool {
         self.job.route.semantics.may_repeat()
-            && self.trace.sends + spare_sends < self.job.route.max_attempts
+            && !watch.was_handed_over
+            && self.trace.sends + 1 < self.job.route.max_attempts
             && self.has_retry()
             && self.newest_copy().is_some_and(|copy| {
                 copy.replica.id != target.replica.id && self.usable_holder(&copy).is_some()
--- a/crates/winch-relay/src/stream/target.rs
+++ b/crates/winch-relay/src/stream/target.rs
@@ -77,7 +77,8 @@
     /// Takes the newest copy, which the session forgets.
     pub(super) fn take_copy(&mut self) -> Option<KvCopy> {
         let snapshot = self.refresher.take().and_then(Refresher::into_copy);
-        snapshot.or(self.copy.take())
+        let copy = self.copy.take().filter(|_| !self.is_copy_refused);
+        snapshot.or(copy)
     }
 
     /// The holder of `copy`, if it may serve the request.
@@ -88,7 +89,10 @@
         let (catalog, now) = (self.node.catalog(), Instant::now());
         let key = catalog.key(&copy.replica.id)?;
         let entry = catalog.get(key)?;
-        let is_unusable = entry.replica.draining || entry.is_ejected(now) || entry.is_paused(now);
+        let is_unusable = entry.replica.draining
+            || entry.is_ejected(now)
+            || entry.is_paused(now)
+            || entry.is_full(now);
         (!is_unusable).then(|| (key, entry.replica.clone()))
     }
 
@@ -158,10 +162,12 @@
     /// with the least cost.
     async fn place_once(&self, round: u32) -> Option<Target> {
         let candidates = self.draw(round);
-        let only_candidate = (candidates.len() == 1).then(|| candidates[0].clone());
+        let must_start = self.must_start();
+        let only_candidate = (candidates.len() == 1 && !must_start).then(|| candidates[0].clone());
         let survey = self.survey(candidates, true).await;
         let now = Instant::now();
-        let Some(target) = self.take_best(&survey, |_| true) else {
+        let is_eligible = |rated: &Rated| !must_start || rated.forecast.is_open;
+        let Some(target) = self.take_best(&survey, is_eligible) else {
             // A single candidate may still serve without a report in time, unless it has left
             // the catalog, for example because another incarnation has replaced it, or wants no
             // more requests.
@@ -177,6 +183,15 @@
         Some(target)
     }
 
+    /// Whether the next send goes only to a replica that can start the stream at once: it is the last
+    /// one of a stream that has begun, and half of the time since its last event is left.
+    fn must_start(&self) -> bool {
+        let (now, deadline) = (Instant::now(), self.job.deadline());
+        self.has_forwarded
+            && self.trace.sends + 1 >= self.job.route.max_attempts
+            && now - self.last_event_at < deadline.saturating_duration_since(now)
+    }
+
     /// Probes one round of candidates, and `further` ones if those are loaded; returns the best one
     /// if the stream can start there without queueing and leaves room to others.
     pub(super) async fn place_if_open(&self, further: bool) -> Option<Target> {
