--- a/crates/winch-relay/src/kv_snapshot.rs
+++ b/crates/winch-relay/src/kv_snapshot.rs
@@ -3,7 +3,8 @@
 //! The replica that runs a request keeps a copy of the KV cache at another replica from
 //! the start of the run if there is room for it. When there is none, or when the holder of that
 //! copy is no longer in the catalog, a snapshot is made at a holder with room and replaced by a new
-//! one before it expires, until the run ends.
+//! one before it expires, until the run ends. While no new one can be made, the former one is kept
+//! until it expires.
 
 use std::sync::{Mutex, PoisonError};
 
@@ -45,33 +46,42 @@
     pub service: Service,
 }
 
+/// A snapshot that has been made.
+#[derive(Debug)]
+struct Snapshot {
+    copy: KvCopy,
+    /// Time from which its holder may have freed it.
+    expires_at: Instant,
+}
+
 /// Keeps a snapshot of one run valid; when the refresher is dropped, the last snapshot
 /// is freed.
 #[derive(Debug)]
 pub struct Refresher<P: Protocol> {
     node: Arc<Node<P>>,
     source: Arc<Replica>,
-    /// The newest snapshot; `None` before the first one and after a failed attempt.
-    copy: Arc<Mutex<Option<KvCopy>>>,
+    /// The newest snapshot, which may have expired; `None` before the first one.
+    newest: Arc<Mutex<Option<Snapshot>>>,
     task: AbortHandle,
 }
 
 impl<P: Protocol> Refresher<P> {
     /// Spawns the task that makes snapshots of `run`.
     pub fn start(node: &Arc<Node<P>>, run: Run) -> Self {
-        let copy = Arc::new(Mutex::new(None));
+        let newest = Arc::new(Mutex::new(None));
         let source = run.source.clone();
-        let task = node.tasks.spawn(refresh(node.clone(), run, copy.clone()));
-        Self { node: node.clone(), source, copy, task: task.abort_handle() }
+        let task = node.tasks.spawn(refresh(node.clone(), run, newest.clone()));
+        Self { node: node.clone(), source, newest, task: task.abort_handle() }
     }
 
-    /// Stops the task and returns the newest snapshot, which is not freed.
+    /// Stops the task and returns the newest snapshot, which is not freed; `None` if it has expired.
     pub fn into_copy(self) -> Option<KvCopy> {
         self.take()
     }
 
     fn take(&self) -> Option<KvCopy> {
-        self.copy.lock().unwrap_or_else(PoisonError::into_inner).take()
+        let newest = self.newest.lock().unwrap_or_else(PoisonError::into_inner).take();
+        newest.filter(|snapshot| Instant::now() < snapshot.expires_at).map(|snapshot| snapshot.copy)
     }
 }
 
@@ -99,7 +109,7 @@
 }
 
 /// Makes one snapshot after another, until [`MAX_FAILURES`] attempts in a row have failed.
-async fn refresh<P: Protocol>(node: Arc<Node<P>>, run: Run, copy: Arc<Mutex<Option<KvCopy>>>) {
+async fn refresh<P: Protocol>(node: Arc<Node<P>>, run: Run, newest: Arc<Mutex<Option<Snapshot>>>) {
     let mut failures = 0;
     let mut holder = None;
     while failures < MAX_FAILURES {
@@ -116,14 +126,14 @@
             (None, Some(_)) => ("failed", RETRY_BACKOFF),
             (None, None) => ("no_room", RETRY_BACKOFF * 2_u32.pow(failures)),
         };
+        counter::snapshot(result);
         if snapshot.is_some() {
             failures = 0;
             holder = candidate;
+            *newest.lock().unwrap_or_else(PoisonError::into_inner) = snapshot;
         } else {
             failures += 1;
         }
-        counter::snapshot(result);
-        *copy.lock().unwrap_or_else(PoisonError::into_inner) = snapshot;
         sleep(delay).await;
     }
 }
@@ -137,7 +147,8 @@
     node: &Node<P>,
     run: &Run,
     holder: &Arc<Replica>,
-) -> Option<KvCopy> {
+) -> Option<Snapshot> {
+    let expires_at = Instant::now() + run.ttl;
     let requested = timeout(SNAPSHOT_TIMEOUT, request_snapshot(node, run, holder)).await;
     let name = requested.ok().and_then(Result::ok).flatten()?;
     emit!(
@@ -147,7 +158,8 @@
         copy = holder.id,
         dc = holder.dc
     );
-    Some(KvCopy { replica: holder.clone(), lookup_address: run.source.address, name })
+    let copy = KvCopy { replica: holder.clone(), lookup_address: run.source.address, name };
+    Some(Snapshot { copy, expires_at })
 }
 
 /// Asks the source to copy the run to `holder`; returns the name of the snapshot, `None` if
