winch-relay: a begun stream asks further daemons if the replicas of the first one refuse it

A daemon that reaches no replica passes its streams on, and asks up to four daemons. One that was reached, and answered that its replicas had refused the request, that its retry budget or its share of a limit was used up or that they were overloaded, ended the stream: the caller of a stream that had begun saw its connection closed, although nothing had run there and a further daemon would have taken the rest.

Cause: only 606, 607, 608 and 615 counted as "not taken"; any other code ended the stream. For a stream that has begun, 609, 611, 614 and 616 now count as "not taken", too. One that has not begun is still refused at once. 612 and 613 still end both: the request itself is the cause. Each daemon spends its own retries, so that the budgets bound the further sends.

--- a/crates/winch-relay/src/stream/passing.rs
+++ b/crates/winch-relay/src/stream/passing.rs
@@ -70,6 +70,12 @@
         match forward::send(node, job, sends, self.last_event, deadline, daemon).await {
             Reached::NotTaken => Forwarded::NotTaken,
             Reached::Broken => Forwarded::Broken,
+            // It has not run, and another daemon may reach a replica that goes on with it.
+            Reached::Error(Code::Refused | Code::NoBudget | Code::Limited | Code::Overloaded)
+                if self.has_begun() =>
+            {
+                Forwarded::NotTaken
+            }
             Reached::Error(code) => {
                 self.trace.may_have_run |= code.may_have_run();
                 Forwarded::Ended(self.give_up(code))
@@ -78,15 +84,20 @@
         }
     }
 
+    /// Whether the reply to the caller has begun, so that an error can no longer take its place.
+    fn has_begun(&self) -> bool {
+        self.out.progress() != Progress::Waiting
+    }
+
     async fn forward_reply(&mut self, reply: Reply, mut connection: Box<Connection>) -> Forwarded {
         if reply.status.is_success() {
-            if self.out.progress() == Progress::Waiting {
+            if !self.has_begun() {
                 self.out.begin_stream(StatusCode::OK, reply.headers);
             }
             return self.forward_all(&mut connection).await;
         }
         self.trace.may_have_run = true;
-        if self.out.progress() != Progress::Waiting {
+        if self.has_begun() {
             return Forwarded::Ended(self.give_up(Code::Broken));
         }
         match memory::read_body(&mut connection, &self.node.body_blocks, MAX_BODY_BYTES).await {
