wisteriawinch: a lookup that an upstream has received is not reported as not run

A lookup whose first attempt broke off, or was answered with a failure, and for which no other upstream was left, ended as 115 `no_upstream` with `"not_run": true`, although an upstream had received it and may have run it. The retry that was taken for the next attempt was lost, too.

Cause: `call_idempotent` took the retry before it had an upstream for it, and returned the code of the placement that failed as if nothing had been sent. It now chooses the upstream first and takes the retry after it; if none is left, the call ends as 202 `upstream_failed`, unless no byte has been sent.

--- a/crates/wisteriawinch/src/edge/plain.rs
+++ b/crates/wisteriawinch/src/edge/plain.rs
@@ -94,14 +94,21 @@
     async fn call_idempotent(&self) -> Result<StoredReply, Code> {
         let fleet = &self.edge.fleet;
         let mut tried = Vec::new();
+        let mut may_have_run = false;
         for attempt in 0..IDEMPOTENT_ATTEMPTS {
+            let key = match self.choose_upstream(&tried).await {
+                Ok(key) => key,
+                Err(_) if may_have_run => break,
+                Err(code) => return Err(code),
+            };
             if attempt > 0 && !fleet.routing().router.spend_retry(&self.service.name) {
+                fleet.finish(key, Finish::Cancelled);
                 break;
             }
-            let key = self.choose_upstream(&tried).await?;
             let sent = timeout_at(self.send_deadline, self.send(&fleet.client, key)).await;
             let sent = sent.unwrap_or(SendResult::Unknown);
             fleet.finish(key, finish_of(&sent));
+            may_have_run |= !matches!(sent, SendResult::NotSent);
             match sent {
                 SendResult::Replied(reply) if reply.status < 500 => return Ok(reply),
                 SendResult::Replied(_) => counter::retried("lookup_failed"),
