winch-relay: a begun stream that no daemon takes is passed on again

A daemon that reaches no replica asked up to four other daemons once, all within a moment if they are busy or their replicas are full. If none of them took a stream that had begun, it looked for a replica of its own for a second, and closed the caller's connection, though seconds of the stream's time were left and the other daemons had room a moment later.

Cause: `was_forwarded` is set before any daemon is asked, and allows for one round only. A stream that has begun now asks again after 200 ms, 400 ms and then each 800 ms, until a daemon takes it, its deadline is near or this daemon reaches the service itself. A stream that has not begun is refused at once, as before, and orders and lookups are not changed.

Evidence: `refused_stream_asks_again` failed in 3 of 3 runs without the change, "Broken { source: Kind(UnexpectedEof) }", and passed in 4 of 4 with it; `replica_partition`, `full_peers`, `caller_disconnect`, `graceful_stop` and `stream_resume` passed once each. How often a play meets this was not measured.

--- a/crates/winch-relay/src/stream/passing.rs
+++ b/crates/winch-relay/src/stream/passing.rs
@@ -3,7 +3,10 @@
 use std::net::SocketAddr;
 
 use http::StatusCode;
-use tokio::{io::AsyncWrite, time::timeout_at};
+use tokio::{
+    io::AsyncWrite,
+    time::{sleep_until, timeout_at},
+};
 use winch_http::{client::Connection, head::Reply};
 
 use super::{
@@ -22,6 +25,12 @@
 /// Largest body of a reply that is not a stream.
 const MAX_BODY_BYTES: usize = 1024 * 1024;
 
+/// Time before the daemons are asked again to take a stream that has begun; it doubles up to
+/// [`BACKOFF_MAX`].
+const BACKOFF_MIN: Duration = Duration::from_millis(200);
+/// Longest time before the daemons are asked again.
+const BACKOFF_MAX: Duration = Duration::from_millis(800);
+
 /// How a stream ended at another daemon.
 enum Forwarded {
     Ended(Outcome),
@@ -32,9 +41,31 @@
 }
 
 impl<P: Protocol, W: AsyncWrite + Unpin> Session<'_, P, W> {
-    /// Passes the stream on to other daemons, one after the other; `None` if none takes it.
+    /// Passes the stream on to other daemons; `None` if none takes it.
+    ///
+    /// A stream that has not begun is refused then. One that has begun asks again until its
+    /// deadline, or until this daemon reaches its service itself.
     pub(super) async fn forward(&mut self) -> Option<Outcome> {
         self.trace.was_forwarded = true;
+        let mut backoff = BACKOFF_MIN;
+        loop {
+            if let Some(outcome) = self.forward_once().await {
+                return Some(outcome);
+            }
+            let ask_at = Instant::now() + backoff;
+            let may_ask = self.trace.sends < self.job.route.max_attempts
+                && ask_at < self.job.deadline()
+                && self.node.is_isolated(&self.job.service);
+            if !self.has_begun() || !may_ask {
+                return None;
+            }
+            sleep_until(ask_at).await;
+            backoff = (backoff * 2).min(BACKOFF_MAX);
+        }
+    }
+
+    /// Asks several daemons, one after the other, to take the stream; `None` if none takes it.
+    async fn forward_once(&mut self) -> Option<Outcome> {
         let deadline = self.job.deadline();
         for daemon in forward::candidates(self.node) {
             if self.trace.sends >= self.job.route.max_attempts {
