winch-relay: don't take the daemon's own lateness for silence of replicas

Callers saw streams refused with 503, and begun streams sent again to other replicas, although every replica was sound: a daemon that had got no processor time for a while ejected all replicas that it was probing, of all data centres within some milliseconds.

Cause: a load probe had 150 ms by the wall clock for opening a connection, sending the request and reading the report. A process that is paused between two of these steps finds its timer expired before it has sent the request, or before it has read the report that waits in the socket. After SIGSTOP and SIGCONT epoll_wait returns EINTR, so that timers fire before any input is seen. `entry` has a single thread, so that one long turn does the same to all probes that are under way.

`running_time` counts only the time in which the process runs: a limit is waited for in six ticks, of 25 ms at least, and one that ends more than 10 ms late does not count, up to eight of them. Input that arrived during a pause is therefore read, and what was to be sent is sent, before the verdict. It is used for probes, for the collection of reports, and for the connects in them. A probe that is answered within a tick sets one timer, as before. Callers' deadlines are unchanged. Weighed: a second look after an expired timer, which is one turn and too little for a new connection, a request and its reply.

That a slow connect alone was misjudged is not shown: connections over loopback open at once. Its limit is nested in the probe's.

--- a/crates/winch-http/src/client.rs
+++ b/crates/winch-http/src/client.rs
@@ -56,6 +56,13 @@
     },
 }
 
+impl Error {
+    /// The error of a connection that was not open in time.
+    pub fn timed_out() -> Self {
+        Self::Connect { source: io::ErrorKind::TimedOut.into() }
+    }
+}
+
 fn broken(kind: io::ErrorKind) -> Error {
     Error::Broken { source: kind.into() }
 }
@@ -102,8 +109,16 @@
     /// # Errors
     /// [`Error::Connect`], also if the connection is not open within `limit`.
     pub async fn open(address: SocketAddr, limit: Duration) -> Result<Self, Error> {
-        let connected = timeout(limit, TcpStream::connect(address)).await;
-        let connected = connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
+        let connected = timeout(limit, Self::connect(address)).await;
+        connected.unwrap_or_else(|_| Err(Error::timed_out()))
+    }
+
+    /// Connects to `address`, for as long as the operating system tries.
+    ///
+    /// # Errors
+    /// [`Error::Connect`].
+    pub async fn connect(address: SocketAddr) -> Result<Self, Error> {
+        let connected = TcpStream::connect(address).await;
         let io = connected.map_err(|source| Error::Connect { source })?;
         io.set_nodelay(true).map_err(|source| Error::Connect { source })?;
         Ok(Self::new(io))
--- a/crates/winch-relay/src/lib.rs
+++ b/crates/winch-relay/src/lib.rs
@@ -2,10 +2,10 @@
 //!
 //! Modules that decide use no sockets: [`config`] finds the route of a request,
 //! [`catalog`] holds the known replicas, [`placement`] chooses one, [`sse`] splits
-//! streams into complete events, [`stall`] detects stalled streams, and [`moves`] holds
-//! the state of version moves. [`edge`], [`unary`] and [`stream`] carry out requests,
-//! [`probe`] requests load reports from replicas, [`copy_holder`] finds a replica for a KV cache
-//! copy, and [`strikes`] detects requests that crash replicas.
+//! streams into complete events, [`stall`] detects stalled streams, [`running_time`] judges
+//! silence, and [`moves`] holds the state of version moves. [`edge`], [`unary`] and [`stream`]
+//! carry out requests, [`probe`] requests load reports from replicas, [`copy_holder`] finds a
+//! replica for a KV cache copy, and [`strikes`] detects requests that crash replicas.
 //!
 //! [`watch`] and [`peer`] keep the state of [`node`] in sync with the platform's store, and
 //! [`controller`] drives version moves. An adapter to a platform implements [`protocol`]
@@ -43,6 +43,7 @@
 pub mod reach;
 pub mod replica;
 pub mod respond;
+pub mod running_time;
 pub mod settings;
 mod shed;
 pub mod speed;
--- a/crates/winch-relay/src/probe.rs
+++ b/crates/winch-relay/src/probe.rs
@@ -2,10 +2,7 @@
 
 use bytes::Bytes;
 use http::Method;
-use tokio::{
-    sync::mpsc,
-    time::{timeout, timeout_at},
-};
+use tokio::sync::mpsc;
 use winch_http::{client::Error, head::Reply};
 
 use crate::{
@@ -15,6 +12,7 @@
     exchange::Query,
     prelude::*,
     replica::Report,
+    running_time::timeout,
 };
 
 /// Longest time to wait for a report.
@@ -171,11 +169,16 @@
         });
     }
     drop(sender);
-    let mut answers = Vec::new();
-    let mut deadline = Instant::now() + PROBE_TIMEOUT;
-    while let Ok(Some(answer)) = timeout_at(deadline, receiver.recv()).await {
-        answers.push(answer);
-        deadline = deadline.min(Instant::now() + STRAGGLER_TIMEOUT);
+    let first = timeout(PROBE_TIMEOUT, receiver.recv()).await;
+    let mut answers: Vec<_> = first.ok().flatten().into_iter().collect();
+    if !answers.is_empty() {
+        let stragglers = async {
+            while let Some(answer) = receiver.recv().await {
+                answers.push(answer);
+            }
+        };
+        // A timeout is not an error: the reports that have arrived are enough.
+        let _ = timeout(STRAGGLER_TIMEOUT, stragglers).await;
     }
     answers
 }
--- a/crates/winch-relay/src/reach.rs
+++ b/crates/winch-relay/src/reach.rs
@@ -10,7 +10,7 @@
 use winch_http::client::{Connection, Error};
 use winch_route::{hash, reach::Reach};
 
-use crate::{counter, node::Node, pool::CONNECT_TIMEOUT, prelude::*};
+use crate::{counter, node::Node, pool::CONNECT_TIMEOUT, prelude::*, running_time::timeout};
 
 /// Interval of checks of a service that is in doubt.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -59,7 +59,8 @@
     /// # Errors
     /// As [`Self::open()`].
     pub async fn open_new(&self, replica: &Replica) -> Result<Connection, Error> {
-        let opened = Connection::open(replica.address, CONNECT_TIMEOUT).await;
+        let opened = timeout(CONNECT_TIMEOUT, Connection::connect(replica.address)).await;
+        let opened = opened.unwrap_or_else(|_| Err(Error::timed_out()));
         counter::connected(if opened.is_ok() { "ok" } else { "failed" });
         self.record_opening(replica, opened.is_ok());
         opened
--- /dev/null
+++ b/crates/wisteriawinch/tests/entry_pause.rs
@@ -0,0 +1,101 @@
+//! An `entry` process that is stopped for parts of a second does not take this for silence of its
+//! replicas.
+
+#[path = "../../../platform/tests/common/mod.rs"]
+mod common;
+mod entry;
+
+use std::{path::Path, time::Duration};
+
+use common::{Caller, EVENTS, Replica, Request, Step, Store, TIMEOUT};
+use entry::{Addresses, Process};
+use tokio::{task::JoinSet, time::sleep};
+use winch_http::client::Connection;
+
+/// Number of engines, in three data centres.
+const ENGINES: usize = 6;
+/// Number of callers, each of which sends one stream after another.
+const CALLERS: usize = 24;
+/// Number of streams of each caller.
+const STREAMS: usize = 30;
+/// Time between two events of a stream.
+const EVENT_INTERVAL: Duration = Duration::from_millis(6);
+/// Stops of the process, with the time in which it runs before each.
+const STOPS: [(Duration, Duration); 4] = [
+    (Duration::from_millis(170), Duration::from_millis(300)),
+    (Duration::from_millis(230), Duration::from_millis(1_100)),
+    (Duration::from_millis(90), Duration::from_millis(200)),
+    (Duration::from_millis(310), Duration::from_millis(500)),
+];
+
+async fn caller(process: &Process) -> Caller {
+    let opened = Connection::open(process.addresses.callers, TIMEOUT).await;
+    Caller { connection: opened.expect("the daemon listens") }
+}
+
+/// Whether the daemon serves a stream.
+async fn serves(process: &Process) -> bool {
+    let address = process.addresses.callers;
+    let Ok(connection) = Connection::open(address, Duration::from_millis(500)).await else {
+        return false;
+    };
+    let sent = Caller { connection }.send(Request::stream("check")).await;
+    sent.is_ok_and(|response| response.status.is_success())
+}
+
+/// Lines of the daemon with this number in which it logs this event.
+fn logged(folder: &Path, number: usize, event: u16) -> Vec<String> {
+    let log = std::fs::read_to_string(folder.join(format!("{number}.log")));
+    let field = format!("\"event\":{event},");
+    let lines = log.expect("the log is read").lines().map(str::to_owned).collect::<Vec<_>>();
+    lines.into_iter().filter(|line| line.contains(&field)).collect()
+}
+
+// Guards against timers of the daemon that fire before it has read what arrived while it was
+// stopped.
+#[tokio::test]
+async fn stopped_daemon_ejects_nobody() {
+    let mut engines = Vec::new();
+    for number in 0..ENGINES {
+        let dc = ["a", "b", "c"][number % 3];
+        let engine = Replica::start(&format!("m-{number}"), "model", dc).await;
+        engine.set_default_step(Step::Paced(EVENTS, EVENT_INTERVAL));
+        // Each probe opens a connection, so that it takes the daemon several steps.
+        engine.set_statement("Connection: close\r\n");
+        engines.push(engine);
+    }
+    let store = Store::with_replicas(&engines.iter().collect::<Vec<_>>()).await;
+    let (folder, addresses) = (entry::folder(), Addresses::unused());
+    let process = Process::start(0, "a", addresses, &[addresses.control], store.address, &folder);
+    while !serves(&process).await {
+        sleep(Duration::from_millis(50)).await;
+    }
+    let before: usize = engines.iter().map(|engine| engine.received().len()).sum();
+    let mut callers = JoinSet::new();
+    for number in 0..CALLERS {
+        let mut caller = caller(&process).await;
+        callers.spawn(async move {
+            for stream in 0..STREAMS {
+                let request = Request::stream(&format!("s-{number}-{stream}"));
+                let response = caller.send(request).await.expect("a whole stream");
+                assert_eq!(response.events(), (1..=EVENTS).collect::<Vec<_>>());
+            }
+        });
+    }
+    let mut stops = STOPS.iter().cycle();
+    while !callers.is_empty() {
+        let (running, stopped) = stops.next().expect("a cycle has no end");
+        sleep(*running).await;
+        process.signal("-STOP");
+        sleep(*stopped).await;
+        process.signal("-CONT");
+        while let Some(ended) = callers.try_join_next() {
+            ended.expect("every stream is whole");
+        }
+    }
+    let ejections = logged(&folder, 0, 1114);
+    let sends: usize = engines.iter().map(|engine| engine.received().len()).sum();
+    println!("sends {} of {}, ejections {}", sends - before, CALLERS * STREAMS, ejections.len());
+    assert!(ejections.is_empty(), "sound replicas were ejected: {ejections:#?}");
+    assert_eq!(sends - before, CALLERS * STREAMS, "each stream ran once");
+}
