winch-relay: don't give up a seed for the daemon's own pause

A follower that was stopped for a second gave up its sound seed ("timed out", 1015), read the store itself and had to find the seed again, as all followers on a busy machine would at the same time.

Cause: the 800 ms without an update were counted by the wall clock, and after SIGCONT the timer fires before the heartbeats that wait in the socket are read. The limit now counts running time (`running_time::Budget`, which is kept over the reports that are sent between two updates), as do the connects to seeds and the requests for their state.

Not changed: the age of the state of a daemon that serves others goes on by the wall clock, since the state is in fact that old.

--- a/crates/winch-relay/src/peer.rs
+++ b/crates/winch-relay/src/peer.rs
@@ -23,10 +23,7 @@
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
-use tokio::{
-    net::TcpStream,
-    time::{timeout, timeout_at},
-};
+use tokio::net::TcpStream;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 use winch_http::client::Connection;
 use winch_roster::interest::Interest;
@@ -40,7 +37,13 @@
     message::{Forwarding, Request},
     notice::{ClearedPart, CrashStrike, RetractedCrash},
 };
-use crate::{counter, node::Node, prelude::*, strikes::Strike};
+use crate::{
+    counter,
+    node::Node,
+    prelude::*,
+    running_time::{Budget, timeout},
+    strikes::Strike,
+};
 
 /// Timeout for connecting to a peer, and for receiving the request of a peer.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(400);
@@ -64,9 +67,9 @@
 
 async fn receive<M: Message + Default>(
     framed: &mut FramedStream,
-    deadline: Instant,
+    budget: &mut Budget,
 ) -> io::Result<M> {
-    let received = timeout_at(deadline, framed.next()).await?.transpose()?;
+    let received = budget.timeout(framed.next()).await?.transpose()?;
     let frame = received.ok_or(io::ErrorKind::UnexpectedEof)?;
     M::decode(frame).map_err(io::Error::other)
 }
--- a/crates/winch-relay/src/peer/follow.rs
+++ b/crates/winch-relay/src/peer/follow.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use snafu::{OptionExt, Snafu, ensure};
-use tokio::time::{MissedTickBehavior, interval, sleep_until, timeout};
+use tokio::time::{MissedTickBehavior, interval, sleep_until};
 use winch_roster::{frame, source::End};
 
 use super::{
@@ -18,6 +18,7 @@
     edition::Edition,
     node::Node,
     prelude::*,
+    running_time::{Budget, timeout},
     speed::Told,
     store::{Listing, Store},
     watch::Topic,
@@ -132,10 +133,10 @@
         };
         let connected = timeout(CONNECT_TIMEOUT, connect(seed, request)).await;
         let mut framed = connected.map_err(io::Error::from)??;
-        let deadline = Instant::now() + SEED_TIMEOUT;
+        let mut budget = Budget::new(SEED_TIMEOUT);
         let mut pending: Vec<Update> = Vec::new();
         loop {
-            let received = receive::<Update>(&mut framed, deadline).await;
+            let received = receive::<Update>(&mut framed, &mut budget).await;
             let update = match received {
                 Err(_) if !pending.is_empty() => return OlderSnafu.fail(),
                 received => received?,
@@ -179,11 +180,11 @@
         }
         let mut report_ticks = interval(REPORT_INTERVAL);
         report_ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut budget = Budget::new(SEED_TIMEOUT);
         loop {
-            let (timeout_at, stale_at) =
-                (self.received_at + SEED_TIMEOUT, self.confirmed_at + self.limits.max_age);
+            let stale_at = self.confirmed_at + self.limits.max_age;
             let update = tokio::select! {
-                update = receive::<Update>(&mut self.framed, timeout_at) => update?,
+                update = receive::<Update>(&mut self.framed, &mut budget) => update?,
                 _ = report_ticks.tick() => {
                     let report = build_report(node);
                     let has_news = !report.samples.is_empty()
@@ -198,6 +199,7 @@
                 () = sleep_until(stale_at), if self.limits.serves => return StaleSnafu.fail(),
             };
             self.received_at = Instant::now();
+            budget = Budget::new(SEED_TIMEOUT);
             let age = self.limits.check(&update)?;
             self.confirmed_at = self.received_at.checked_sub(age).unwrap_or(self.received_at);
             self.apply(node, store, update).await?;
@@ -319,5 +321,5 @@
     let serves = node.tuning().seeds.contains(&node.settings.peers);
     let interest = Some((&interest(node, serves)).into());
     let request = Request { interest, ..Request::default() };
-    receive(&mut connect(seed, request).await?, Instant::now() + SEED_TIMEOUT).await
+    receive(&mut connect(seed, request).await?, &mut Budget::new(SEED_TIMEOUT)).await
 }
--- a/crates/wisteriawinch/tests/entry_pause.rs
+++ b/crates/wisteriawinch/tests/entry_pause.rs
@@ -99,3 +99,29 @@
     assert!(ejections.is_empty(), "sound replicas were ejected: {ejections:#?}");
     assert_eq!(sends - before, CALLERS * STREAMS, "each stream ran once");
 }
+
+// Guards against a follower that gives up its seed because it was stopped itself.
+#[tokio::test]
+async fn stopped_follower_keeps_seed() {
+    let engine = Replica::start("m-1", "model", "a").await;
+    let store = Store::with_replicas(&[&engine]).await;
+    let (folder, seed, follower) = (entry::folder(), Addresses::unused(), Addresses::unused());
+    let seeds = [seed.control];
+    let seed = Process::start(0, "a", seed, &seeds, store.address, &folder);
+    while !serves(&seed).await {
+        sleep(Duration::from_millis(50)).await;
+    }
+    let follower = Process::start(1, "b", follower, &seeds, store.address, &folder);
+    while logged(&folder, 1, 1014).is_empty() {
+        sleep(Duration::from_millis(50)).await;
+    }
+    for _ in 0..8 {
+        sleep(Duration::from_millis(630)).await;
+        follower.signal("-STOP");
+        sleep(Duration::from_millis(1_000)).await;
+        follower.signal("-CONT");
+    }
+    sleep(Duration::from_millis(300)).await;
+    let lost = logged(&folder, 1, 1015);
+    assert!(lost.is_empty(), "{lost:#?}");
+}
