--- a/crates/wisteriawinch/tests/fault_soak.rs
+++ b/crates/wisteriawinch/tests/fault_soak.rs
@@ -4,7 +4,8 @@
 //! fails if an order runs twice, an order or stream runs after a refusal, a stream has a gap, a
 //! success is not signed by a replica, an order gets no word before its caller stops waiting, an answer belongs to another request, a daemon exits
 //! by itself or a graceful stop fails, or if a daemon does not serve again after the
-//! faults.
+//! faults. In a last series without faults of the network, in which sound replicas are silent, a
+//! begun stream that is cut fails it too.
 //!
 //! `SOAK_SEED` selects one seed, `SOAK_SEEDS` a range such as `1..51`; without
 //! either, the seeds of `soak/regression.txt` and [`FIXED_SEEDS`] are run.
@@ -18,6 +19,8 @@
 mod fault;
 #[path = "soak/fleet.rs"]
 mod fleet;
+#[path = "soak/silence.rs"]
+mod silence;
 
 use std::{sync::Arc, time::Duration};
 
@@ -31,6 +34,8 @@
 const FAULTS: usize = 12;
 /// Seeds that run when neither variable is set.
 const FIXED_SEEDS: [u64; 2] = [1, 15];
+/// Tells the generator of the series of silences from the others of a seed.
+const SERIES_SEED: u64 = 1 << 40;
 /// Longest time of one seed; only a hang reaches it.
 const SEED_TIMEOUT: Duration = Duration::from_secs(120);
 
@@ -62,8 +67,9 @@
     }
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut violations = Vec::new();
-    // A generator of its own, so that the series of faults of a seed stays as it was.
+    // Generators of their own, so that the series of faults of a seed stays as it was.
     let mut silence_rng = SmallRng::seed_from_u64(!seed);
+    let mut series_rng = SmallRng::seed_from_u64(seed ^ SERIES_SEED);
     for number in 0..FAULTS {
         if number == FAULTS / 2 {
             violations.extend(fault::silence(&fleet, &mut silence_rng).await);
@@ -78,6 +84,8 @@
         violations.extend(report.violations);
         served += report.served;
     }
+    violations.extend(silence::run(&fleet, &mut series_rng).await);
+    violations.extend(fault::clear(&fleet).await);
     violations.extend(fleet.run_violations());
     fleet.wait_serving().await;
     eprintln!("seed {seed}: {served} served, {} guarantees violated", violations.len());
--- a/crates/wisteriawinch/tests/soak/caller.rs
+++ b/crates/wisteriawinch/tests/soak/caller.rs
@@ -22,6 +22,17 @@
 /// Largest number of attempts to resume one stream.
 const MAX_RESUMES: usize = 6;
 
+/// How an attempt at a stream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum End {
+    /// With a whole body.
+    Complete,
+    /// Within its body.
+    Cut,
+    /// Without a success status.
+    NotBegun,
+}
+
 /// Result of one caller.
 #[derive(Debug, Default)]
 pub(crate) struct Report {
@@ -110,8 +121,8 @@
 ) -> bool {
     let brief = format!("brief-{id}");
     let mut last = 0;
-    let first_ended =
-        read_events(fleet, caller, Request::stream(id).body(&brief), &mut last, report).await;
+    let request = Request::stream(id).body(&brief);
+    let first_ended = read_events(fleet, caller, request, &mut last, report).await == End::Complete;
     let mut has_ended = first_ended;
     for resume in 0..MAX_RESUMES {
         if has_ended {
@@ -122,7 +133,8 @@
         let request = Request::stream(&format!("{id}-r{resume}")).body(&brief);
         let request =
             if last > 0 { request.with("last-event-id", &last.to_string()) } else { request };
-        has_ended = read_events(fleet, &mut other, request, &mut last, report).await;
+        let end = read_events(fleet, &mut other, request, &mut last, report).await;
+        has_ended = end == End::Complete;
     }
     if has_ended && last != EVENTS {
         report.violations.push(format!("stream {id} ended after event {last} of {EVENTS}"));
@@ -133,17 +145,15 @@
 
 /// Reads one attempt at a stream and checks that its events follow on `last` without
 /// a gap; `last` becomes the last event read.
-///
-/// Returns true if the status is a success and the body ended without an error.
-async fn read_events(
+pub(crate) async fn read_events(
     fleet: &Fleet,
     caller: &mut Caller,
     request: Request,
     last: &mut u64,
     report: &mut Report,
-) -> bool {
+) -> End {
     let Ok(Ok(reply)) = timeout(ANSWER_TIMEOUT, caller.send_for_head(&request)).await else {
-        return false;
+        return End::NotBegun;
     };
     let brief = &request.body;
     let mut text = String::new();
@@ -161,7 +171,7 @@
         {
             fleet.record_refusal(id);
         }
-        return false;
+        return End::NotBegun;
     }
     let complete_len = text.rfind("\n\n").map_or(0, |at| at + 2);
     if complete_len != text.len() {
@@ -172,8 +182,8 @@
         let expected = format!("id: {last}\ndata: piece {last} of {brief}");
         if event != expected {
             report.violations.push(format!("expected {expected:?}, got {event:?}"));
-            return false;
+            return End::Cut;
         }
     }
-    has_ended
+    if has_ended { End::Complete } else { End::Cut }
 }
