--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -3,17 +3,23 @@
 //!
 //! [`relay`] takes an admitted request, writes the events to the caller's connection and
 //! returns the outcome. `target` chooses the replica of each attempt among those that `survey` has
-//! asked for their load; `attempt` sends the request to it and forwards the events, and
-//! `liveness` decides when it abandons a replica that sends none.
+//! asked for their load; `attempt` sends the request to it and forwards the events, `liveness`
+//! decides when it abandons a replica that sends none, and `handover` moves a stream that has begun
+//! without giving up what it has.
 
 pub(crate) mod admission;
 mod attempt;
+mod handover;
 mod liveness;
 mod passing;
+mod run;
 mod survey;
 mod target;
 
-use tokio::{io::AsyncWrite, time::timeout_at};
+use tokio::{
+    io::AsyncWrite,
+    time::{sleep, timeout_at},
+};
 use winch_http::head::Reply;
 use winch_route::suspect::Disposition;
 
@@ -35,12 +41,15 @@
 /// separately because they do not count as sends.
 const MAX_CONNECT_FAILURES: u32 = 6;
 
+/// Interval at which a stream that has begun asks again for a retry.
+const RETRY_INTERVAL: Duration = Duration::from_millis(50);
+
 /// How one attempt at a replica ended.
 enum Attempt {
     /// The stream is complete.
     Complete,
-    /// The replica states that it did not run the request.
-    Refused,
+    /// The replica states that it did not run the request; whether because it was full.
+    Refused { is_full: bool },
     /// The replica sent a complete error reply.
     ErrorReply(Reply, bytes::Bytes),
     /// No connection could be opened; nothing was sent.
@@ -53,6 +62,13 @@
     TimedOut,
 }
 
+impl Attempt {
+    /// Whether the connection of the attempt can carry another request.
+    fn leaves_connection(&self) -> bool {
+        matches!(self, Self::Refused { .. } | Self::ErrorReply(..))
+    }
+}
+
 /// The replica of an attempt, and the KV cache copies that the attempt uses and makes.
 struct Target {
     key: Key,
@@ -106,6 +122,8 @@
     copy: Option<KvCopy>,
     /// Makes snapshots while the run has no copy; `None` as long as it has one.
     refresher: Option<Refresher<P>>,
+    /// Whether the holder of the copy has refused to continue the run, maybe for want of the copy.
+    is_copy_refused: bool,
     /// Data centre of the last attempt that broke.
     broken_dc: Option<Name>,
     /// Whether an event has been forwarded to the caller.
@@ -115,6 +133,8 @@
     /// Whether the current attempt has lasted so long that a crash is not attributed to it.
     has_survived: bool,
     connect_failures: u32,
+    /// Whether a retry for the next send was taken from the budget.
+    holds_retry: bool,
     stall: Detector,
     /// Time from the receipt of the request to the first event; set only if the first
     /// attempt yields one.
@@ -150,11 +170,13 @@
         last_event_at: now,
         copy: None,
         refresher: None,
+        is_copy_refused: false,
         broken_dc: None,
         has_forwarded: false,
         first_event_at: None,
         has_survived: false,
         connect_failures: 0,
+        holds_retry: false,
         stall: Detector::new(max_gap, now),
         first_event_latency: None,
     };
@@ -176,14 +198,24 @@
             {
                 return outcome;
             }
-            let target = match self.choose_target().await {
-                Choice::Refused(outcome) => return outcome,
-                Choice::Target(target) => target,
+            if !self.wait_for_retry().await {
+                code = Code::NoBudget;
+                break;
+            }
+            let target = match timeout_at(deadline, self.choose_target()).await {
+                Err(_) => return self.give_up(Code::TimedOut),
+                Ok(Choice::Refused(outcome)) => return outcome,
+                Ok(Choice::Target(target)) => target,
             };
-            let Some(target) = target else {
+            let Some(mut target) = target else {
                 if self.job.needs_forwarding(self.node, self.trace) {
                     continue;
                 }
+                if self.may_wait() {
+                    // A replica that has refused the stream, or was silent, may take it now.
+                    self.trace.excluded.clear();
+                    continue;
+                }
                 if self.trace.sends == 0 && self.node.is_limited(&self.job.service) {
                     code = Code::Limited;
                 }
@@ -192,12 +224,13 @@
             if self.is_quarantined() {
                 return self.give_up(Code::SuspectPart);
             }
-            if self.trace.sends > 0 && !self.spend_retry() {
+            if self.trace.sends > 0 && !self.take_retry() {
                 code = Code::NoBudget;
                 break;
             }
+            let attempt = timeout_at(deadline, self.attempt(&mut target)).await;
+            // The stream may have moved.
             let replica = target.replica.clone();
-            let attempt = timeout_at(deadline, self.attempt(&target)).await;
             match attempt.unwrap_or(Attempt::TimedOut) {
                 Attempt::Complete => {
                     // A resumed stream is not representative of a replica's latency.
@@ -217,9 +250,12 @@
                     self.trace.may_have_run = true;
                     return self.give_up(Code::TimedOut);
                 }
-                Attempt::Refused => {
+                Attempt::Refused { is_full } => {
                     self.trace.record(&replica, "refused");
                     counter::retried("refused");
+                    if is_full {
+                        self.node.catalog().record_full(target.key, Instant::now());
+                    }
                     code = Code::Refused;
                     // The replica did not run the request, so it made no copy.
                     self.copy = None;
@@ -283,6 +319,34 @@
         self.give_up(code)
     }
 
+    /// Waits until the next send of a stream that has begun has a retry, at most until its deadline
+    /// and while this daemon reaches its service; `false` if there is none. Other requests take
+    /// theirs once they have a target.
+    async fn wait_for_retry(&mut self) -> bool {
+        if !self.has_forwarded || self.trace.sends == 0 {
+            return true;
+        }
+        while !self.take_retry() {
+            if Instant::now() + RETRY_INTERVAL >= self.job.deadline() || !self.may_wait() {
+                return false;
+            }
+            sleep(RETRY_INTERVAL).await;
+        }
+        true
+    }
+
+    /// Takes a retry for the next send, unless one is held; `false` if the budget is exhausted.
+    fn take_retry(&mut self) -> bool {
+        self.holds_retry = self.holds_retry || self.spend_retry();
+        self.holds_retry
+    }
+
+    /// Whether the stream waits for a replica although there is none now: it has begun, and this
+    /// daemon reaches replicas of its service.
+    fn may_wait(&self) -> bool {
+        self.has_forwarded && !self.node.is_isolated(&self.job.service)
+    }
+
     /// Takes one retry from the budget of the service; `false` if the budget is exhausted.
     fn spend_retry(&self) -> bool {
         if self.has_forwarded {
--- a/crates/winch-relay/src/stream/liveness.rs
+++ b/crates/winch-relay/src/stream/liveness.rs
@@ -1,9 +1,10 @@
 //! Decides when an attempt abandons a replica that sends nothing.
 //!
-//! A healthy replica may pause for a second or so and go on. An attempt that can fail over abandons
-//! it early, because a failover costs less than a long pause. One that cannot would lose
-//! everything: it waits until its replica is known to be gone, its connection ends or its deadline
-//! passes.
+//! A healthy replica may pause for a second or so and go on. A stream that has begun stays at a
+//! silent replica until another one has taken it ([`handover`](super::handover)); it gives the
+//! replica up only if that has been unresponsive for longer than a pause. One that cannot fail over
+//! would lose everything: it waits until its replica is known to be gone, its connection ends or
+//! its deadline passes.
 
 use tokio::{
     io::AsyncWrite,
@@ -24,6 +25,9 @@
 /// Missed probes in a row after which an attempt that can fail over abandons a replica about which
 /// nothing else is wrong.
 const MAX_MISSES: u32 = 2;
+/// Time without a report after which a stream gives its replica up, although no other one is certain
+/// to take it. Longer than a healthy replica pauses.
+const UNRESPONSIVE_TIME: Duration = Duration::from_millis(1_200);
 /// Time without a report after which a replica that is no longer listed is gone. Longer than a
 /// healthy replica pauses, since one that is not listed any more may still serve.
 const GONE_TIME: Duration = Duration::from_secs(3);
@@ -58,7 +62,58 @@
     }
 }
 
+/// Why an attempt abandons its replica, or hands its stream over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Leave {
+    /// The replica no longer has the run, for this reason.
+    Gone(&'static str),
+    /// The replica has answered no probe for longer than a healthy one pauses.
+    Unresponsive,
+    /// The replica is silent. It is given up only once another one has the stream.
+    Silent,
+}
+
+/// What an attempt has found out about its silent replica since the last event.
+#[derive(Debug, Default)]
+pub(super) struct Watch {
+    probes: Probes,
+    /// Whether a probe was answered.
+    was_alive: bool,
+    /// Whether the holder of the copy was asked to continue the run.
+    was_handed_over: bool,
+    /// Whether the replica was probed.
+    was_probed: bool,
+}
+
+impl Watch {
+    /// Records that the holder of the copy was asked to continue the run; it is asked once in each
+    /// silence.
+    pub(super) fn record_handover(&mut self) {
+        self.was_handed_over = true;
+    }
+
+    /// Missed probes in a row after which the stream is handed over.
+    fn max_misses(&self) -> u32 {
+        // The missing events already speak against the replica.
+        if self.was_alive { MAX_MISSES } else { 1 }
+    }
+}
+
 impl<P: Protocol, W: AsyncWrite + Unpin> Session<'_, P, W> {
+    /// Completes when the attempt abandons its replica or hands its stream over.
+    pub(super) async fn abandoned(
+        &self,
+        target: &Target,
+        is_starting: bool,
+        watch: &mut Watch,
+    ) -> Leave {
+        if is_starting {
+            self.abandoned_before_first_event(target).await;
+            return Leave::Gone("unresponsive");
+        }
+        self.abandoned_between_events(target, watch).await
+    }
+
     /// Completes when the attempt abandons its replica, which has sent no event yet.
     pub(super) async fn abandoned_before_first_event(&self, target: &Target) {
         let mut probes = Probes::default();
@@ -68,10 +123,10 @@
             if started_at.elapsed() >= LATE_TIME && !std::mem::replace(&mut is_reported, true) {
                 self.report_late(target, started_at.elapsed()).await;
             }
-            let mut abandons = self.should_abandon(target, &mut probes, MAX_MISSES).await;
+            let mut abandons = self.should_abandon(target, &mut probes).await;
             if !abandons && probes.misses > 0 {
                 // One missed probe says little, so it is repeated at once.
-                abandons = self.should_abandon(target, &mut probes, MAX_MISSES).await;
+                abandons = self.should_abandon(target, &mut probes).await;
             }
             if abandons {
                 return;
@@ -79,29 +134,55 @@
         }
     }
 
-    /// Completes when the attempt abandons its replica, which has sent events: the replica seems
-    /// dead or has sent none for too long.
-    pub(super) async fn abandoned_between_events(&self, target: &Target) {
-        sleep_until(self.stall.probe_at()).await;
-        let mut probes = Probes::default();
-        // The missing events already speak against the replica.
-        let mut max_misses = 1;
+    /// Completes when the attempt abandons its replica, which has sent events, or hands its stream
+    /// over: the replica seems dead or has sent none for too long.
+    async fn abandoned_between_events(&self, target: &Target, watch: &mut Watch) -> Leave {
         loop {
-            if self.should_abandon(target, &mut probes, max_misses).await {
-                return;
+            if std::mem::replace(&mut watch.was_probed, true) {
+                sleep(STALL_PROBE_INTERVAL).await;
+            } else {
+                sleep_until(self.stall.probe_at()).await;
             }
-            if probes.misses == 0 {
-                max_misses = MAX_MISSES;
-                // Without a copy, the failover would start again from the prompt: the stream waits
-                // for its live replica, which may still continue.
-                if self.copy.is_some() && self.can_fail_over(target) {
-                    return sleep_until(self.stall.failover_at()).await;
+            match probe::probe(self.node, &target.replica).await {
+                Finding::Replaced => return Leave::Gone("replaced"),
+                Finding::Alive(_) => {
+                    watch.probes = Probes::default();
+                    watch.was_alive = true;
+                    if self.can_hand_over(target, watch) {
+                        sleep_until(self.stall.failover_at()).await;
+                        return Leave::Silent;
+                    }
+                }
+                Finding::Unresponsive => {
+                    watch.probes.record_miss(Instant::now());
+                    if let Some(leave) = self.leave_unresponsive(target, watch) {
+                        return leave;
+                    }
                 }
             }
-            sleep(STALL_PROBE_INTERVAL).await;
         }
     }
 
+    /// Whether the attempt leaves a replica that has missed a probe; `None` if it stays.
+    fn leave_unresponsive(&self, target: &Target, watch: &Watch) -> Option<Leave> {
+        let now = Instant::now();
+        if self.is_gone(target, watch.probes.unresponsive_time(now)) {
+            return Some(Leave::Gone("gone"));
+        }
+        let is_long =
+            watch.probes.misses >= MAX_MISSES && self.stall.idle_time(now) >= UNRESPONSIVE_TIME;
+        if is_long && self.can_fail_over(target) {
+            return Some(Leave::Unresponsive);
+        }
+        let is_due = watch.probes.misses >= watch.max_misses() && self.can_hand_over(target, watch);
+        is_due.then_some(Leave::Silent)
+    }
+
+    /// Whether a replica without a report for `time` is gone for good.
+    fn is_gone(&self, target: &Target, time: Duration) -> bool {
+        time >= GONE_TIME && !self.node.catalog().is_listed(&target.replica)
+    }
+
     /// Logs that the first event is late, with the load of the replica.
     async fn report_late(&self, target: &Target, waited: Duration) {
         let report = probe::request_report(self.node, &target.replica).await;
@@ -122,8 +203,8 @@
         );
     }
 
-    /// Probes the replica once; returns whether the attempt abandons it.
-    async fn should_abandon(&self, target: &Target, probes: &mut Probes, max_misses: u32) -> bool {
+    /// Probes the replica once before its first event; returns whether the attempt abandons it.
+    async fn should_abandon(&self, target: &Target, probes: &mut Probes) -> bool {
         match probe::probe(self.node, &target.replica).await {
             Finding::Replaced => true,
             Finding::Alive(report) => {
@@ -134,20 +215,33 @@
             Finding::Unresponsive => {
                 let now = Instant::now();
                 probes.record_miss(now);
-                let is_gone = probes.unresponsive_time(now) >= GONE_TIME
-                    && !self.node.catalog().is_listed(&target.replica);
-                is_gone || (probes.misses >= max_misses && self.can_fail_over(target))
+                let time = probes.unresponsive_time(now);
+                if self.is_gone(target, time) {
+                    return true;
+                }
+                let is_due = time >= UNRESPONSIVE_TIME || probes.misses >= MAX_MISSES;
+                is_due
+                    && self.can_fail_over(target)
+                    && (time >= UNRESPONSIVE_TIME || self.has_open_alternative(target).await)
             }
         }
     }
 
+    /// Whether a stream that has not begun could start at once at another replica. Otherwise it
+    /// would give up its place in the queue for a later one.
+    async fn has_open_alternative(&self, target: &Target) -> bool {
+        if self.has_forwarded {
+            return false;
+        }
+        let survey = self.survey(self.draw(0), false).await;
+        survey.rated.iter().any(|rated| rated.answer.key != target.key && rated.forecast.is_open)
+    }
+
     /// Whether a report of the live replica shows that the first event will not come: the replica
     /// has made events of this run, and none has arrived; or it knows nothing of the run, which is
     /// neither queued nor in prefill nor running.
     fn is_lost(&self, report: &Report) -> bool {
-        let Some(id) = self.job.call.id.as_deref().filter(|_| self.first_event_at.is_none()) else {
-            return false;
-        };
+        let Some(id) = self.job.call.id.as_deref() else { return false };
         match report.events_of(id) {
             Some(events) => events > 0,
             None => report.waiting == 0 && report.prefilling == 0,
@@ -163,6 +257,18 @@
             && self.has_alternative(target)
     }
 
+    /// Whether the holder of the copy may continue the stream, and a send is left beyond the one to
+    /// it, for the case that a replica is lost.
+    fn can_hand_over(&self, target: &Target, watch: &Watch) -> bool {
+        self.job.route.semantics.may_repeat()
+            && !watch.was_handed_over
+            && self.trace.sends + 1 < self.job.route.max_attempts
+            && self.has_retry()
+            && self.newest_copy().is_some_and(|copy| {
+                copy.replica.id != target.replica.id && self.usable_holder(&copy).is_some()
+            })
+    }
+
     /// Whether another replica may take the stream.
     fn has_alternative(&self, target: &Target) -> bool {
         let rule = self.node.rule(&self.job.service, self.job.cohort);
--- a/crates/winch-relay/src/stream/target.rs
+++ b/crates/winch-relay/src/stream/target.rs
@@ -10,7 +10,7 @@
     survey::{Rated, Survey},
 };
 use crate::{
-    config::Engine, copy_holder::Wanted, counter, kv_snapshot::Refresher, prelude::*,
+    catalog::Key, config::Engine, copy_holder::Wanted, counter, kv_snapshot::Refresher, prelude::*,
     protocol::KvCopy,
 };
 
@@ -68,28 +68,40 @@
         }
     }
 
+    /// The newest copy of the run.
+    pub(super) fn newest_copy(&self) -> Option<KvCopy> {
+        let snapshot = self.refresher.as_ref().and_then(Refresher::copy);
+        snapshot.or_else(|| self.copy.clone())
+    }
+
     /// Takes the newest copy, which the session forgets.
-    fn take_copy(&mut self) -> Option<KvCopy> {
+    pub(super) fn take_copy(&mut self) -> Option<KvCopy> {
         let snapshot = self.refresher.take().and_then(Refresher::into_copy);
-        snapshot.or(self.copy.take())
+        let copy = self.copy.take().filter(|_| !self.is_copy_refused);
+        snapshot.or(copy)
     }
 
-    /// The holder of `copy`, if it may serve the request, and a holder for the next copy.
-    async fn target_from_copy(&self, copy: KvCopy) -> Option<Target> {
+    /// The holder of `copy`, if it may serve the request.
+    pub(super) fn usable_holder(&self, copy: &KvCopy) -> Option<(Key, Arc<Replica>)> {
         if self.node.rule(&self.job.service, self.job.cohort).excludes(&copy.replica.version) {
             return None;
         }
-        let now = Instant::now();
-        let (key, replica) = {
-            let mut catalog = self.node.catalog();
-            let key = catalog.key(&copy.replica.id)?;
-            let entry = catalog.get(key)?;
-            if entry.replica.draining || entry.is_ejected(now) || entry.is_paused(now) {
-                return None;
-            }
-            let replica = entry.replica.clone();
-            catalog.take_slot(key, now).then_some((key, replica))?
-        };
+        let (catalog, now) = (self.node.catalog(), Instant::now());
+        let key = catalog.key(&copy.replica.id)?;
+        let entry = catalog.get(key)?;
+        let is_unusable = entry.replica.draining
+            || entry.is_ejected(now)
+            || entry.is_paused(now)
+            || entry.is_full(now);
+        (!is_unusable).then(|| (key, entry.replica.clone()))
+    }
+
+    /// The holder of `copy`, if it may serve the request, and a holder for the next copy.
+    pub(super) async fn target_from_copy(&self, copy: KvCopy) -> Option<Target> {
+        let (key, replica) = self.usable_holder(&copy)?;
+        if !self.node.catalog().take_slot(key, Instant::now()) {
+            return None;
+        }
         let copy_to = if self.keeps_copy() {
             let broken_dc = self.broken_dc.as_deref().unwrap_or_default();
             let copy_to = self.wanted_copy(&replica, broken_dc).ask(self.node).await;
@@ -150,10 +162,12 @@
     /// with the least cost.
     async fn place_once(&self, round: u32) -> Option<Target> {
         let candidates = self.draw(round);
-        let only_candidate = (candidates.len() == 1).then(|| candidates[0].clone());
+        let must_start = self.must_start();
+        let only_candidate = (candidates.len() == 1 && !must_start).then(|| candidates[0].clone());
         let survey = self.survey(candidates, true).await;
         let now = Instant::now();
-        let Some(target) = self.take_best(&survey, |_| true) else {
+        let is_eligible = |rated: &Rated| !must_start || rated.forecast.is_open;
+        let Some(target) = self.take_best(&survey, is_eligible) else {
             // A single candidate may still serve without a report in time, unless it has left
             // the catalog, for example because another incarnation has replaced it, or wants no
             // more requests.
@@ -169,6 +183,15 @@
         Some(target)
     }
 
+    /// Whether the next send goes only to a replica that can start the stream at once: it is the last
+    /// one of a stream that has begun, and half of the time since its last event is left.
+    fn must_start(&self) -> bool {
+        let (now, deadline) = (Instant::now(), self.job.deadline());
+        self.has_forwarded
+            && self.trace.sends + 1 >= self.job.route.max_attempts
+            && now - self.last_event_at < deadline.saturating_duration_since(now)
+    }
+
     /// Probes one round of candidates, and `further` ones if those are loaded; returns the best one
     /// if the stream can start there without queueing and leaves room to others.
     pub(super) async fn place_if_open(&self, further: bool) -> Option<Target> {
