winch-relay: a replica that has just refused a stream is placed last

Streams whose best replica was full were sent to it, refused, and sent elsewhere, each at the price of a retry; the next streams went the same way.

Cause: the replica with the shortest queue has the least cost, and a replica that refuses what exceeds a short queue always has the shortest one. Refusals were recorded for unary requests only. Each refusal of a stream is now recorded, and such a replica is placed after all others (also after those without KV cache) and does not count as open, until a report shows a shorter queue than the one before the refusal, but no longer than a mean prompt takes there (50 ms to 1 s). If all are full, their costs decide as before.

--- a/crates/winch-bench/src/replay/choose.rs
+++ b/crates/winch-bench/src/replay/choose.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 use winch_relay::{
     catalog::{Catalog, Key},
-    placement::{self, Draw},
+    placement::{self, Candidate, Draw},
     replica::{Replica, Report},
 };
 use winch_route::engine::{self, Forecast, Request, Service};
@@ -205,10 +205,10 @@
                 self.catalog.eject(key, now);
                 continue;
             }
-            let (report, candidate) = (engine.report(), (key, &*replica));
+            let report = engine.report();
+            let candidate = Candidate { key, replica: &replica, report: &report, cached: 0.0 };
             let (catalog, dc) = (&self.catalog, &self.dc);
-            let forecast =
-                placement::forecast(catalog, candidate, &report, dc, 0.0, request, service);
+            let forecast = placement::forecast(catalog, candidate, dc, request, service, now);
             answers.push(Answer { key, replica, report, forecast });
         }
         answers.sort_by(|a, b| a.forecast.cost.total_cmp(&b.forecast.cost));
--- a/crates/winch-relay/src/catalog.rs
+++ b/crates/winch-relay/src/catalog.rs
@@ -25,7 +25,7 @@
     throttle::{Demand, Throttle},
 };
 
-use self::{departed::Departed, latencies::Latencies};
+use self::{departed::Departed, health::Full, latencies::Latencies};
 pub use self::{drain::Drain, transition::Transition};
 use crate::{prelude::*, store::Change};
 
@@ -62,7 +62,10 @@
     /// See [`Catalog::slowness()`].
     slowness: f64,
     ejected_until: Option<Instant>,
-    full_until: Option<Instant>,
+    /// Number of queued requests in the replica's last report; zero before the first one.
+    waiting: u32,
+    /// The replica's last refusal because it was full, until its queue has moved up.
+    full: Option<Full>,
     /// Failures since the last answer, except those while the replica was ejected.
     consecutive_failures: u32,
     /// Whether the replica's entry in the list was removed during an outage of the store or in
@@ -93,7 +96,8 @@
             failure_rate: 0.0,
             slowness: 1.0,
             ejected_until: None,
-            full_until: None,
+            waiting: 0,
+            full: None,
             consecutive_failures: 0,
             removed_in_outage: false,
             held_by_source: false,
--- a/crates/winch-relay/src/catalog/health.rs
+++ b/crates/winch-relay/src/catalog/health.rs
@@ -17,6 +17,15 @@
 /// Weight of the newest sample in moving averages.
 const SAMPLE_WEIGHT: f64 = 0.2;
 
+/// A refusal of a replica that was full.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Full {
+    /// When the requests of its queue will have moved up.
+    until: Instant,
+    /// Number of queued requests in the report before the refusal.
+    waiting: u32,
+}
+
 impl Entry {
     /// Whether the replica is ejected at `now` because of a failure.
     pub fn is_ejected(&self, now: Instant) -> bool {
@@ -30,7 +39,7 @@
 
     /// Whether the replica has just refused a request because it was full.
     pub fn is_full(&self, now: Instant) -> bool {
-        self.full_until.is_some_and(|until| now < until)
+        self.full.is_some_and(|full| now < full.until)
     }
 }
 
@@ -52,12 +61,35 @@
     }
 
     /// Records that a replica has refused a request because it was full. It counts as full for the
-    /// time that a request takes there, after which the requests of its queue have moved up.
+    /// time that a request, or the prompt of a stream, takes there, after which the requests of its
+    /// queue have moved up; or until a [report](Self::record_waiting()) shows that they have.
     pub fn record_full(&mut self, key: Key, now: Instant) {
-        let Some(entry) = self.entries.get_mut(key) else { return };
-        let latency_ms = entry.latency_ms.unwrap_or_default();
-        let latency = Duration::from_secs_f64(latency_ms / 1_000.0);
-        entry.full_until = Some(now + latency.clamp(FULL_MIN, FULL_MAX));
+        let Some(entry) = self.entries.get(key) else { return };
+        let time = entry.latency_ms.map_or_else(
+            || self.prompt_time(entry),
+            |latency_ms| Duration::from_secs_f64(latency_ms / 1_000.0),
+        );
+        let full = Full { until: now + time.clamp(FULL_MIN, FULL_MAX), waiting: entry.waiting };
+        self.update(key, |entry| entry.full = Some(full));
+    }
+
+    /// Time in which the replica prefills a mean prompt; zero before the first measurement.
+    fn prompt_time(&self, entry: &Entry) -> Duration {
+        let typical = self.typical(&entry.replica.service);
+        if !typical.is_measured() {
+            return Duration::ZERO;
+        }
+        let seconds = typical.prompt_time().as_secs_f64() * entry.slowness;
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    }
+
+    /// Records the number of queued requests in a report. A replica that was full is not any more
+    /// if its queue is shorter than before it refused a request.
+    pub fn record_waiting(&mut self, key: Key, waiting: u32) {
+        self.update(key, |entry| {
+            entry.waiting = waiting;
+            entry.full = entry.full.filter(|full| waiting >= full.waiting);
+        });
     }
 
     /// Records an answer, which ends an ejection even if the answer is a failure.
--- a/crates/winch-relay/src/placement.rs
+++ b/crates/winch-relay/src/placement.rs
@@ -39,6 +39,9 @@
 /// Cost factor of a replica for a unary request that has just refused one because it was full: its
 /// queue is as long for all daemons.
 const FULL_FACTOR: f64 = 4.0;
+/// Cost that a stream adds for a replica that has just refused one because it was full, relative to
+/// a run in the prefill phase: so high that such a replica is chosen last.
+const FULL_COST: f64 = 1_000.0;
 /// Weight of a replica's failure rate in its cost for a unary request.
 const FAILURE_WEIGHT: f64 = 4.0;
 
@@ -167,21 +170,42 @@
     draw_by_speed(catalog, eligible, engine::FURTHER_CANDIDATES, rng)
 }
 
-/// What a stream has to expect at the replica with `key`, which has sent this report. The daemon is
-/// in the data centre `dc`; `cached` is the share of the prompt that the replica has cached.
+/// A replica that has sent its load report.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// The replica's key in the catalog.
+    pub key: Key,
+    /// The replica.
+    pub replica: &'a Replica,
+    /// Its report.
+    pub report: &'a Report,
+    /// Share of the prompt that it has cached, 0 to 1.
+    pub cached: f64,
+}
+
+/// What a stream has to expect at a candidate. The daemon is in the data centre `dc`.
+///
+/// A replica that has just refused a stream because it was full is not open, and is best only if
+/// all are full: its queue is as long for all streams, and each refusal costs a retry.
 pub fn forecast(
     catalog: &Catalog,
-    (key, replica): (Key, &Replica),
-    report: &Report,
+    candidate: Candidate<'_>,
     dc: &str,
-    cached: f64,
     request: &Request,
     service: &engine::Service,
+    now: Instant,
 ) -> Forecast {
-    let starting = catalog.get(key).map_or(0, |entry| entry.starting);
+    let Candidate { key, replica, report, cached } = candidate;
+    let entry = catalog.get(key);
+    let starting = entry.map_or(0, |entry| entry.starting);
     let slowness = catalog.slowness(key);
     let position = Position { is_local: *replica.dc == *dc, slowness, cached };
-    engine::forecast(&report.load(starting), request, position, service)
+    let forecast = engine::forecast(&report.load(starting), request, position, service);
+    if entry.is_some_and(|entry| entry.is_full(now)) {
+        let cost = forecast.cost + FULL_COST;
+        return Forecast { cost, is_open: false, ..forecast };
+    }
+    forecast
 }
 
 /// Chooses the replica that is to hold the KV cache copy of a run at `source`: the one with
--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -220,6 +220,7 @@
                 Attempt::Refused => {
                     self.trace.record(&replica, "refused");
                     counter::retried("refused");
+                    self.node.catalog().record_full(target.key, Instant::now());
                     code = Code::Refused;
                     // The replica did not run the request, so it made no copy.
                     self.copy = None;
--- a/crates/winch-relay/src/stream/survey.rs
+++ b/crates/winch-relay/src/stream/survey.rs
@@ -7,7 +7,7 @@
 use crate::{
     catalog::Key,
     counter,
-    placement::{self, Draw},
+    placement::{self, Candidate, Draw},
     prelude::*,
     probe::{self, Answer},
 };
@@ -127,18 +127,14 @@
     async fn ask(&self, candidates: Vec<(Key, Arc<Replica>)>, survey: &mut Survey) {
         let prompt = if self.may_be_cached() { &self.job.call.prompt[..] } else { &[] };
         let answers = probe::request_reports(self.node, candidates, prompt).await;
-        let catalog = self.node.catalog();
+        let (mut catalog, now) = (self.node.catalog(), Instant::now());
         let dc = &self.node.settings.dc;
-        survey.rated.extend(answers.into_iter().filter(|a| !a.report.draining).map(|answer| {
-            let forecast = placement::forecast(
-                &catalog,
-                (answer.key, &answer.replica),
-                &answer.report,
-                dc,
-                answer.cached,
-                &survey.request,
-                &survey.service,
-            );
+        let Survey { rated, request, service } = &mut *survey;
+        rated.extend(answers.into_iter().filter(|a| !a.report.draining).map(|answer| {
+            let Answer { key, replica, report, cached } = &answer;
+            catalog.record_waiting(*key, report.waiting);
+            let candidate = Candidate { key: *key, replica, report, cached: *cached };
+            let forecast = placement::forecast(&catalog, candidate, dc, request, service, now);
             Rated { answer, forecast }
         }));
         survey.rated.sort_by(|a, b| a.forecast.cost.total_cmp(&b.forecast.cost));
--- a/crates/winch-relay/tests/place_choice.rs
+++ b/crates/winch-relay/tests/place_choice.rs
@@ -11,7 +11,7 @@
 use winch_relay::{
     call::{self, Part},
     catalog::Catalog,
-    placement::{self, Draw},
+    placement::{self, Candidate, Draw},
     prelude::Name,
     replica::{Replica, Report},
     store::Change,
@@ -182,6 +182,47 @@
     assert_eq!(chosen(&catalog, now + Duration::from_millis(100)), "i-1");
 }
 
+/// The name of the local replica with the least cost for a stream, by reports of these queues.
+fn best_for_stream(catalog: &mut Catalog, waiting: [u32; 2], now: Instant) -> &'static str {
+    let mut costs = Vec::new();
+    for (number, waiting) in (1..).zip(waiting) {
+        let replica = replica(number, "a");
+        let key = catalog.key(&replica.id).unwrap();
+        let report = Report { waiting, ..report(1, 1, 9_000) };
+        catalog.record_waiting(key, waiting);
+        let candidate = Candidate { key, replica: &replica, report: &report, cached: 0.0 };
+        let request = Request { tokens: 9_000, prompt_units: 1.0, level: None };
+        let service = Service::default();
+        let forecast = placement::forecast(catalog, candidate, "a", &request, &service, now);
+        costs.push(forecast.cost);
+    }
+    if costs[0] < costs[1] { "i-1" } else { "i-2" }
+}
+
+#[test]
+fn full_replica_last_for_streams() {
+    let (mut catalog, now) = (catalog(&["a", "a"]), Instant::now());
+    let key = catalog.key("i-1").unwrap();
+    assert_eq!(best_for_stream(&mut catalog, [4, 9], now), "i-1");
+    catalog.record_full(key, now);
+    assert_eq!(best_for_stream(&mut catalog, [4, 9], now), "i-2", "although its queue is longer");
+    assert_eq!(best_for_stream(&mut catalog, [3, 9], now), "i-1", "the queue has moved up");
+    assert_eq!(best_for_stream(&mut catalog, [4, 9], now), "i-1", "another request has come");
+}
+
+#[test]
+fn full_for_a_prompt_time() {
+    let (mut catalog, now) = (catalog(&["a", "a"]), Instant::now());
+    let prompt_time = Duration::from_millis(400);
+    catalog.record_typical(&"s".into(), |typical| {
+        typical.record_prompt_time(prompt_time, 1.0, 1.0);
+    });
+    catalog.record_full(catalog.key("i-1").unwrap(), now);
+    let before = now + prompt_time - Duration::from_millis(1);
+    assert_eq!(best_for_stream(&mut catalog, [0, 9], before), "i-2");
+    assert_eq!(best_for_stream(&mut catalog, [0, 9], now + prompt_time), "i-1");
+}
+
 #[test]
 fn repeat_offered_to_same() {
     let dcs: Vec<&str> = (0..60).map(|n| if n < 20 { "a" } else { "b" }).collect();
