serve: don't take the daemon's own pause for a stall of its engines

A `serve` daemon that was stopped for 0.7 s hedged the answers that it had in hand: engines made tokens twice, and sound upstreams were marked as stalled, so that further calls avoided them.

Cause: a stall check is due by the wall clock, and after a pause it was made before the tokens that had arrived meanwhile were read. A check that comes more than 25 ms late now waits for 50 ms once, in which the tokens are read; these are read first in any case, and put the check off.

--- a/crates/wisteriawinch/src/generate/drive.rs
+++ b/crates/wisteriawinch/src/generate/drive.rs
@@ -17,7 +17,7 @@
 use futures_util::StreamExt;
 use tokio::{
     sync::OwnedSemaphorePermit,
-    time::{Instant, sleep_until},
+    time::{Instant, sleep, sleep_until},
 };
 use winch_generation::{
     answer::{Accept, Answer, Attempt, Rejection},
@@ -73,6 +73,10 @@
 const PREFIX_BYTES: usize = 256;
 /// Approximate length of one token, from which the prefill of a prompt is estimated.
 const TOKEN_BYTES: usize = 4;
+/// Delay of a stall check above which this process had no processor time.
+const MAX_CHECK_DELAY: Duration = Duration::from_millis(25);
+/// Time in which the events that arrived during such a delay are read.
+const READ_TIME: Duration = Duration::from_millis(50);
 
 /// Driver of one answer.
 pub struct Driver<E: Engine> {
@@ -218,13 +222,13 @@
                 biased;
                 sent = output.flush() => Step::Flushed(sent),
                 (attempt, batch) = received, if !is_full => Step::Received(attempt, batch),
-                () = sleep_until(due), if !is_full => Step::StallCheckDue,
+                () = wait_stall_check(due), if !is_full => Step::StallCheckDue,
             };
         }
         tokio::select! {
             biased;
             (attempt, batch) = received => Step::Received(attempt, batch),
-            () = sleep_until(due) => Step::StallCheckDue,
+            () = wait_stall_check(due) => Step::StallCheckDue,
             () = output.closed() => Step::Disconnected,
         }
     }
@@ -341,3 +345,13 @@
         cursor.stem()
     }
 }
+
+/// Completes when a stall check that is due at `due` can be made.
+///
+/// If this process had no processor time, events that have arrived meanwhile are read first.
+async fn wait_stall_check(due: Instant) {
+    sleep_until(due).await;
+    if due.elapsed() > MAX_CHECK_DELAY {
+        sleep(READ_TIME).await;
+    }
+}
--- a/crates/wisteriawinch/tests/paused_daemon.rs
+++ b/crates/wisteriawinch/tests/paused_daemon.rs
@@ -159,3 +159,35 @@
     let status = tokio::task::spawn_blocking(move || process.child.wait().unwrap().code());
     assert_eq!(status.await.unwrap(), Some(0));
 }
+
+// Guards against a daemon that takes its own pause for a stall of its engines.
+#[tokio::test(flavor = "multi_thread")]
+async fn pause_hedges_nothing() {
+    let world = World::new(1).await;
+    let engines = [engine(engine_options("v1")).await, engine(engine_options("v1")).await];
+    let mut objects = base_objects();
+    for (number, running) in engines.iter().enumerate() {
+        objects.push(upstream(&format!("e{number}"), running.address, "v1"));
+    }
+    world.apply(&objects).await;
+    let process = Process::start(&world);
+    process.wait_ready(&world).await;
+    let mut streams = tokio::task::JoinSet::new();
+    for number in 0..8 {
+        let (client, url) = (world.client.clone(), process.url.clone());
+        streams.spawn(async move {
+            let mut generation = common::Generation::new(&format!("plan {number}"), 600);
+            generation.read(&client, &url).await.unwrap();
+            generation.check();
+        });
+    }
+    for _ in 0..5 {
+        tokio::time::sleep(std::time::Duration::from_millis(400)).await;
+        process.signal("-STOP");
+        tokio::time::sleep(std::time::Duration::from_millis(700)).await;
+        process.signal("-CONT");
+    }
+    streams.join_all().await;
+    let generated: u64 = engines.iter().map(|running| running.engine.generated_tokens()).sum();
+    assert_eq!(generated, 8 * 600, "no token was generated twice");
+}
