winch-relay: serve what is queued when a stopping daemon closes its listener

What callers saw: beside a planned stop a caller that had connected and sent its request got a reset, neither a reply nor a refusal.

Cause: three seconds after the stop signal the daemon dropped its listener. The runtime knows only of connections that the last look at its events showed; those that the system had established since, and any that came while the daemon had no processor time, were reset with the requests in them. No line of a log named them.

The listener now leaves the runtime before its close, its queue is accepted without waiting until it is empty, and each connection found there is served like any other: its request is read, or it is refused before the close. Event 1021 states how many there were.

--- a/crates/winch-event/src/lib.rs
+++ b/crates/winch-event/src/lib.rs
@@ -81,6 +81,9 @@
     ReaderRetired = 1019, Info, "no longer reading the store for other daemons";
     /// The store has come back from an older copy; everything is read again.
     StoreRestored = 1020, Warn, "store restored from an older copy, reading everything again";
+    /// A stopping daemon accepts no more connections of callers; `queued` of them were
+    /// waiting for that.
+    ListenerClosed = 1021, Info, "listener for callers closed";
     /// An attempt on an engine failed or was given up as stalled.
     AttemptFailed = 1101, Warn, "attempt failed";
     /// A hedged attempt was started beside one that may have stalled.
--- a/crates/winch-relay/src/daemon.rs
+++ b/crates/winch-relay/src/daemon.rs
@@ -5,7 +5,7 @@
 use http::StatusCode;
 use snafu::{ResultExt, Snafu};
 use tokio::{
-    net::TcpListener,
+    net::{TcpListener, TcpStream},
     task::JoinSet,
     time::{sleep, timeout, timeout_at},
 };
@@ -114,7 +114,8 @@
     emit!(Event::Stopping, open = connections.len());
     let accepting = accept(&node, &sockets.callers, &mut connections);
     let _ = timeout_at(stop_deadline.min(Instant::now() + STOP_ACCEPT_TIME), accepting).await;
-    drop(sockets.callers);
+    let queued = close_listener(&node, sockets.callers, &mut connections);
+    emit!(Event::ListenerClosed, queued = queued, open = connections.len());
     if timeout_at(stop_deadline, join_all(&node, &mut connections)).await.is_err() {
         emit!(Event::GraceExpired, open = connections.len());
         node.end();
@@ -145,10 +146,33 @@
     loop {
         let stream = listen::accept(listener).await;
         while connections.try_join_next().is_some() {}
-        let _ = stream.set_nodelay(true);
-        let (read, write) = stream.into_split();
-        connections.spawn(edge::serve(node.clone(), read, write));
+        serve_caller(node, stream, connections);
+    }
+}
+
+/// Closes the listener, and serves the connections that are still in its queue: their callers may
+/// have sent a request, which the close would reset. Returns how many there were.
+fn close_listener<P: Protocol>(
+    node: &Arc<Node<P>>,
+    listener: TcpListener,
+    connections: &mut JoinSet<()>,
+) -> usize {
+    let queued = listen::close(listener);
+    let count = queued.len();
+    for stream in queued {
+        serve_caller(node, stream, connections);
     }
+    count
+}
+
+fn serve_caller<P: Protocol>(
+    node: &Arc<Node<P>>,
+    stream: TcpStream,
+    connections: &mut JoinSet<()>,
+) {
+    let _ = stream.set_nodelay(true);
+    let (read, write) = stream.into_split();
+    connections.spawn(edge::serve(node.clone(), read, write));
 }
 
 async fn serve_ready<P: Protocol>(node: Arc<Node<P>>, listener: TcpListener) {
