stream: refusals don't use up the sends of a begun stream

Callers saw an answer cut after some events: its replica was lost, and the others refused for 4 s. Each refusal counted against `max-attempts`, although a replica that refuses has not run the stream, so four refusals within milliseconds ended it.

Two more steps of the same kind lay behind that one, each seen in the same test once the first was mended: replicas that had refused were excluded until no other was left, so the stream was sent to its dead replica as the only candidate; and there it stayed until its deadline, since `has_alternative` counted those that had refused as no alternative.

Now a refusal of a begun stream costs a retry of the budget and no send. The stream asks again after 50 ms, then at twice the time up to 1 s, so that the budget and the pace bound its arrivals; it does not ask the one that has refused it last. From the send that would have been its last one it asks only replicas that can start it, as before.

--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -16,9 +16,10 @@
 mod survey;
 mod target;
 
+use rand::Rng;
 use tokio::{
     io::AsyncWrite,
-    time::{sleep, timeout_at},
+    time::{sleep, sleep_until, timeout_at},
 };
 use winch_http::head::Reply;
 use winch_route::suspect::Disposition;
@@ -44,6 +45,15 @@
 /// Interval at which a stream that has begun asks again for a retry.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time after the first refusal in a row at which a stream that has begun asks again; it doubles up
+/// to [`REFUSAL_BACKOFF_MAX`].
+const REFUSAL_BACKOFF_MIN: Duration = Duration::from_millis(50);
+/// Longest time after a refusal at which a stream that has begun asks again.
+const REFUSAL_BACKOFF_MAX: Duration = Duration::from_secs(1);
+/// Relative deviation of these times, so that streams which were refused together do not return
+/// together.
+const REFUSAL_JITTER: f64 = 0.2;
+
 /// How one attempt at a replica ended.
 enum Attempt {
     /// The stream is complete.
@@ -133,6 +143,12 @@
     /// Whether the current attempt has lasted so long that a crash is not attributed to it.
     has_survived: bool,
     connect_failures: u32,
+    /// Number of sends that replicas have refused.
+    refusals: u32,
+    /// The same since the last event.
+    refusals_in_row: u32,
+    /// The replica that has refused the stream since it began, if it was the last one that was asked.
+    refused_by: Option<Name>,
     /// Whether a retry for the next send was taken from the budget.
     holds_retry: bool,
     stall: Detector,
@@ -176,6 +192,9 @@
         first_event_at: None,
         has_survived: false,
         connect_failures: 0,
+        refusals: 0,
+        refusals_in_row: 0,
+        refused_by: None,
         holds_retry: false,
         stall: Detector::new(max_gap, now),
         first_event_latency: None,
@@ -187,7 +206,7 @@
     async fn run(&mut self) -> Outcome {
         let deadline = self.job.deadline();
         let mut code = Code::NoReplica;
-        while self.trace.sends < self.job.route.max_attempts
+        while self.counted_sends() < self.job.route.max_attempts
             && self.connect_failures < MAX_CONNECT_FAILURES
         {
             if Instant::now() >= deadline {
@@ -214,6 +233,7 @@
                 if self.may_wait() {
                     // A replica that has refused the stream, or was silent, may take it now.
                     self.trace.excluded.clear();
+                    self.refused_by = None;
                     continue;
                 }
                 if self.trace.sends == 0 && self.node.is_limited(&self.job.service) {
@@ -251,18 +271,17 @@
                     return self.give_up(Code::TimedOut);
                 }
                 Attempt::Refused { is_full } => {
-                    self.trace.record(&replica, "refused");
-                    counter::retried("refused");
-                    if is_full {
-                        self.node.catalog().record_full(target.key, Instant::now());
-                    }
+                    self.record_refusal(&target, is_full);
                     code = Code::Refused;
                     // The replica did not run the request, so it made no copy.
                     self.copy = None;
                     self.refresher = None;
-                    if target.copy_from.is_none() {
-                        self.trace.excluded.push(replica.id.clone());
+                    match target.copy_from {
+                        Some(_) => {}
+                        None if self.has_forwarded => self.refused_by = Some(replica.id.clone()),
+                        None => self.trace.excluded.push(replica.id.clone()),
                     }
+                    self.wait_after_refusal().await;
                 }
                 Attempt::NotSent(cause) => {
                     self.trace.record(&replica, &cause);
@@ -275,7 +294,7 @@
                     self.trace.record(&replica, reply.status.as_u16());
                     self.trace.excluded.push(replica.id.clone());
                     counter::retried("failure");
-                    let is_last = self.trace.sends >= self.job.route.max_attempts;
+                    let is_last = self.counted_sends() >= self.job.route.max_attempts;
                     let may_repeat = self.job.route.semantics.may_repeat();
                     self.trace.may_have_run = true;
                     code = Code::Broken;
@@ -319,6 +338,38 @@
         self.give_up(code)
     }
 
+    /// Number of sends that count against the route's limit. A replica that refuses a stream does not
+    /// run it, so refusals do not use up the sends of one that has begun: its caller would lose what
+    /// it has. Retries and the time between refusals limit these.
+    fn counted_sends(&self) -> u32 {
+        let uncounted = if self.has_forwarded { self.refusals } else { 0 };
+        self.trace.sends - uncounted
+    }
+
+    /// Records that `target` has refused the stream.
+    fn record_refusal(&mut self, target: &Target, is_full: bool) {
+        self.refusals += 1;
+        self.refusals_in_row += 1;
+        self.trace.record(&target.replica, "refused");
+        counter::retried("refused");
+        if is_full {
+            self.node.catalog().record_full(target.key, Instant::now());
+        }
+    }
+
+    /// Waits before a stream that has begun, and was refused, asks another replica; at most until
+    /// its deadline. Other requests ask at once, since they have few sends.
+    async fn wait_after_refusal(&self) {
+        if !self.has_forwarded {
+            return;
+        }
+        let doublings = self.refusals_in_row.saturating_sub(1).min(8);
+        let backoff = (REFUSAL_BACKOFF_MIN * 2_u32.pow(doublings)).min(REFUSAL_BACKOFF_MAX);
+        let jitter = self.node.rng().random_range(1.0 - REFUSAL_JITTER..1.0 + REFUSAL_JITTER);
+        let ask_at = Instant::now() + backoff.mul_f64(jitter);
+        sleep_until(ask_at.min(self.job.deadline())).await;
+    }
+
     /// Waits until the next send of a stream that has begun has a retry, at most until its deadline
     /// and while this daemon reaches its service; `false` if there is none. Other requests take
     /// theirs once they have a target.
--- a/crates/winch-relay/src/stream/attempt.rs
+++ b/crates/winch-relay/src/stream/attempt.rs
@@ -59,6 +59,7 @@
     /// Updates the session for a run that begins at `target`.
     pub(super) fn begin_run(&mut self, target: &Target) {
         self.first_event_at = None;
+        self.refused_by = None;
         self.has_survived = false;
         self.is_copy_refused = false;
         if let (Some(replica), Some(run)) = (&target.copy_to, &self.job.call.id) {
@@ -239,6 +240,7 @@
             self.record_survival();
         }
         self.stall.record_event(now);
+        self.refusals_in_row = 0;
         self.last_event_at = now;
         self.ensure_copy(target);
     }
--- a/crates/winch-relay/src/stream/handover.rs
+++ b/crates/winch-relay/src/stream/handover.rs
@@ -294,12 +294,8 @@
             // `open` ends in no other way.
             _ => {
                 let is_full = matches!(attempt, Attempt::Refused { is_full: true });
-                self.trace.record(&target.replica, "refused");
+                self.record_refusal(target, is_full);
                 self.is_copy_refused = true;
-                if is_full {
-                    self.node.catalog().record_full(target.key, Instant::now());
-                }
-                counter::retried("refused");
             }
         }
     }
--- a/crates/winch-relay/src/stream/liveness.rs
+++ b/crates/winch-relay/src/stream/liveness.rs
@@ -252,7 +252,7 @@
     /// and retries are left, and another replica may take it.
     fn can_fail_over(&self, target: &Target) -> bool {
         self.job.route.semantics.may_repeat()
-            && self.trace.sends < self.job.route.max_attempts
+            && self.counted_sends() < self.job.route.max_attempts
             && self.has_retry()
             && self.has_alternative(target)
     }
@@ -262,14 +262,15 @@
     fn can_hand_over(&self, target: &Target, watch: &Watch) -> bool {
         self.job.route.semantics.may_repeat()
             && !watch.was_handed_over
-            && self.trace.sends + 1 < self.job.route.max_attempts
+            && self.counted_sends() + 1 < self.job.route.max_attempts
             && self.has_retry()
             && self.newest_copy().is_some_and(|copy| {
                 copy.replica.id != target.replica.id && self.usable_holder(&copy).is_some()
             })
     }
 
-    /// Whether another replica may take the stream.
+    /// Whether another replica may take the stream. One that has begun waits for a replica, and asks
+    /// those again that have refused it.
     fn has_alternative(&self, target: &Target) -> bool {
         let rule = self.node.rule(&self.job.service, self.job.cohort);
         let (catalog, now) = (self.node.catalog(), Instant::now());
@@ -278,7 +279,9 @@
         };
         catalog.usable(&self.job.service, now).any(|(key, entry)| {
             let replica = &entry.replica;
-            let is_excluded = self.trace.excluded.contains(&replica.id) && !is_holder(replica);
+            let is_excluded = !self.has_forwarded
+                && self.trace.excluded.contains(&replica.id)
+                && !is_holder(replica);
             key != target.key && rule.allows(replica) && !is_excluded
         })
     }
--- a/crates/winch-relay/src/stream/passing.rs
+++ b/crates/winch-relay/src/stream/passing.rs
@@ -53,7 +53,7 @@
                 return Some(outcome);
             }
             let ask_at = Instant::now() + backoff;
-            let may_ask = self.trace.sends < self.job.route.max_attempts
+            let may_ask = self.counted_sends() < self.job.route.max_attempts
                 && ask_at < self.job.deadline()
                 && !forward::candidates(self.node).is_empty()
                 && self.node.is_isolated(&self.job.service);
@@ -69,7 +69,7 @@
     async fn forward_once(&mut self) -> Option<Outcome> {
         let deadline = self.job.deadline();
         for daemon in forward::candidates(self.node) {
-            if self.trace.sends >= self.job.route.max_attempts {
+            if self.counted_sends() >= self.job.route.max_attempts {
                 break;
             }
             let forwarded = timeout_at(deadline, self.forward_to(daemon)).await;
@@ -96,7 +96,7 @@
     async fn forward_to(&mut self, daemon: SocketAddr) -> Forwarded {
         self.trace.steps.push(format!("{daemon}:asked"));
         self.trace.pending = Some(daemon.to_string());
-        let (node, job, sends) = (self.node, self.job, self.trace.sends);
+        let (node, job, sends) = (self.node, self.job, self.counted_sends());
         // The edge sees to it that a stream which has not begun gets its reply earlier.
         let deadline = job.deadline();
         match forward::send(node, job, sends, self.last_event, deadline, daemon).await {
--- a/crates/winch-relay/src/stream/survey.rs
+++ b/crates/winch-relay/src/stream/survey.rs
@@ -73,20 +73,23 @@
     pub(super) fn draw(&self, round: u32) -> Vec<(Key, Arc<Replica>)> {
         let (node, service) = (self.node, &self.job.service);
         let rule = node.rule(service, self.job.cohort);
-        let is_eligible =
-            |replica: &Replica| rule.allows(replica) && !self.trace.excluded.contains(&replica.id);
+        let is_eligible = |replica: &Replica| rule.allows(replica) && !self.is_excluded(replica);
         let (now, rng) = (Instant::now(), &mut node.rng());
         let affinity = self.job.fingerprint().0;
         let draw = Draw { service, dc: &node.settings.dc, affinity, round };
         placement::draw_candidates(&node.catalog(), draw, is_eligible, now, rng)
     }
 
+    /// Whether the stream does not go to `replica`, unless that holds its copy.
+    fn is_excluded(&self, replica: &Replica) -> bool {
+        self.trace.excluded.contains(&replica.id) || self.refused_by.as_ref() == Some(&replica.id)
+    }
+
     /// Draws the candidates of a further round.
     fn draw_further(&self, asked: &[Key]) -> Vec<(Key, Arc<Replica>)> {
         let (node, service) = (self.node, &self.job.service);
         let rule = node.rule(service, self.job.cohort);
-        let is_eligible =
-            |replica: &Replica| rule.allows(replica) && !self.trace.excluded.contains(&replica.id);
+        let is_eligible = |replica: &Replica| rule.allows(replica) && !self.is_excluded(replica);
         let (now, rng) = (Instant::now(), &mut node.rng());
         placement::draw_further(&node.catalog(), service, asked, is_eligible, now, rng)
     }
--- a/crates/winch-relay/src/stream/target.rs
+++ b/crates/winch-relay/src/stream/target.rs
@@ -184,7 +184,8 @@
     }
 
     /// Whether the next send goes only to a replica that can start the stream at once: it is the last
-    /// one of a stream that has begun, and half of the time since its last event is left.
+    /// one of a stream that has begun, or would be if refusals counted, and more time is left than
+    /// has passed since its last event.
     fn must_start(&self) -> bool {
         let (now, deadline) = (Instant::now(), self.job.deadline());
         self.has_forwarded
