stream: a stream that has not begun keeps its place until another one is certain

Callers saw 502 (620) long before their deadline: their stream's replica paused for a second before its first event, missed two probes, and the attempt was dropped since other replicas reported that they could start the stream at once. These refused it, and it ended, although its first replica went on soon after.

Now the other replica is asked while the request at the former one stays open (`stream/start.rs`): what yields an event first keeps the stream; a refusal or a failure leaves it where it was. After 300 ms, the overlap that begun streams have, an other one that has not refused has it. So two replicas never work on it for 400 ms, each send still takes a retry, and counts against `max-attempts`.

For this the request of an attempt no longer borrows its session (`stream/sending.rs`, moved out of `attempt`), up to its first events; the first attempt, a resumed one and a handover share it. The head of a reply is taken together with its first events.

--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -13,6 +13,8 @@
 mod liveness;
 mod passing;
 mod run;
+mod sending;
+mod start;
 mod survey;
 mod target;
 
--- a/crates/winch-relay/src/stream/attempt.rs
+++ b/crates/winch-relay/src/stream/attempt.rs
@@ -1,59 +1,43 @@
 //! One attempt of a stream at one replica: sends the request and forwards the events.
 
-use bytes::Bytes;
 use http::StatusCode;
 use tokio::io::AsyncWrite;
-use winch_http::{
-    client::{Connection, Error},
-    head::Reply,
-};
 
 use super::{
     Attempt, Session, Target,
     run::{End, Read, Run, Source, StartingGuard, record_answer},
+    sending::Started,
 };
 use crate::{
     counter,
-    exchange::CallReply,
-    forward,
     kv_snapshot::{self, Refresher},
-    memory,
     prelude::*,
-    protocol::{Dispatch, KvCopy},
+    protocol::KvCopy,
     respond::Progress,
     sse::Event as StreamEvent,
     strikes::{self, SURVIVAL_TIME},
 };
 
-/// Largest body of a reply that is not a stream.
-const MAX_BODY_BYTES: usize = 1024 * 1024;
-
 impl<'a, P: Protocol, W: AsyncWrite + Unpin> Session<'a, P, W> {
     /// Sends the request to `target` and forwards its events to the caller. If the stream moves to
     /// another replica meanwhile, `target` becomes that one.
     pub(super) async fn attempt(&mut self, target: &mut Target) -> Attempt {
-        let mut connection = match self.node.open(&target.replica).await {
+        let connection = match self.node.open(&target.replica).await {
             Ok(connection) => connection,
             Err(error) => return Attempt::NotSent(error.to_string()),
         };
         self.holds_retry = false;
         self.trace.send(&target.replica);
         self.begin_run(target);
-        let run = Run::new(self.node, target);
-        let reply = match self.request(target, &mut connection).await {
-            Ok(reply) => reply,
-            Err(attempt) => {
-                if attempt.leaves_connection() {
-                    self.node.pool.put(target.replica.address, connection);
-                }
-                return attempt;
-            }
+        let mut run = Run::new(self.node, target);
+        let Started { reply, source, read } = match self.start(target, &mut run, connection).await {
+            Ok(started) => started,
+            Err(attempt) => return attempt,
         };
         if self.out.progress() == Progress::Waiting {
             self.out.begin_stream(StatusCode::OK, reply.headers);
         }
-        let source = Source::new(connection, &self.node.body_blocks);
-        self.forward_events(target, run, source).await
+        self.forward_events(target, run, source, read).await
     }
 
     /// Updates the session for a run that begins at `target`.
@@ -69,97 +53,15 @@
         }
     }
 
-    /// Whether the request was lost before, at a replica or with an earlier daemon, and starts
-    /// again from its prompt.
-    fn is_repeated(&self, target: &Target) -> bool {
-        target.copy_from.is_none() && (self.trace.may_have_run || self.last_event.is_some())
-    }
-
-    /// Sends the request on `connection`, and reads the head of a stream.
-    ///
-    /// # Errors
-    /// How the attempt has ended, if the reply is no stream or does not come.
-    pub(super) async fn request(
-        &self,
-        target: &Target,
-        connection: &mut Connection,
-    ) -> Result<Reply, Attempt> {
-        let dispatch = Dispatch {
-            replica: &target.replica,
-            time_left: self.job.time_to_deadline(Instant::now()),
-            team: self.job.team.as_ref().map(|team| &team.name),
-            priority: self.job.priority.level(self.is_repeated(target)),
-            after_event: self.last_event,
-            copy_to: target.copy_to.as_ref().map(|replica| replica.address),
-            copy_from: target.copy_from.as_ref(),
-        };
-        let request = self.node.protocol.encode_request(&self.job.call, &dispatch);
-        let matcher = CallReply { protocol: &self.node.protocol, id: self.job.call.id.as_ref() };
-        let reply = tokio::select! {
-            biased;
-            reply = connection.exchange(&self.job.call.method, &request, &matcher) => reply,
-            () = self.abandoned_before_first_event(target) => {
-                counter::abandoned("unresponsive");
-                return Err(Attempt::Broken("replica unresponsive before its reply".to_owned()));
-            }
-        };
-        self.check_reply(target, reply.map_err(broken)?, connection).await
-    }
-
-    /// Takes what the replica says in the head of its reply; returns the reply if it is a stream.
-    async fn check_reply(
-        &self,
-        target: &Target,
-        mut reply: Reply,
-        connection: &mut Connection,
-    ) -> Result<Reply, Attempt> {
-        let meta = self.node.protocol.decode_reply_meta(&reply);
-        self.node.apply_reply(&target.replica, &meta, &reply);
-        if self.job.is_forwarded {
-            forward::name_replica(&mut reply, &target.replica);
-        }
-        if meta.not_run {
-            // The connection can be reused only after the body of the reply has been read.
-            self.read_body(connection).await.map_err(broken)?;
-            // A replica that names a limit refuses requests although it has room for them.
-            let is_unavailable = reply.status == StatusCode::SERVICE_UNAVAILABLE;
-            return Err(Attempt::Refused {
-                is_full: is_unavailable && meta.statement.limit.is_none(),
-            });
-        }
-        if !meta.signed || meta.encoded {
-            return Err(Attempt::Broken(format!(
-                "reply with status {} is unsigned or encoded",
-                reply.status.as_u16()
-            )));
-        }
-        if !reply.status.is_success() {
-            let body = self.read_body(connection).await.map_err(broken)?;
-            return Err(Attempt::ErrorReply(reply, body));
-        }
-        Ok(reply)
-    }
-
-    /// Reads the body of a reply that is not a stream.
-    async fn read_body(&self, connection: &mut Connection) -> Result<Bytes, Error> {
-        memory::read_body(connection, &self.node.body_blocks, MAX_BODY_BYTES).await
-    }
-
-    /// Forwards events until the stream ends, breaks or stalls, or the caller is gone.
+    /// Forwards `read` and further events until the stream ends, breaks or stalls, or the caller is gone.
     async fn forward_events(
         &mut self,
         target: &mut Target,
         mut run: Run<'a, P>,
         mut source: Source,
+        mut read: Read,
     ) -> Attempt {
         loop {
-            let read = match self.next_events(target, &mut run, source).await {
-                Ok((reused, read)) => {
-                    source = reused;
-                    read
-                }
-                Err(cause) => return Attempt::Broken(cause),
-            };
             let Read { events, end } = read;
             let advances = |event: &&StreamEvent| event.is_progress(self.last_event);
             let count = events.iter().filter(advances).count();
@@ -186,6 +88,10 @@
                 }
                 Some(End::Failed(cause)) => return Attempt::Broken(cause),
             }
+            (source, read) = match self.next_events(target, &mut run, source).await {
+                Ok(next) => next,
+                Err(cause) => return Attempt::Broken(cause),
+            };
         }
     }
 
@@ -298,8 +204,3 @@
         self.refresher = Some(Refresher::start(self.node, run));
     }
 }
-
-/// The end of an attempt whose connection broke.
-fn broken(error: Error) -> Attempt {
-    Attempt::Broken(error.to_string())
-}
--- a/crates/winch-relay/src/stream/handover.rs
+++ b/crates/winch-relay/src/stream/handover.rs
@@ -18,13 +18,14 @@
 
 use super::{
     Attempt, Session, Target,
-    liveness::{Leave, Watch},
+    liveness::{Leave, StartWatch, Watch},
     run::{End, Read, Run, Source},
+    sending::Started,
 };
 use crate::{counter, prelude::*, probe, strikes};
 
 /// Longest time for which a run is asked for at a second replica while the first one may go on.
-const MAX_OVERLAP: Duration = Duration::from_millis(300);
+pub(super) const MAX_OVERLAP: Duration = Duration::from_millis(300);
 
 /// What became of a handover.
 enum Handover<'a, P: Protocol> {
@@ -75,7 +76,7 @@
             let leave = tokio::select! {
                 biased;
                 read = reading.as_mut() => return Ok(read),
-                leave = self.abandoned(target, run.starting.is_some(), &mut watch) => leave,
+                leave = self.abandoned_between_events(target, &mut watch) => leave,
             };
             match leave {
                 Leave::Silent => {}
@@ -192,27 +193,19 @@
     async fn open(
         &self,
         target: &Target,
-        mut connection: Connection,
+        connection: Connection,
         is_accepted: &AtomicBool,
     ) -> Result<(Source, Read), Attempt> {
-        if let Err(attempt) = self.request(target, &mut connection).await {
-            if attempt.leaves_connection() {
-                self.node.pool.put(target.replica.address, connection);
-            }
-            return Err(attempt);
-        }
-        is_accepted.store(true, Ordering::Relaxed);
-        let source = Source::new(connection, &self.node.body_blocks);
-        let (source, read) = tokio::select! {
+        let accept = || is_accepted.store(true, Ordering::Relaxed);
+        let mut watch = StartWatch::default();
+        tokio::select! {
             biased;
-            read = source.next(self.last_event) => read,
-            () = self.abandoned_before_first_event(target) => {
-                return Err(Attempt::Broken("replica unresponsive before its first event".to_owned()));
+            started = self.sending(target).start(connection, accept) => {
+                started.map(|Started { source, read, .. }| (source, read))
+            }
+            _ = self.abandoned_before_first_event(target, &mut watch) => {
+                Err(Attempt::Broken("replica unresponsive before its first event".to_owned()))
             }
-        };
-        match read.failure(self.last_event) {
-            Some(cause) => Err(Attempt::Broken(cause.to_owned())),
-            None => Ok((source, read)),
         }
     }
 
@@ -228,6 +221,11 @@
             return None;
         }
         let target = self.target_from_copy(copy).await?;
+        self.connect(target).await
+    }
+
+    /// `target` with a connection to it, and a retry of the budget, which is taken.
+    pub(super) async fn connect(&self, target: Target) -> Option<(Target, Connection)> {
         let connection = match self.node.open(&target.replica).await {
             Ok(connection) => connection,
             Err(error) => {
@@ -243,7 +241,7 @@
     }
 
     /// Whether strikes against the request forbid further sends.
-    fn is_refused(&self) -> bool {
+    pub(super) fn is_refused(&self) -> bool {
         let (request, parts) = (self.job.fingerprint(), &self.job.shared_parts);
         let disposition = self.node.strikes().disposition(request, parts, Instant::now());
         disposition == Disposition::Refused
@@ -268,14 +266,14 @@
     }
 
     /// Takes the request back from `target`; the stream stays at `former`.
-    fn withdraw(&mut self, former: &Target, target: &Target, result: &str) {
+    pub(super) fn withdraw(&mut self, former: &Target, target: &Target, result: &str) {
         counter::retried("withdrawn");
         self.trace.record(&target.replica, result);
         self.trace.expect(&former.replica);
     }
 
     /// Records that `target` did not take the stream.
-    fn record_failure(&mut self, target: &Target, attempt: Attempt) {
+    pub(super) fn record_failure(&mut self, target: &Target, attempt: Attempt) {
         match attempt {
             Attempt::Broken(cause) => {
                 self.trace.excluded.push(target.replica.id.clone());
@@ -295,7 +293,11 @@
             _ => {
                 let is_full = matches!(attempt, Attempt::Refused { is_full: true });
                 self.record_refusal(target, is_full);
-                self.is_copy_refused = true;
+                if target.copy_from.is_some() {
+                    self.is_copy_refused = true;
+                } else {
+                    self.trace.excluded.push(target.replica.id.clone());
+                }
             }
         }
     }
@@ -303,7 +305,7 @@
 
 impl Read {
     /// Why the stream has failed before an event advanced it after `last`; `None` otherwise.
-    fn failure(&self, last: Option<u64>) -> Option<&str> {
+    pub(super) fn failure(&self, last: Option<u64>) -> Option<&str> {
         let has_progress = self.events.iter().any(|event| event.is_progress(last));
         match &self.end {
             Some(End::Failed(cause)) if !has_progress => Some(cause),
--- a/crates/winch-relay/src/stream/liveness.rs
+++ b/crates/winch-relay/src/stream/liveness.rs
@@ -73,6 +73,21 @@
     Silent,
 }
 
+/// What an attempt has found out about a replica that has sent no event yet.
+#[derive(Debug)]
+pub(super) struct StartWatch {
+    probes: Probes,
+    started_at: Instant,
+    /// Whether the late first event was logged.
+    is_reported: bool,
+}
+
+impl Default for StartWatch {
+    fn default() -> Self {
+        Self { probes: Probes::default(), started_at: Instant::now(), is_reported: false }
+    }
+}
+
 /// What an attempt has found out about its silent replica since the last event.
 #[derive(Debug, Default)]
 pub(super) struct Watch {
@@ -100,43 +115,37 @@
 }
 
 impl<P: Protocol, W: AsyncWrite + Unpin> Session<'_, P, W> {
-    /// Completes when the attempt abandons its replica or hands its stream over.
-    pub(super) async fn abandoned(
+    /// Completes when the attempt abandons its replica, which has sent no event yet, or asks another
+    /// one to start the stream.
+    pub(super) async fn abandoned_before_first_event(
         &self,
         target: &Target,
-        is_starting: bool,
-        watch: &mut Watch,
+        watch: &mut StartWatch,
     ) -> Leave {
-        if is_starting {
-            self.abandoned_before_first_event(target).await;
-            return Leave::Gone("unresponsive");
-        }
-        self.abandoned_between_events(target, watch).await
-    }
-
-    /// Completes when the attempt abandons its replica, which has sent no event yet.
-    pub(super) async fn abandoned_before_first_event(&self, target: &Target) {
-        let mut probes = Probes::default();
-        let (started_at, mut is_reported) = (Instant::now(), false);
         loop {
             sleep(FIRST_EVENT_PROBE_INTERVAL).await;
-            if started_at.elapsed() >= LATE_TIME && !std::mem::replace(&mut is_reported, true) {
-                self.report_late(target, started_at.elapsed()).await;
+            let waited = watch.started_at.elapsed();
+            if waited >= LATE_TIME && !std::mem::replace(&mut watch.is_reported, true) {
+                self.report_late(target, waited).await;
             }
-            let mut abandons = self.should_abandon(target, &mut probes).await;
-            if !abandons && probes.misses > 0 {
+            let mut leave = self.probe_starting(target, &mut watch.probes).await;
+            if leave.is_none() && watch.probes.misses > 0 {
                 // One missed probe says little, so it is repeated at once.
-                abandons = self.should_abandon(target, &mut probes).await;
+                leave = self.probe_starting(target, &mut watch.probes).await;
             }
-            if abandons {
-                return;
+            if let Some(leave) = leave {
+                return leave;
             }
         }
     }
 
     /// Completes when the attempt abandons its replica, which has sent events, or hands its stream
     /// over: the replica seems dead or has sent none for too long.
-    async fn abandoned_between_events(&self, target: &Target, watch: &mut Watch) -> Leave {
+    pub(super) async fn abandoned_between_events(
+        &self,
+        target: &Target,
+        watch: &mut Watch,
+    ) -> Leave {
         loop {
             if std::mem::replace(&mut watch.was_probed, true) {
                 sleep(STALL_PROBE_INTERVAL).await;
@@ -203,40 +212,34 @@
         );
     }
 
-    /// Probes the replica once before its first event; returns whether the attempt abandons it.
-    async fn should_abandon(&self, target: &Target, probes: &mut Probes) -> bool {
+    /// Probes the replica once before its first event; returns whether the attempt leaves it, `None`
+    /// if it stays.
+    async fn probe_starting(&self, target: &Target, probes: &mut Probes) -> Option<Leave> {
         match probe::probe(self.node, &target.replica).await {
-            Finding::Replaced => true,
+            Finding::Replaced => Some(Leave::Gone("replaced")),
             Finding::Alive(report) => {
                 let lost = if self.is_lost(&report) { probes.lost + 1 } else { 0 };
                 *probes = Probes { lost, ..Probes::default() };
-                lost >= MAX_LOST_REPORTS && self.can_fail_over(target)
+                let is_lost = lost >= MAX_LOST_REPORTS && self.can_fail_over(target);
+                is_lost.then_some(Leave::Gone("lost"))
             }
             Finding::Unresponsive => {
                 let now = Instant::now();
                 probes.record_miss(now);
                 let time = probes.unresponsive_time(now);
                 if self.is_gone(target, time) {
-                    return true;
+                    return Some(Leave::Gone("gone"));
                 }
-                let is_due = time >= UNRESPONSIVE_TIME || probes.misses >= MAX_MISSES;
-                is_due
-                    && self.can_fail_over(target)
-                    && (time >= UNRESPONSIVE_TIME || self.has_open_alternative(target).await)
+                if time >= UNRESPONSIVE_TIME {
+                    return self.can_fail_over(target).then_some(Leave::Unresponsive);
+                }
+                // A stream that has begun has no other place than its copy, which it has used.
+                let is_due = probes.misses >= MAX_MISSES && !self.has_forwarded;
+                (is_due && self.can_fail_over(target)).then_some(Leave::Silent)
             }
         }
     }
 
-    /// Whether a stream that has not begun could start at once at another replica. Otherwise it
-    /// would give up its place in the queue for a later one.
-    async fn has_open_alternative(&self, target: &Target) -> bool {
-        if self.has_forwarded {
-            return false;
-        }
-        let survey = self.survey(self.draw(0), false).await;
-        survey.rated.iter().any(|rated| rated.answer.key != target.key && rated.forecast.is_open)
-    }
-
     /// Whether a report of the live replica shows that the first event will not come: the replica
     /// has made events of this run, and none has arrived; or it knows nothing of the run, which is
     /// neither queued nor in prefill nor running.
--- a/crates/winch-relay/src/stream/target.rs
+++ b/crates/winch-relay/src/stream/target.rs
@@ -201,7 +201,11 @@
     }
 
     /// The replica with the least cost among those that are eligible, and the holder of the copy.
-    fn take_best(&self, survey: &Survey, is_eligible: impl Fn(&Rated) -> bool) -> Option<Target> {
+    pub(super) fn take_best(
+        &self,
+        survey: &Survey,
+        is_eligible: impl Fn(&Rated) -> bool,
+    ) -> Option<Target> {
         let now = Instant::now();
         let takes = |rated: &&Rated| {
             is_eligible(rated) && self.node.catalog().take_slot(rated.answer.key, now)
