--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -3,9 +3,9 @@
 //!
 //! [`relay`] takes an admitted request, writes the events to the caller's connection and
 //! returns the outcome. `target` chooses the replica of each attempt among those that `survey` has
-//! asked for their load; `attempt` sends the request to it and forwards the events, `liveness`
-//! decides when it abandons a replica that sends none, and `handover` moves a stream that has begun
-//! without giving up what it has.
+//! asked for their load; `attempt` starts the stream there (`start`, with one `sending` at each
+//! replica) and forwards the events, `liveness` decides when it leaves a replica that sends none, and
+//! `handover` moves a stream that has begun without giving up what it has.
 
 pub(crate) mod admission;
 mod attempt;
