serve: a holder whose lease is valid keeps a move over a step that it can't record

Operators saw a move of a good version start its evidence again: while a step was due, the table did not answer for 4 s. The holder stepped down at the first failed read of the record, although its lease lasts 6 s; when it took the lease over again, it cleared its own counts and those of its peers (234 good ones of the new version and 720 of the old one became 0 and 6), and its grant had run out, so that the move fell to stage 0.

Now `write_record` tells what was refused from what is not known. A step that could not be recorded is taken back in the state machine, its former stage stays granted, and the next tick tries again. The holder still steps down when the stored record refuses the step; if the write whose answer was lost has taken effect, that is so, and the holder goes on from the record.

--- a/crates/wisteriawinch/src/control/moves.rs
+++ b/crates/wisteriawinch/src/control/moves.rs
@@ -14,12 +14,13 @@
 use winch_gossip::member::State;
 use winch_move::{
     evidence::{self, Finding},
-    machine::{Decision, Input},
+    machine::{Decision, Input, Machine},
     verdict::Record,
 };
 use winch_platform::lease::{self, Lease};
 use winch_wire::message::{Evidence, Tally};
 
+use self::record::Write;
 use super::{
     members::is_selected,
     peers::{Members, SendEvidence},
@@ -244,9 +245,10 @@
         let Some(lease_held) = lease_held else {
             return;
         };
-        let decided = {
+        let (machine, decided) = {
             let mut rollouts = self.fleet.rollouts();
-            rollouts.get_mut(name).and_then(|rollout| decide(rollout, lease_held))
+            let Some(rollout) = rollouts.get_mut(name) else { return };
+            (rollout.machine, decide(rollout, lease_held))
         };
         let Some((decision, stage, is_newly_late)) = decided else {
             return;
@@ -257,11 +259,14 @@
         match decision {
             Decision::Hold => self.grant(name, stage),
             Decision::Advance(stage) => {
-                if self.write_record(name, Record { stage, ..Record::default() }).await {
-                    emit!(Event::MoveAdvanced, name = name, stage = stage);
-                    self.grant(name, stage);
-                } else {
-                    self.step_down(name);
+                match self.write_record(name, Record { stage, ..Record::default() }).await {
+                    Write::Done => {
+                        emit!(Event::MoveAdvanced, name = name, stage = stage);
+                        self.grant(name, stage);
+                    }
+                    Write::Refused => self.step_down(name),
+                    // The lease and the evidence stay valid, so the step is taken again.
+                    Write::Unknown => self.take_back_step(name, machine),
                 }
             }
             Decision::End(verdict, reason) => self.end(name, stage, verdict, reason).await,
@@ -277,6 +282,14 @@
         self.state_mut(name).fencing_token = 0;
     }
 
+    /// Restores the state before a step that could not be recorded, and keeps its stage granted.
+    fn take_back_step(&mut self, name: &Name, machine: Option<Machine>) {
+        if let Some(rollout) = self.fleet.rollouts().get_mut(name) {
+            rollout.machine = machine;
+        }
+        self.grant(name, machine.map_or(0, |machine| machine.stage()));
+    }
+
     /// Publishes the grant of a stage when the stage changes, and again every few calls so that it
     /// does not expire.
     fn grant(&mut self, name: &Name, stage: u32) {
--- a/crates/wisteriawinch/src/control/moves/record.rs
+++ b/crates/wisteriawinch/src/control/moves/record.rs
@@ -10,6 +10,17 @@
 use super::{Controller, record_key, unix_now_f64};
 use crate::{emit, prelude::*, rollout};
 
+/// What became of a record that was to be written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Write {
+    /// It is in the table.
+    Done,
+    /// The stored record does not allow it, or another daemon has changed that one.
+    Refused,
+    /// The table has not answered; it may or may not have been written.
+    Unknown,
+}
+
 impl Controller {
     /// Continues from the record of the previous holder. If the record cannot be read, the next
     /// renewal of the lease tries again.
@@ -43,7 +54,7 @@
             self.fleet.publish(rollout::fault_fact(name));
         }
         let record = Record { stage, verdict: Some(verdict), reason: reason.to_owned(), fence: 0 };
-        if self.write_record(name, record).await {
+        if self.write_record(name, record).await == Write::Done {
             emit!(
                 Event::MoveVerdict,
                 name = name,
@@ -55,31 +66,34 @@
 
     /// Writes the record `next` to the table if it may replace the stored one.
     ///
-    /// Returns whether it is certain to have been written. A verdict that is
-    /// recorded, by this daemon or another, is published.
-    pub(super) async fn write_record(&mut self, name: &Name, mut next: Record) -> bool {
+    /// A verdict that is recorded, by this daemon or another, is published.
+    pub(super) async fn write_record(&mut self, name: &Name, mut next: Record) -> Write {
         next.fence = self.state_mut(name).fencing_token;
         let key = record_key(name);
         let Ok(row) = self.fleet.platform.read(&key).await else {
-            return false;
+            return Write::Unknown;
         };
         let current = parse_record(row.as_ref());
         if current.verdict.is_some() {
             self.fleet.publish(rollout::verdict_fact(name, &current));
-            return false;
+            return Write::Refused;
         }
         let Some(next) = current.updated_with(&next) else {
-            return false;
+            return Write::Refused;
         };
         let value = serde_json::to_string(&next).expect("a record serialises to JSON");
         let txn =
             Transaction::default().expect(&*key, row.map(|row| row.version)).put(&*key, value);
         // If the response is lost, the next read of the row shows whether the record was written.
-        let written = matches!(self.fleet.platform.commit(txn).await, Ok(Commit::Committed));
-        if written && next.verdict.is_some() {
+        match self.fleet.platform.commit(txn).await {
+            Ok(Commit::Committed) => {}
+            Ok(Commit::Conflict { .. }) => return Write::Refused,
+            Err(_) => return Write::Unknown,
+        }
+        if next.verdict.is_some() {
             self.fleet.publish(rollout::verdict_fact(name, &next));
         }
-        written
+        Write::Done
     }
 }
 
--- a/crates/wisteriawinch/tests/move_verdict.rs
+++ b/crates/wisteriawinch/tests/move_verdict.rs
@@ -14,6 +14,7 @@
     Generation, RunningEngine, World, base_objects, engine, engine_options, until, upstream,
 };
 use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
 use winch_standin::{engine::Fault, platform};
 use wisteriawinch::prelude::unix_now;
 
@@ -140,6 +141,43 @@
     traffic.await.unwrap();
 }
 
+// Guards against a holder that gives up its evidence since it cannot record a step for a moment.
+#[tokio::test(flavor = "multi_thread")]
+async fn failed_record_keeps_evidence() {
+    let (world, _engines) = world_with_versions().await;
+    let (stop, traffic) = start_traffic(&world, 0);
+    world.apply(&[move_object(40)]).await;
+    until("the move has started", || async {
+        world.move_status(0, "to-v2").await["stage"].as_u64() >= Some(2)
+    })
+    .await;
+    // Then the next step is due within the outage, which is shorter than the term of a lease.
+    sleep(Duration::from_secs(3)).await;
+    world.platform.set_fault(&platform::Fault { outage: true, ..Default::default() });
+    let mut ends_at = Some(Instant::now() + Duration::from_secs(4));
+    let mut last = [(0, 0); 2];
+    let mut lost = Vec::new();
+    while world.move_status(0, "to-v2").await["verdict"].is_null() {
+        if ends_at.take_if(|ends_at| Instant::now() >= *ends_at).is_some() {
+            world.platform.set_fault(&platform::Fault::default());
+        }
+        for (daemon, last) in last.iter_mut().enumerate() {
+            let status = world.move_status(daemon, "to-v2").await;
+            let (stage, good) = (status["stage"].as_u64(), status["new"]["good"].as_u64());
+            let seen = (stage.unwrap_or(0), good.unwrap_or(0));
+            if seen.0 <= last.0 && seen.1 < last.1 {
+                lost.push((daemon, *last, seen));
+            }
+            *last = seen;
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+    assert!(lost.is_empty(), "evidence before and after: {lost:?}");
+    assert_eq!(world.move_status(0, "to-v2").await["verdict"], "completed");
+    stop.store(true, Ordering::Relaxed);
+    traffic.await.unwrap();
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn deadline_expires() {
     let (world, engines) = world_with_versions().await;
