--- a/crates/winch-relay/src/stream/target.rs
+++ b/crates/winch-relay/src/stream/target.rs
@@ -184,7 +184,8 @@
     }
 
     /// Whether the next send goes only to a replica that can start the stream at once: it is the last
-    /// one of a stream that has begun, and half of the time since its last event is left.
+    /// one of a stream that has begun, or would be if refusals counted, and more time is left than
+    /// has passed since its last event.
     fn must_start(&self) -> bool {
         let (now, deadline) = (Instant::now(), self.job.deadline());
         self.has_forwarded
@@ -200,7 +201,11 @@
     }
 
     /// The replica with the least cost among those that are eligible, and the holder of the copy.
-    fn take_best(&self, survey: &Survey, is_eligible: impl Fn(&Rated) -> bool) -> Option<Target> {
+    pub(super) fn take_best(
+        &self,
+        survey: &Survey,
+        is_eligible: impl Fn(&Rated) -> bool,
+    ) -> Option<Target> {
         let now = Instant::now();
         let takes = |rated: &&Rated| {
             is_eligible(rated) && self.node.catalog().take_slot(rated.answer.key, now)
