winch-relay: a late lookup keeps its replica while it asks another one

A late attempt now stays open, and the first answer counts. A refusal, a failure, a missing replica, retry or send falls back to what runs, until the reply deadline. The losers are closed at once. Sends, budget, and all of orders are as before: an order's attempt is never late.

`unary` is split: attempt (one exchange), running (those that run at once), place (the next replica).

--- a/crates/winch-relay/src/job.rs
+++ b/crates/winch-relay/src/job.rs
@@ -101,6 +101,8 @@
     pub steps: Vec<String>,
     /// Who has the request and has not replied yet, as `replica@dc` or the address of a daemon.
     pub pending: Option<String>,
+    /// Replicas that have the request, too, and are late, as `replica@dc`.
+    pub late: Vec<String>,
     /// Whether an attempt that has ended may have run the request.
     pub may_have_run: bool,
     /// The complete error reply of a replica, for the caller if no other attempt succeeds.
@@ -128,9 +130,14 @@
         self.pending = Some(format!("{}@{}", replica.id, replica.dc));
     }
 
-    /// Records that whoever has the request is not waited for any longer.
+    /// Records that whoever has the request is late and another replica is asked, too.
+    pub fn expect_late(&mut self) {
+        self.late.extend(self.pending.take());
+    }
+
+    /// Records that those who have the request are not waited for any longer.
     pub fn interrupt(&mut self, cause: &str) {
-        if let Some(pending) = self.pending.take() {
+        for pending in self.late.drain(..).chain(self.pending.take()) {
             self.steps.push(format!("{pending}:{cause}"));
             self.may_have_run = true;
         }
@@ -150,8 +157,12 @@
 
     /// Records the result of an attempt at `replica`.
     pub fn record(&mut self, replica: &Replica, result: impl std::fmt::Display) {
-        self.pending = None;
-        self.steps.push(format!("{}@{}:{result}", replica.id, replica.dc));
+        let name = format!("{}@{}", replica.id, replica.dc);
+        match self.late.iter().position(|late| *late == name) {
+            Some(index) => drop(self.late.remove(index)),
+            None => self.pending = None,
+        }
+        self.steps.push(format!("{name}:{result}"));
     }
 }
 
--- a/crates/winch-relay/src/shed.rs
+++ b/crates/winch-relay/src/shed.rs
@@ -62,46 +62,53 @@
     job.team.as_ref().and_then(|team| team.priority).unwrap_or(job.route.priority)
 }
 
-/// A request that was let pass; records how its last attempt has ended when it is dropped.
+/// A request that was let pass; records how its last attempt has ended when it
+/// is dropped.
 pub(crate) struct Sample<'a, P: Protocol> {
     node: &'a Node<P>,
     job: &'a Job,
-    /// Start of the attempt that runs, and the hash of its replica.
-    running: Option<(Instant, u64)>,
-    /// `None` if the last attempt says nothing of the service's load.
+    /// The attempts that run: start, and hash of the replica.
+    running: Vec<(Instant, u64)>,
+    /// `None` if the last attempt that has ended says nothing of the service's load.
     ending: Option<Ending>,
 }
 
 impl<'a, P: Protocol> Sample<'a, P> {
     pub(crate) fn new(node: &'a Node<P>, job: &'a Job) -> Self {
-        Self { node, job, running: None, ending: None }
+        Self { node, job, running: Vec::new(), ending: None }
     }
 
     /// Begins an attempt.
     pub(crate) fn start(&mut self, replica: &Replica) {
-        self.running = Some((Instant::now(), hash::name(&replica.id)));
+        self.running.push((Instant::now(), hash::name(&replica.id)));
         self.ending = None;
     }
 
-    /// Ends the attempt with an answer, which is accepted if it is in time.
-    pub(crate) fn answered(&mut self) {
-        self.ending = self.late().or(Some(Ending::Accepted));
-        self.running = None;
+    /// Ends an attempt with an answer, which is accepted if it is in time.
+    pub(crate) fn answered(&mut self, replica: &Replica) {
+        let attempt = self.end(replica);
+        self.ending = attempt.and_then(|attempt| self.late(attempt)).or(Some(Ending::Accepted));
     }
 
-    /// Ends the attempt without an answer because the replica is full or late.
-    pub(crate) fn rejected(&mut self) {
-        self.ending = self.running.take().map(|(_, replica)| Ending::Rejected { replica });
+    /// Ends an attempt without an answer because the replica is full or late.
+    pub(crate) fn rejected(&mut self, replica: &Replica) {
+        let attempt = self.end(replica);
+        self.ending = attempt.map(|(_, replica)| Ending::Rejected { replica });
     }
 
-    /// Ends the attempt with a failure that is no sign of overload.
-    pub(crate) fn failed(&mut self) {
-        self.running = None;
+    /// Ends an attempt with a failure that is no sign of overload.
+    pub(crate) fn failed(&mut self, replica: &Replica) {
+        self.end(replica);
     }
 
-    /// The ending if the attempt that runs has taken longer than the route's target.
-    fn late(&self) -> Option<Ending> {
-        let (started_at, replica) = self.running?;
+    fn end(&mut self, replica: &Replica) -> Option<(Instant, u64)> {
+        let hash = hash::name(&replica.id);
+        let index = self.running.iter().position(|(_, replica)| *replica == hash)?;
+        Some(self.running.remove(index))
+    }
+
+    /// The ending if an attempt has taken longer than the route's target.
+    fn late(&self, (started_at, replica): (Instant, u64)) -> Option<Ending> {
         let is_late = started_at.elapsed() > self.job.route.target_latency;
         is_late.then_some(Ending::Rejected { replica })
     }
@@ -110,7 +117,9 @@
 impl<P: Protocol> Drop for Sample<'_, P> {
     fn drop(&mut self) {
         // A caller that has left after the target latency has waited too long.
-        let Some(ending) = self.ending.or_else(|| self.late()) else { return };
+        let oldest = self.running.first().copied();
+        let late = || oldest.and_then(|attempt| self.late(attempt));
+        let Some(ending) = self.ending.or_else(late) else { return };
         let now = self.node.uptime();
         let record = |shedder: &mut Shedder| shedder.record(priority(self.job), ending, now);
         self.node.shedders.with(&self.job.service, record);
--- a/crates/winch-relay/src/unary.rs
+++ b/crates/winch-relay/src/unary.rs
@@ -1,38 +1,34 @@
 //! Relays lookups and orders: requests that get one complete reply.
 //!
-//! A lookup is idempotent and is retried at other replicas. An order is sent again only
-//! if no replica can have run it. [`relay`] takes an admitted request and returns its
-//! outcome; it writes nothing to the caller.
+//! A lookup is idempotent and is retried at other replicas; an attempt that is late stays open
+//! meanwhile, and the first answer counts. An order is sent again only if no replica can have run
+//! it. [`relay`] takes an admitted request and returns its outcome; it writes nothing to the caller.
 
-use std::{future::Future, pin::pin};
+mod attempt;
+mod place;
+mod running;
+
+use std::future::Future;
 
-use bytes::Bytes;
 use http::StatusCode;
-use tokio::time::{sleep, timeout_at};
-use winch_http::{
-    client::{Connection, Error},
-    head::Reply,
-};
+use tokio::time::sleep_until;
 use winch_route::suspect::Disposition;
 
+use self::{
+    attempt::{Answer, End, Ended, Target},
+    place::Place,
+    running::Running,
+};
 use crate::{
     catalog::Key,
-    counter,
-    exchange::CallReply,
-    forward,
-    job::{InFlightGuard, Job, Outcome, Trace},
-    memory,
+    counter, forward,
+    job::{Job, Outcome, Trace},
     node::Node,
-    placement,
     prelude::*,
-    protocol::Dispatch,
-    reach::LATE_REPLY_TIME,
     shed::{self, Sample},
     strikes,
 };
 
-/// Largest reply body of a plain service.
-const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 /// Number of failed connections after which a request is given up. They are limited
 /// separately because they do not count as sends.
 const MAX_CONNECT_FAILURES: u32 = 4;
@@ -42,25 +38,10 @@
 /// Largest share of the time left that an attempt takes if it can be followed by another one,
 /// so that the next one has time too.
 const MAX_ATTEMPT_SHARE: f64 = 0.5;
-
-/// How one attempt at a replica ended.
-enum Attempt {
-    /// The replica sent a complete reply.
-    Complete(Reply, Bytes),
-    /// The replica states that it did not run the request.
-    Refused {
-        /// Whether it has no room for more requests.
-        is_full: bool,
-    },
-    /// The reply is unsigned or encoded; the request may have run.
-    Unusable(String),
-    /// No connection could be opened; nothing was sent.
-    NotSent(String),
-    /// The exchange failed after sending; the request may have run.
-    Broken(String),
-    /// No complete reply arrived in time; the request may have run.
-    TimedOut,
-}
+/// Result of an attempt that runs when the time of the request is over.
+const TIMED_OUT: &str = "timed out waiting for the reply";
+/// Result of an attempt that runs when another one has decided the request.
+const SUPERSEDED: &str = "superseded";
 
 /// Relays a request to one replica after another until one gives a final reply, unless it is shed
 /// because its service is overloaded.
@@ -71,225 +52,286 @@
     if let Some(outcome) = shed::admit(node, job) {
         return outcome;
     }
-    let mut sample = Sample::new(node, job);
-    let deadline = job.reply_deadline;
-    let may_repeat = job.route.semantics.may_repeat();
-    let mut timed_out = false;
-    let mut connect_failures = 0;
-    let mut code = Code::NoReplica;
-    while trace.sends < job.route.max_attempts && connect_failures < MAX_CONNECT_FAILURES {
-        let now = Instant::now();
-        if now >= deadline {
-            timed_out = true;
-            break;
-        }
-        if job.needs_forwarding(node, trace)
-            && let Some(outcome) = forward::relay(node, job, trace).await
-        {
-            return outcome;
-        }
-        let (service, dc) = (&job.service, &node.settings.dc);
-        let choice = {
-            let rule = node.rule(service, job.cohort);
-            let excluded = &trace.excluded;
-            let is_eligible =
-                |replica: &Replica| rule.allows(replica) && !excluded.contains(&replica.id);
-            let mut catalog = node.catalog();
-            let rng = &mut node.rng();
-            let choice = placement::choose_replica(&catalog, service, dc, is_eligible, now, rng);
-            choice.filter(|(key, _)| catalog.take_slot(*key, now))
-        };
-        let Some((key, replica)) = choice else {
-            if trace.sends == 0 && node.is_limited(service) {
-                code = Code::Limited;
-            }
-            break;
-        };
-        if trace.sends > 0 && !node.spend_retry(&job.service) {
-            code = Code::NoBudget;
-            break;
-        }
-        trace.excluded.push(replica.id.clone());
-        let is_last = !may_repeat || trace.sends + 1 >= job.route.max_attempts;
-        let attempt_deadline = if is_last { deadline } else { retry_deadline(node, key, job, now) };
-        sample.start(&replica);
-        let attempt = attempt(node, job, key, &replica, attempt_deadline, trace).await;
-        match &attempt {
-            Attempt::Complete(reply, _) if !reply.status.is_server_error() => sample.answered(),
-            Attempt::Refused { is_full: true } | Attempt::TimedOut => sample.rejected(),
-            _ => sample.failed(),
-        }
-        match attempt {
-            Attempt::Complete(reply, body) if reply.status.is_server_error() && !is_last => {
-                trace.record(&replica, reply.status.as_u16());
-                counter::retried("failure");
-                trace.may_have_run = true;
-                trace.error_reply = Some((reply, body));
-            }
-            Attempt::Complete(reply, body) => {
-                trace.record(&replica, reply.status.as_u16());
-                return Outcome::Answer { reply, body };
-            }
-            Attempt::Refused { .. } => {
-                trace.record(&replica, "refused");
-                code = Code::Refused;
-                counter::retried("refused");
-            }
-            Attempt::NotSent(cause) => {
-                trace.record(&replica, &cause);
-                node.eject(key, &replica, &cause);
-                connect_failures += 1;
-                counter::retried("not_sent");
-            }
-            Attempt::Unusable(cause) | Attempt::Broken(cause) => {
-                trace.record(&replica, &cause);
-                node.rollouts().record_broken(&replica, node.uptime());
-                trace.may_have_run = true;
-                counter::retried("broken");
-                if !may_repeat {
-                    strikes::attribute_crash_later(node, job, &replica, false);
-                    return Outcome::Error(Code::Broken);
+    let mut running = Running::new();
+    let mut relay = Relay::new(node, job, trace);
+    while Instant::now() < job.reply_deadline {
+        if relay.wants_place() {
+            let place = tokio::select! {
+                biased;
+                answer = running.answer() => return relay.answer(answer),
+                place = relay.find_place() => place,
+            };
+            match place {
+                Place::Open(target, connection) => {
+                    relay.start(&target);
+                    running.push(attempt::run(node, job, target, connection));
                 }
-                if strikes::attribute_crash(node, job, &replica).await == Disposition::Refused {
-                    return Outcome::Error(Code::Broken);
+                Place::Unreachable => {}
+                Place::Nowhere => relay.is_exhausted = true,
+                Place::Forwarded(outcome) => {
+                    if let Some(outcome) = relay.forwarded(outcome) {
+                        return outcome;
+                    }
                 }
             }
-            Attempt::TimedOut => {
-                trace.record(&replica, "timed out waiting for the reply");
-                node.rollouts().record_broken(&replica, node.uptime());
-                trace.may_have_run = true;
-                counter::retried("timeout");
-                if is_last {
-                    timed_out = true;
-                    break;
+            continue;
+        }
+        if relay.open.is_empty() {
+            return relay.give_up().await;
+        }
+        tokio::select! {
+            biased;
+            ended = running.next() => {
+                if let Some(outcome) = relay.end(ended, &mut running).await {
+                    return outcome;
                 }
             }
+            () = sleep_until(relay.late_at.unwrap_or(job.reply_deadline)) => relay.mark_late(),
         }
     }
-    // What may have run is repeated only if it is idempotent: everything else has returned above.
-    if trace.error_reply.is_none()
-        && !timed_out
-        && forward::is_last_resort(node, job, trace).await
-        && let Some(outcome) = forward::relay(node, job, trace).await
-    {
-        return outcome;
-    }
-    match trace.error_reply.take() {
-        Some((reply, body)) => Outcome::Answer { reply, body },
-        None => trace.error(if timed_out { Code::TimedOut } else { code }),
+    relay.time_out()
+}
+
+/// An attempt that runs, as its request sees it.
+struct Open<'a, P: Protocol> {
+    node: &'a Node<P>,
+    replica: Arc<Replica>,
+    is_late: bool,
+}
+
+impl<P: Protocol> Drop for Open<'_, P> {
+    fn drop(&mut self) {
+        // What a late attempt says of its version is known once it is closed without an answer.
+        if self.is_late {
+            self.node.rollouts().record_broken(&self.replica, self.node.uptime());
+        }
     }
 }
 
-/// When an attempt that can be followed by another one is given up: after several mean
-/// latencies of the replica and at least the route's target latency, but within a share of
-/// the time left.
-fn retry_deadline<P: Protocol>(node: &Node<P>, key: Key, job: &Job, now: Instant) -> Instant {
-    let time_left = job.reply_deadline.duration_since(now);
-    let latency = node.catalog().get(key).and_then(|entry| entry.latency_ms).unwrap_or_default();
-    let expected = Duration::from_secs_f64(latency * ATTEMPT_TIMEOUT_LATENCIES / 1_000.0);
-    now + expected.max(job.route.target_latency).min(time_left.mul_f64(MAX_ATTEMPT_SHARE))
+/// A request that is relayed.
+struct Relay<'a, P: Protocol> {
+    node: &'a Arc<Node<P>>,
+    job: &'a Job,
+    trace: &'a mut Trace,
+    sample: Sample<'a, P>,
+    /// The attempts that run. All but the last one are late.
+    open: Vec<Open<'a, P>>,
+    /// When the last attempt is late; `None` if it is, or if no other one can follow it.
+    late_at: Option<Instant>,
+    /// Whether there is no place for another attempt until one ends.
+    is_exhausted: bool,
+    connect_failures: u32,
+    /// The result if no replica answers.
+    code: Code,
 }
 
-/// Sends the request to `replica`. Records an answer in the catalog and the rollouts, and
-/// ejects the replica if the exchange fails.
-async fn attempt<P: Protocol>(
-    node: &Node<P>,
-    job: &Job,
-    key: Key,
-    replica: &Arc<Replica>,
-    deadline: Instant,
-    trace: &mut Trace,
-) -> Attempt {
-    let mut connection = match node.open(replica).await {
-        Ok(connection) => connection,
-        Err(error) => return Attempt::NotSent(error.to_string()),
-    };
-    trace.send(replica);
-    let in_flight = InFlightGuard::new(node, key);
-    let sent_at = Instant::now();
-    let exchange = exchange(node, job, replica, &mut connection);
-    let exchanged = timeout_at(deadline, doubt_if_late(node, job, exchange)).await;
-    drop(in_flight);
-    match exchanged {
-        Err(_) => Attempt::TimedOut,
-        Ok(Err(error)) => {
-            node.eject(key, replica, &error.to_string());
-            Attempt::Broken(error.to_string())
+impl<'a, P: Protocol> Relay<'a, P> {
+    fn new(node: &'a Arc<Node<P>>, job: &'a Job, trace: &'a mut Trace) -> Self {
+        Self {
+            node,
+            job,
+            trace,
+            sample: Sample::new(node, job),
+            open: Vec::new(),
+            late_at: None,
+            is_exhausted: false,
+            connect_failures: 0,
+            code: Code::NoReplica,
         }
-        Ok(Ok((mut reply, body))) => {
-            let meta = node.protocol.decode_reply_meta(&reply);
-            node.apply_reply(replica, &meta, &reply);
-            if job.is_forwarded {
-                forward::name_replica(&mut reply, replica);
-            }
-            let latency = sent_at.elapsed();
-            // After a reply that no replica signs for, others may follow that nobody expects.
-            if meta.not_run || meta.signed {
-                node.pool.put(replica.address, connection);
+    }
+
+    fn may_repeat(&self) -> bool {
+        self.job.route.semantics.may_repeat()
+    }
+
+    fn has_sends(&self) -> bool {
+        self.trace.sends < self.job.route.max_attempts
+    }
+
+    /// Whether another attempt is to be made now, if there is a place for it.
+    fn wants_place(&self) -> bool {
+        self.has_sends()
+            && self.connect_failures < MAX_CONNECT_FAILURES
+            && !self.is_exhausted
+            && self.open.iter().all(|attempt| attempt.is_late)
+    }
+
+    /// Records that an attempt at `target` begins.
+    fn start(&mut self, target: &Target) {
+        let Target { key, replica } = target;
+        let can_follow = self.may_repeat() && self.trace.sends + 1 < self.job.route.max_attempts;
+        self.late_at =
+            can_follow.then(|| retry_deadline(self.node, *key, self.job, Instant::now()));
+        self.sample.start(replica);
+        self.trace.send(replica);
+        self.open.push(Open { node: self.node, replica: replica.clone(), is_late: false });
+    }
+
+    /// Records that the last attempt is late. It stays open while another replica is asked.
+    fn mark_late(&mut self) {
+        if self.late_at.take().is_none() {
+            return;
+        }
+        counter::retried("timeout");
+        self.open.iter_mut().for_each(|attempt| attempt.is_late = true);
+        self.trace.expect_late();
+    }
+
+    /// The outcome at other daemons, if it ends the request: an error does not while a replica may
+    /// still answer here.
+    fn forwarded(&mut self, outcome: Outcome) -> Option<Outcome> {
+        if let Outcome::Error(code) = outcome
+            && !self.open.is_empty()
+        {
+            self.code = code;
+            self.is_exhausted = true;
+            return None;
+        }
+        self.trace.interrupt(SUPERSEDED);
+        Some(outcome)
+    }
+
+    /// Takes note of an attempt that has ended; returns the outcome if it decides the request.
+    async fn end<F>(&mut self, ended: Ended, running: &mut Running<F>) -> Option<Outcome>
+    where
+        F: Future<Output = Ended>,
+    {
+        let Ended { target: Target { replica, .. }, end } = ended;
+        self.close(&replica);
+        match end {
+            End::Complete(reply, body) if reply.status.is_server_error() && self.can_go_on() => {
+                self.sample.failed(&replica);
+                self.trace.record(&replica, reply.status.as_u16());
+                counter::retried("failure");
+                self.trace.may_have_run = true;
+                self.trace.error_reply = Some((reply, body));
+                None
             }
-            if meta.not_run {
-                // A replica that names a limit refuses requests although it has room for them.
-                let is_unavailable = reply.status == StatusCode::SERVICE_UNAVAILABLE;
-                let is_full = is_unavailable && meta.statement.limit.is_none();
-                if is_full {
-                    node.catalog().record_full(key, Instant::now());
+            End::Complete(reply, body) => Some(self.answer(Answer { replica, reply, body })),
+            End::Refused { is_full } => {
+                match is_full {
+                    true => self.sample.rejected(&replica),
+                    false => self.sample.failed(&replica),
                 }
-                return Attempt::Refused { is_full };
+                self.trace.record(&replica, "refused");
+                self.code = Code::Refused;
+                counter::retried("refused");
+                None
             }
-            let is_error = reply.status.is_server_error();
-            node.catalog().record_answer(key, Some(latency), is_error, Instant::now());
-            if is_error {
-                node.rollouts().record_error_reply(replica);
-            } else {
-                node.rollouts().record_success(replica, latency, None);
+            End::Unusable(cause) | End::Broken(cause) => {
+                self.record_failure(&replica, &cause);
+                self.attribute(&replica, running).await
             }
-            if meta.encoded || !meta.signed {
-                return Attempt::Unusable(format!(
-                    "reply with status {} is unsigned or encoded",
-                    reply.status.as_u16()
-                ));
+        }
+    }
+
+    /// Removes an attempt that has ended by itself.
+    fn close(&mut self, replica: &Replica) {
+        let Some(index) = self.open.iter().position(|attempt| attempt.replica.id == replica.id)
+        else {
+            return;
+        };
+        let mut attempt = self.open.remove(index);
+        if !attempt.is_late {
+            self.late_at = None;
+        }
+        attempt.is_late = false;
+        self.is_exhausted = false;
+    }
+
+    /// Whether the request may be answered by another replica than the one that has just replied.
+    fn can_go_on(&self) -> bool {
+        self.may_repeat() && (self.has_sends() || !self.open.is_empty())
+    }
+
+    /// A reply as the outcome; the other attempts are closed.
+    fn answer(&mut self, answer: Answer) -> Outcome {
+        let Answer { replica, reply, body } = answer;
+        self.close(&replica);
+        match reply.status.is_server_error() {
+            true => self.sample.failed(&replica),
+            false => self.sample.answered(&replica),
+        }
+        self.trace.record(&replica, reply.status.as_u16());
+        self.trace.interrupt(SUPERSEDED);
+        Outcome::Answer { reply, body }
+    }
+
+    fn record_failure(&mut self, replica: &Replica, cause: &str) {
+        self.sample.failed(replica);
+        self.trace.record(replica, cause);
+        self.node.rollouts().record_broken(replica, self.node.uptime());
+        self.trace.may_have_run = true;
+        counter::retried("broken");
+    }
+
+    /// Finds out whether the request has crashed `replica`; returns the outcome if it may not run
+    /// again, or is answered meanwhile.
+    async fn attribute<F>(
+        &mut self,
+        replica: &Arc<Replica>,
+        running: &mut Running<F>,
+    ) -> Option<Outcome>
+    where
+        F: Future<Output = Ended>,
+    {
+        if !self.may_repeat() {
+            strikes::attribute_crash_later(self.node, self.job, replica, false);
+            return Some(Outcome::Error(Code::Broken));
+        }
+        let disposition = tokio::select! {
+            biased;
+            answer = running.answer() => return Some(self.answer(answer)),
+            disposition = strikes::attribute_crash(self.node, self.job, replica) => disposition,
+        };
+        if disposition != Disposition::Refused {
+            return None;
+        }
+        self.trace.interrupt(SUPERSEDED);
+        Some(Outcome::Error(Code::Broken))
+    }
+
+    /// The outcome if no attempt runs and no other one can be made.
+    async fn give_up(mut self) -> Outcome {
+        // What may have run is repeated only if it is idempotent: everything else has returned.
+        if self.trace.error_reply.is_none()
+            && forward::is_last_resort(self.node, self.job, self.trace).await
+            && let Some(outcome) = forward::relay(self.node, self.job, self.trace).await
+        {
+            return outcome;
+        }
+        self.fail(self.code)
+    }
+
+    /// The outcome when the time of the request is over. The attempts that run are closed.
+    fn time_out(mut self) -> Outcome {
+        for attempt in &mut self.open {
+            if !attempt.is_late {
+                counter::retried("timeout");
             }
-            Attempt::Complete(reply, body)
+            attempt.is_late = true;
+            self.sample.rejected(&attempt.replica);
         }
+        self.trace.interrupt(TIMED_OUT);
+        self.fail(Code::TimedOut)
     }
-}
 
-/// Completes with `exchange`; puts the paths to the service in doubt if that takes long.
-async fn doubt_if_late<P: Protocol, T>(
-    node: &Node<P>,
-    job: &Job,
-    exchange: impl Future<Output = T>,
-) -> T {
-    let mut exchange = pin!(exchange);
-    tokio::select! {
-        biased;
-        exchanged = &mut exchange => return exchanged,
-        () = sleep(LATE_REPLY_TIME) => node.doubt_paths(&job.service),
+    /// The error reply of a replica, or else one of this daemon.
+    fn fail(&mut self, code: Code) -> Outcome {
+        match self.trace.error_reply.take() {
+            Some((reply, body)) => Outcome::Answer { reply, body },
+            None => self.trace.error(code),
+        }
     }
-    exchange.await
 }
 
-/// Sends the request on `connection` and reads the complete reply.
-async fn exchange<P: Protocol>(
-    node: &Node<P>,
-    job: &Job,
-    replica: &Replica,
-    connection: &mut Connection,
-) -> Result<(Reply, Bytes), Error> {
-    let dispatch = Dispatch {
-        replica,
-        time_left: job.time_to_reply(Instant::now()),
-        team: job.team.as_ref().map(|team| &team.name),
-        priority: job.priority.level(false),
-        after_event: None,
-        copy_to: None,
-        copy_from: None,
-    };
-    let request = node.protocol.encode_request(&job.call, &dispatch);
-    let matcher = CallReply { protocol: &node.protocol, id: job.call.id.as_ref() };
-    let reply = connection.exchange(&job.call.method, &request, &matcher).await?;
-    let body = memory::read_body(connection, &node.body_blocks, MAX_BODY_BYTES).await?;
-    Ok((reply, body))
+/// When an attempt that can be followed by another one is late: after several mean latencies of
+/// the replica and at least the route's target latency, but within a share of the time left.
+fn retry_deadline<P: Protocol>(node: &Node<P>, key: Key, job: &Job, now: Instant) -> Instant {
+    let time_left = job.reply_deadline.duration_since(now);
+    let latency = node.catalog().get(key).and_then(|entry| entry.latency_ms).unwrap_or_default();
+    let expected = Duration::from_secs_f64(latency * ATTEMPT_TIMEOUT_LATENCIES / 1_000.0);
+    now + expected.max(job.route.target_latency).min(time_left.mul_f64(MAX_ATTEMPT_SHARE))
 }
 
 /// How long the caller should wait before it sends the request again, as the `Retry-After`
