winch-relay: a forwarded lookup goes on after a refusal, and keeps a late daemon

Callers of a daemon that reaches no replica saw 503 (609) although another daemon could have served the lookup: `forward::relay` ended at the first daemon whose replicas refused it, and dropped a daemon that was late before another one was certain. It is the cause of the late lookups in `unary`.

A lookup now goes on to the next daemon after 609, 611 and 614, and counts the refused send, so that the next daemon pays for a repeat from its budget. A late daemon keeps the lookup until one answers or the reply deadline. An order still ends at the first daemon that takes it.

An error of other daemons no longer replaces the error reply of a replica that is kept (found by reading; no test has shown it).

On the code before, refused_lookup_goes_on and late_hop_kept failed (503, 609).

--- a/crates/winch-relay/src/forward.rs
+++ b/crates/winch-relay/src/forward.rs
@@ -13,9 +13,10 @@
     },
 };
 
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use http::{HeaderName, HeaderValue};
 use rand::seq::SliceRandom;
-use tokio::time::{timeout, timeout_at};
+use tokio::time::{sleep_until, timeout, timeout_at};
 use winch_http::{client::Connection, head::Reply};
 
 use crate::{
@@ -44,7 +45,7 @@
 const MIN_ROOM: usize = 64;
 /// Forwarded requests for which a daemon has room for each request of its own callers.
 const ROOM_PER_OWN: usize = 3;
-/// Largest share of the time left that one daemon gets if another one can be asked after it.
+/// Share of the time left after which another daemon is asked for a lookup.
 const MAX_ATTEMPT_SHARE: f64 = 0.5;
 /// Largest body of a reply.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
@@ -212,36 +213,84 @@
 }
 
 /// Passes a lookup or an order on to other daemons; `None` if none takes it.
+///
+/// A lookup goes on to the next daemon if the replicas of one refuse it, or if one is late. The
+/// latter keeps it meanwhile, and the first answer counts.
 pub async fn relay<P: Protocol>(node: &Node<P>, job: &Job, trace: &mut Trace) -> Option<Outcome> {
     trace.was_forwarded = true;
     let may_repeat = job.route.semantics.may_repeat();
-    let mut was_taken = false;
-    for daemon in candidates(node) {
-        let time_left = job.reply_deadline.saturating_duration_since(Instant::now());
-        let share = if may_repeat { MAX_ATTEMPT_SHARE } else { 1.0 };
-        let deadline = Instant::now() + time_left.mul_f64(share);
-        trace.pending = Some(daemon.to_string());
-        let asked = timeout_at(deadline, ask(node, job, trace.sends, daemon)).await;
-        trace.pending = None;
-        trace.steps.push(format!("{daemon}:{}", if asked.is_ok() { "asked" } else { "timed out" }));
-        match asked {
+    let mut daemons = candidates(node).into_iter();
+    let mut asked = FuturesUnordered::new();
+    // The daemon that was asked last and when it is late, unless it is or has ended.
+    let mut last = None;
+    let mut code = None;
+    loop {
+        let can_ask = code.is_none() && asked.is_empty() || trace.sends < job.route.max_attempts;
+        if last.is_none()
+            && can_ask
+            && let Some(daemon) = daemons.next()
+        {
+            last = Some((daemon, late_at(job)));
+            trace.pending = Some(daemon.to_string());
+            let sends = trace.sends;
+            asked.push(async move { (daemon, ask(node, job, sends, daemon).await) });
+        }
+        if asked.is_empty() {
+            return code.map(|code| trace.error(code));
+        }
+        let wake_at = last.map_or(job.reply_deadline, |(_, late_at)| late_at);
+        let (daemon, end) = tokio::select! {
+            biased;
+            Some(ended) = asked.next() => ended,
+            () = sleep_until(wake_at) => {
+                if Instant::now() >= job.reply_deadline {
+                    trace.interrupt("timed out");
+                    return Some(Outcome::Error(Code::TimedOut));
+                }
+                // The daemon may have sent it to a replica.
+                trace.sends += 1;
+                trace.expect_late();
+                last = None;
+                continue;
+            }
+        };
+        trace.record_end(&daemon.to_string(), "asked");
+        let is_last = last.is_some_and(|(last, _)| last == daemon);
+        last = last.filter(|_| !is_last);
+        match end {
+            Asked::Ended(Outcome::Error(reason)) if may_repeat && is_refusal(reason) => {
+                code = code.or(Some(reason));
+            }
             // The other daemon does not know of attempts that were made here.
-            Ok(Asked::Ended(Outcome::Error(code))) if !code.may_have_run() => {
-                return Some(trace.error(code));
+            Asked::Ended(Outcome::Error(reason)) if !reason.may_have_run() => {
+                return Some(trace.error(reason));
             }
-            Ok(Asked::Ended(outcome)) => return Some(outcome),
-            Ok(Asked::NotTaken) => {}
-            Ok(Asked::Broken) | Err(_) => {
-                trace.sends += 1;
-                (was_taken, trace.may_have_run) = (true, true);
-                if !may_repeat || trace.sends >= job.route.max_attempts {
-                    let code = if asked.is_err() { Code::TimedOut } else { Code::Broken };
-                    return Some(Outcome::Error(code));
+            Asked::Ended(outcome) => return Some(outcome),
+            Asked::NotTaken => continue,
+            Asked::Broken => {
+                trace.may_have_run = true;
+                code = Some(Code::Broken);
+                if !may_repeat {
+                    return Some(Outcome::Error(Code::Broken));
                 }
             }
         }
+        // A late one has been counted.
+        trace.sends += u32::from(is_last);
     }
-    was_taken.then_some(Outcome::Error(Code::Broken))
+}
+
+/// Whether the replicas that a daemon reaches have refused a request, so that another daemon may
+/// find one that takes it.
+fn is_refusal(code: Code) -> bool {
+    matches!(code, Code::Refused | Code::NoBudget | Code::Limited)
+}
+
+/// When a daemon that is asked now is late: for a lookup, after a share of the time left.
+fn late_at(job: &Job) -> Instant {
+    let now = Instant::now();
+    let share = if job.route.semantics.may_repeat() { MAX_ATTEMPT_SHARE } else { 1.0 };
+    now + job.reply_deadline.saturating_duration_since(now).mul_f64(share)
 }
 
 /// How asking one daemon ended.
--- a/crates/winch-relay/src/job.rs
+++ b/crates/winch-relay/src/job.rs
@@ -101,7 +101,7 @@
     pub steps: Vec<String>,
     /// Who has the request and has not replied yet, as `replica@dc` or the address of a daemon.
     pub pending: Option<String>,
-    /// Replicas that have the request, too, and are late, as `replica@dc`.
+    /// Who has the request, too, and is late; named in the same way.
     pub late: Vec<String>,
     /// Whether an attempt that has ended may have run the request.
     pub may_have_run: bool,
@@ -130,7 +130,7 @@
         self.pending = Some(format!("{}@{}", replica.id, replica.dc));
     }
 
-    /// Records that whoever has the request is late and another replica is asked, too.
+    /// Records that whoever has the request is late.
     pub fn expect_late(&mut self) {
         self.late.extend(self.pending.take());
     }
@@ -155,15 +155,19 @@
         Outcome::Error(code)
     }
 
-    /// Records the result of an attempt at `replica`.
-    pub fn record(&mut self, replica: &Replica, result: impl std::fmt::Display) {
-        let name = format!("{}@{}", replica.id, replica.dc);
-        match self.late.iter().position(|late| *late == name) {
+    /// Records the result of whoever had the request, as [`Self::pending`] names it.
+    pub fn record_end(&mut self, name: &str, result: impl std::fmt::Display) {
+        match self.late.iter().position(|late| late == name) {
             Some(index) => drop(self.late.remove(index)),
             None => self.pending = None,
         }
         self.steps.push(format!("{name}:{result}"));
     }
+
+    /// Records the result of an attempt at `replica`.
+    pub fn record(&mut self, replica: &Replica, result: impl std::fmt::Display) {
+        self.record_end(&format!("{}@{}", replica.id, replica.dc), result);
+    }
 }
 
 /// Guard that counts a request of this daemon as in flight at a replica.
--- a/crates/winch-relay/src/unary.rs
+++ b/crates/winch-relay/src/unary.rs
@@ -188,7 +188,10 @@
             return None;
         }
         self.trace.interrupt(SUPERSEDED);
-        Some(outcome)
+        Some(match outcome {
+            Outcome::Error(code) => self.fail(code),
+            outcome => outcome,
+        })
     }
 
     /// Takes note of an attempt that has ended; returns the outcome if it decides the request.
