--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -21,7 +21,7 @@
 use rand::Rng;
 use tokio::{
     io::AsyncWrite,
-    time::{sleep, sleep_until, timeout_at},
+    time::{sleep, sleep_until},
 };
 use winch_http::head::Reply;
 use winch_route::suspect::Disposition;
@@ -206,12 +206,12 @@
 
 impl<P: Protocol, W: AsyncWrite + Unpin> Session<'_, P, W> {
     async fn run(&mut self) -> Outcome {
-        let deadline = self.job.deadline();
+        let (node, job) = (self.node, self.job);
         let mut code = Code::NoReplica;
         while self.counted_sends() < self.job.route.max_attempts
             && self.connect_failures < MAX_CONNECT_FAILURES
         {
-            if Instant::now() >= deadline {
+            if Instant::now() >= job.deadline(node) {
                 return self.give_up(Code::TimedOut);
             }
             if self.job.needs_forwarding(self.node, self.trace)
@@ -223,10 +223,10 @@
                 code = Code::NoBudget;
                 break;
             }
-            let target = match timeout_at(deadline, self.choose_target()).await {
-                Err(_) => return self.give_up(Code::TimedOut),
-                Ok(Choice::Refused(outcome)) => return outcome,
-                Ok(Choice::Target(target)) => target,
+            let target = match job.until_deadline(node, self.choose_target()).await {
+                None => return self.give_up(Code::TimedOut),
+                Some(Choice::Refused(outcome)) => return outcome,
+                Some(Choice::Target(target)) => target,
             };
             let Some(mut target) = target else {
                 if self.job.needs_forwarding(self.node, self.trace) {
@@ -250,7 +250,7 @@
                 code = Code::NoBudget;
                 break;
             }
-            let attempt = timeout_at(deadline, self.attempt(&mut target)).await;
+            let attempt = job.until_deadline(node, self.attempt(&mut target)).await;
             // The stream may have moved.
             let replica = target.replica.clone();
             match attempt.unwrap_or(Attempt::TimedOut) {
@@ -369,7 +369,7 @@
         let backoff = (REFUSAL_BACKOFF_MIN * 2_u32.pow(doublings)).min(REFUSAL_BACKOFF_MAX);
         let jitter = self.node.rng().random_range(1.0 - REFUSAL_JITTER..1.0 + REFUSAL_JITTER);
         let ask_at = Instant::now() + backoff.mul_f64(jitter);
-        sleep_until(ask_at.min(self.job.deadline())).await;
+        sleep_until(ask_at.min(self.job.deadline(self.node))).await;
     }
 
     /// Waits until the next send of a stream that has begun has a retry, at most until its deadline
@@ -380,7 +380,8 @@
             return true;
         }
         while !self.take_retry() {
-            if Instant::now() + RETRY_INTERVAL >= self.job.deadline() || !self.may_wait() {
+            let deadline = self.job.deadline(self.node);
+            if Instant::now() + RETRY_INTERVAL >= deadline || !self.may_wait() {
                 return false;
             }
             sleep(RETRY_INTERVAL).await;
--- a/crates/winch-relay/src/stream/target.rs
+++ b/crates/winch-relay/src/stream/target.rs
@@ -187,7 +187,7 @@
     /// one of a stream that has begun, or would be if refusals counted, and more time is left than
     /// has passed since its last event.
     fn must_start(&self) -> bool {
-        let (now, deadline) = (Instant::now(), self.job.deadline());
+        let (now, deadline) = (Instant::now(), self.job.deadline(self.node));
         self.has_forwarded
             && self.trace.sends + 1 >= self.job.route.max_attempts
             && now - self.last_event_at < deadline.saturating_duration_since(now)
