--- a/crates/wisteriawinch/tests/entry/mod.rs
+++ b/crates/wisteriawinch/tests/entry/mod.rs
@@ -69,10 +69,16 @@
     )
 }
 
+/// The program of this build.
+pub fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_wisteriawinch"))
+}
+
 /// A daemon process; its settings, log and addresses stay the same over restarts.
 #[derive(Debug)]
 pub struct Process {
     child: Child,
+    program: PathBuf,
     settings: PathBuf,
     log: PathBuf,
     pub addresses: Addresses,
@@ -87,13 +93,26 @@
         seeds: &[SocketAddr],
         store: SocketAddr,
         folder: &Path,
+    ) -> Self {
+        Self::start_build(program(), number, dc, addresses, seeds, store, folder)
+    }
+
+    /// Starts the same daemon with the program of any build.
+    pub fn start_build(
+        program: &Path,
+        number: usize,
+        dc: &str,
+        addresses: Addresses,
+        seeds: &[SocketAddr],
+        store: SocketAddr,
+        folder: &Path,
     ) -> Self {
         let text = settings(number, dc, addresses, seeds, store);
         let (settings, log) =
             (folder.join(format!("{number}.toml")), folder.join(format!("{number}.log")));
         std::fs::write(&settings, text).expect("the settings are written");
-        let child = spawn(program(), &settings, &log);
-        Self { child, settings, log, addresses }
+        let child = spawn(command(program), &settings, &log);
+        Self { child, program: program.into(), settings, log, addresses }
     }
 
     /// Starts a single daemon with at most this many open files.
@@ -104,14 +123,20 @@
         std::fs::write(&settings_file, text).expect("the settings are written");
         let mut limited = Command::new("sh");
         let script = format!("ulimit -n {open_files}; exec \"$0\" entry");
-        limited.args(["-c", &script, env!("CARGO_BIN_EXE_wisteriawinch")]);
+        limited.arg("-c").arg(&script).arg(program());
         let child = spawn(limited, &settings_file, &log);
-        Self { child, settings: settings_file, log, addresses }
+        Self { child, program: program().into(), settings: settings_file, log, addresses }
     }
 
     /// Starts the process again after its exit.
     pub fn restart(&mut self) {
-        self.child = spawn(program(), &self.settings, &self.log);
+        self.child = spawn(command(&self.program), &self.settings, &self.log);
+    }
+
+    /// Starts the program of another build after the exit of the process.
+    pub fn replace(&mut self, program: &Path) {
+        self.program = program.into();
+        self.restart();
     }
 
     /// Sends a signal, given as an option of `kill` such as `-STOP`.
@@ -148,10 +173,10 @@
     }
 }
 
-fn program() -> Command {
-    let mut program = Command::new(env!("CARGO_BIN_EXE_wisteriawinch"));
-    program.arg("entry");
-    program
+fn command(program: &Path) -> Command {
+    let mut command = Command::new(program);
+    command.arg("entry");
+    command
 }
 
 fn spawn(mut command: Command, settings: &Path, log: &Path) -> Child {
--- a/crates/wisteriawinch/tests/fault_soak.rs
+++ b/crates/wisteriawinch/tests/fault_soak.rs
@@ -7,6 +7,10 @@
 //! faults. In a last series without faults of the network, in which sound replicas are silent, a
 //! begun stream that is cut fails it too.
 //!
+//! Beside the faults the daemons are replaced one after the other. `SOAK_FORMER` is the absolute path
+//! of the program of another build: the daemons start with it, and are replaced by those of this
+//! build and back.
+//!
 //! `SOAK_SEED` selects one seed, `SOAK_SEEDS` a range such as `1..51`; without
 //! either, the seeds of `soak/regression.txt` and [`FIXED_SEEDS`] are run.
 
@@ -21,8 +25,10 @@
 mod fleet;
 #[path = "soak/silence.rs"]
 mod silence;
+#[path = "soak/upgrade.rs"]
+mod upgrade;
 
-use std::{sync::Arc, time::Duration};
+use std::{path::PathBuf, sync::Arc, time::Duration};
 
 use fleet::Fleet;
 use rand::{SeedableRng, rngs::SmallRng};
@@ -36,6 +42,8 @@
 const FIXED_SEEDS: [u64; 2] = [1, 15];
 /// Tells the generator of the series of silences from the others of a seed.
 const SERIES_SEED: u64 = 1 << 40;
+/// The same for the replacements beside the faults.
+const ROLL_SEED: u64 = 1 << 41;
 /// Longest time of one seed; only a hang reaches it.
 const SEED_TIMEOUT: Duration = Duration::from_secs(120);
 
@@ -55,9 +63,14 @@
     regression.map(parse).chain(FIXED_SEEDS).collect()
 }
 
+/// Program of the build that is replaced; this build's own if `SOAK_FORMER` is not set.
+fn former() -> PathBuf {
+    std::env::var_os("SOAK_FORMER").map_or_else(|| entry::program().into(), PathBuf::from)
+}
+
 /// Runs one seed and returns the violated guarantees.
 async fn run_seed(seed: u64) -> Vec<String> {
-    let fleet = Arc::new(Fleet::start().await);
+    let fleet = Arc::new(Fleet::start(former()).await);
     fleet.wait_serving().await;
     let (stop, stopped) = watch::channel(false);
     let mut callers = JoinSet::new();
@@ -70,12 +83,17 @@
     // Generators of their own, so that the series of faults of a seed stays as it was.
     let mut silence_rng = SmallRng::seed_from_u64(!seed);
     let mut series_rng = SmallRng::seed_from_u64(seed ^ SERIES_SEED);
-    for number in 0..FAULTS {
-        if number == FAULTS / 2 {
-            violations.extend(fault::silence(&fleet, &mut silence_rng).await);
+    let mut roll_rng = SmallRng::seed_from_u64(seed ^ ROLL_SEED);
+    let faults = async {
+        for number in 0..FAULTS {
+            if number == FAULTS / 2 {
+                violations.extend(fault::silence(&fleet, &mut silence_rng).await);
+            }
+            violations.extend(fault::inject(&fleet, &mut rng).await);
         }
-        violations.extend(fault::inject(&fleet, &mut rng).await);
-    }
+    };
+    let ((), rolls) = tokio::join!(faults, upgrade::there_and_back(&fleet, &mut roll_rng));
+    violations.extend(rolls);
     violations.extend(fault::clear(&fleet).await);
     stop.send_replace(true);
     let mut served = 0;
@@ -89,6 +107,9 @@
     violations.extend(fleet.run_violations());
     fleet.wait_serving().await;
     eprintln!("seed {seed}: {served} served, {} guarantees violated", violations.len());
+    if !violations.is_empty() {
+        fleet.keep_logs();
+    }
     violations
 }
 
--- a/crates/wisteriawinch/tests/soak/fault.rs
+++ b/crates/wisteriawinch/tests/soak/fault.rs
@@ -53,6 +53,7 @@
     let mut violations = Vec::new();
     match rng.random_range(0..18) {
         0 => {
+            let _turn = fleet.turn(daemon).await;
             fleet.kill(daemon);
             sleep(short / 4).await;
             fleet.restart(daemon);
@@ -123,20 +124,23 @@
 }
 
 /// Stops a daemon with SIGTERM, as the platform does, and starts it again.
-async fn graceful_stop(fleet: &Fleet, daemon: usize) -> Vec<String> {
+async fn graceful_stop(fleet: &Fleet, daemon: usize) -> Option<String> {
+    let _turn = fleet.turn(daemon).await;
+    let violation = stop(fleet, daemon).await;
+    fleet.restart(daemon);
+    violation
+}
+
+/// Stops a daemon with SIGTERM.
+pub(crate) async fn stop(fleet: &Fleet, daemon: usize) -> Option<String> {
     fleet.signal(daemon, "-TERM");
     fleet.wait_exited(daemon).await;
     let status = fleet.exit_status(daemon).expect("the process has exited");
-    fleet.restart(daemon);
-    if status.success() {
-        Vec::new()
-    } else {
-        vec![format!("a graceful stop exited with {status}")]
-    }
+    (!status.success()).then(|| format!("a graceful stop exited with {status}"))
 }
 
 /// Stops a daemon while healthy replicas pause for a second.
-async fn stop_beside_pause(fleet: &Fleet, daemon: usize, rng: &mut SmallRng) -> Vec<String> {
+async fn stop_beside_pause(fleet: &Fleet, daemon: usize, rng: &mut SmallRng) -> Option<String> {
     for other in fleet.replicas.iter().filter(|_| rng.random_bool(0.4)) {
         other.replica.pause(Duration::from_millis(1_000));
     }
@@ -146,6 +150,7 @@
 /// Lets a replica drain, which says so in its replies only, while the daemons do not reach the
 /// store. It comes back with another incarnation.
 async fn unlisted_drain(fleet: &Fleet, target: &ProxiedReplica, rng: &mut SmallRng) -> Vec<String> {
+    let _turns = fleet.all_turns().await;
     fleet.store.set_fault(Some(Fault::Unresponsive));
     target.replica.set_statement("Server-Leaving: 1\r\n");
     sleep(LEARNING_TIME).await;
@@ -163,6 +168,7 @@
 
 /// Sends a request that crashes replicas, and kills all daemons twice meanwhile.
 async fn crashing_request(fleet: &Fleet, rng: &mut SmallRng) -> Vec<String> {
+    let _turns = fleet.all_turns().await;
     fleet.clear_faults();
     fleet.replicas.iter().for_each(|other| other.replica.crash_on(CRASHING_BODY));
     let number: u64 = rng.random();
--- a/crates/wisteriawinch/tests/soak/fleet.rs
+++ b/crates/wisteriawinch/tests/soak/fleet.rs
@@ -5,12 +5,16 @@
 
 use std::{
     collections::{HashMap, HashSet},
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::ExitStatus,
-    sync::Mutex,
+    sync::{
+        Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
+use tokio::sync::MutexGuard;
 use winch_http::client::Connection;
 
 use super::{
@@ -18,7 +22,7 @@
     entry::{self, Addresses, Process},
 };
 
-const DAEMONS: usize = 3;
+pub(crate) const DAEMONS: usize = 3;
 /// Time a replica spends on an order or lookup, so that faults hit calls in progress.
 const WORK_TIME: Duration = Duration::from_millis(60);
 const DCS: [&str; 3] = ["a", "b", "c"];
@@ -38,16 +42,21 @@
     pub(crate) store_proxy: Proxy,
     pub(crate) replicas: Vec<ProxiedReplica>,
     processes: Mutex<Vec<Process>>,
+    /// Held by what ends a process, until it has started it again.
+    turns: [tokio::sync::Mutex<()>; DAEMONS],
+    /// Program of the build that the daemons start with.
+    pub(crate) former: PathBuf,
     /// Ids of orders and streams refused with a reply that says that they never run.
     refused: Mutex<HashSet<String>>,
     /// Settings and logs.
     folder: PathBuf,
+    keeps_logs: AtomicBool,
 }
 
 impl Fleet {
     /// Starts the store, six replicas for streams, three for orders and lookups, their proxies
-    /// and the daemons.
-    pub(crate) async fn start() -> Self {
+    /// and the daemons, with the program `former`.
+    pub(crate) async fn start(former: PathBuf) -> Self {
         let mut replicas = Vec::new();
         for (number, dc) in (0..9).zip(DCS.into_iter().cycle()) {
             let (service, kind) = if number < 6 { ("model", "e") } else { ("desk", "d") };
@@ -67,11 +76,12 @@
         let seeds = [addresses[0].control, addresses[1].control];
         let processes = (0..DAEMONS).map(|number| {
             let (dc, store) = (DCS[number], store_proxy.address);
-            Process::start(number, dc, addresses[number], &seeds, store, &folder)
+            Process::start_build(&former, number, dc, addresses[number], &seeds, store, &folder)
         });
         let processes = Mutex::new(processes.collect());
         let refused = Mutex::default();
-        Self { store, store_proxy, replicas, processes, refused, folder }
+        let (turns, keeps_logs) = Default::default();
+        Self { store, store_proxy, replicas, processes, turns, former, refused, folder, keeps_logs }
     }
 
     fn with_process<T>(&self, number: usize, f: impl FnOnce(&mut Process) -> T) -> T {
@@ -79,9 +89,23 @@
             [number % DAEMONS])
     }
 
-    /// Sends a signal, given as an option of `kill` such as `-STOP`.
+    /// Sends a signal, given as an option of `kill` such as `-STOP`, if the process runs.
     pub(crate) fn signal(&self, number: usize, name: &str) {
-        self.with_process(number, |process| process.signal(name));
+        self.with_process(number, |process| {
+            if process.exit_status().is_none() {
+                process.signal(name);
+            }
+        });
+    }
+
+    /// Waits until nothing else ends this process or has yet to start it again.
+    pub(crate) async fn turn(&self, number: usize) -> MutexGuard<'_, ()> {
+        self.turns[number].lock().await
+    }
+
+    /// The same for all processes.
+    pub(crate) async fn all_turns(&self) -> [MutexGuard<'_, ()>; DAEMONS] {
+        [self.turn(0).await, self.turn(1).await, self.turn(2).await]
     }
 
     /// Kills a process and waits for its exit.
@@ -94,6 +118,11 @@
         self.with_process(number, Process::restart);
     }
 
+    /// Starts the program of another build after the exit of the process.
+    pub(crate) fn replace(&self, number: usize, program: &Path) {
+        self.with_process(number, |process| process.replace(program));
+    }
+
     /// Exit status of a process; `None` while it runs.
     pub(crate) fn exit_status(&self, number: usize) -> Option<ExitStatus> {
         self.with_process(number, Process::exit_status)
@@ -168,6 +197,12 @@
         self.store.put("servers", &id, &entry);
     }
 
+    /// Keeps the logs after the end of the seed, and prints where they are.
+    pub(crate) fn keep_logs(&self) {
+        eprintln!("logs: {}", self.folder.display());
+        self.keeps_logs.store(true, Ordering::Relaxed);
+    }
+
     /// Ends all faults of the proxies and the store.
     pub(crate) fn clear_faults(&self) {
         let proxies = self.replicas.iter().map(|proxied| &proxied.proxy).chain([&self.store_proxy]);
@@ -190,7 +225,7 @@
             self.signal(number, "-CONT");
             self.kill(number);
         }
-        if !std::thread::panicking() {
+        if !std::thread::panicking() && !self.keeps_logs.load(Ordering::Relaxed) {
             // Files left over after a failed removal do no harm.
             let _ = std::fs::remove_dir_all(&self.folder);
         }
