--- a/crates/wisteriawinch/tests/fault_soak.rs
+++ b/crates/wisteriawinch/tests/fault_soak.rs
@@ -4,12 +4,13 @@
 //! fails if an order runs twice, an order or stream runs after a refusal, a stream has a gap, a
 //! success is not signed by a replica, an order gets no word before its caller stops waiting, an answer belongs to another request, a daemon exits
 //! by itself or a graceful stop fails, or if a daemon does not serve again after the
-//! faults. In a last series without faults of the network, in which sound replicas are silent, a
-//! begun stream that is cut fails it too.
+//! faults. In two last series without faults of the network, in which sound replicas are silent, a
+//! begun stream that is cut fails it too; in the one with planned stops and changes also a request
+//! without an answer, and a lookup that a sound replica could have answered.
 //!
-//! Beside the faults the daemons are replaced one after the other. `SOAK_FORMER` is the absolute path
-//! of the program of another build: the daemons start with it, and are replaced by those of this
-//! build and back.
+//! Beside the faults, and in the series of planned work, the daemons are replaced one after the
+//! other. `SOAK_FORMER` is the absolute path of the program of another build: the daemons start
+//! with it, are replaced by those of this build and back, and at last by those of this build.
 //!
 //! `SOAK_SEED` selects one seed, `SOAK_SEEDS` a range such as `1..51`; without
 //! either, the seeds of `soak/regression.txt` and [`FIXED_SEEDS`] are run.
@@ -23,6 +24,8 @@
 mod fault;
 #[path = "soak/fleet.rs"]
 mod fleet;
+#[path = "soak/planned.rs"]
+mod planned;
 #[path = "soak/silence.rs"]
 mod silence;
 #[path = "soak/upgrade.rs"]
@@ -42,8 +45,9 @@
 const FIXED_SEEDS: [u64; 2] = [1, 15];
 /// Tells the generator of the series of silences from the others of a seed.
 const SERIES_SEED: u64 = 1 << 40;
-/// The same for the replacements beside the faults.
+/// The same for the replacements beside the faults and for the planned series.
 const ROLL_SEED: u64 = 1 << 41;
+const PLANNED_SEED: u64 = 1 << 42;
 /// Longest time of one seed; only a hang reaches it.
 const SEED_TIMEOUT: Duration = Duration::from_secs(120);
 
@@ -84,6 +88,7 @@
     let mut silence_rng = SmallRng::seed_from_u64(!seed);
     let mut series_rng = SmallRng::seed_from_u64(seed ^ SERIES_SEED);
     let mut roll_rng = SmallRng::seed_from_u64(seed ^ ROLL_SEED);
+    let mut planned_rng = SmallRng::seed_from_u64(seed ^ PLANNED_SEED);
     let faults = async {
         for number in 0..FAULTS {
             if number == FAULTS / 2 {
@@ -102,6 +107,7 @@
         violations.extend(report.violations);
         served += report.served;
     }
+    violations.extend(planned::run(&fleet, &mut planned_rng).await);
     violations.extend(silence::run(&fleet, &mut series_rng).await);
     violations.extend(fault::clear(&fleet).await);
     violations.extend(fleet.run_violations());
--- a/crates/wisteriawinch/tests/soak/caller.rs
+++ b/crates/wisteriawinch/tests/soak/caller.rs
@@ -5,6 +5,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use http::StatusCode;
 use rand::{Rng, rngs::SmallRng};
 use tokio::{
     sync::watch,
@@ -29,8 +30,10 @@
     Complete,
     /// Within its body.
     Cut,
-    /// Without a success status.
+    /// With another status than success.
     NotBegun,
+    /// Without a reply.
+    NoReply,
 }
 
 /// Result of one caller.
@@ -63,10 +66,16 @@
             sleep(Duration::from_millis(30)).await;
             continue;
         };
-        let is_complete = match rng.random_range(0..3) {
-            0 => run_stream(&fleet, &mut caller, &id, &mut rng, &mut report).await,
-            1 => send_one(&fleet, &mut caller, Request::order(&id), &id, &mut report).await,
-            _ => send_one(&fleet, &mut caller, Request::lookup(&id), &id, &mut report).await,
+        let request = match rng.random_range(0..3) {
+            0 => None,
+            1 => Some(Request::order(&id)),
+            _ => Some(Request::lookup(&id)),
+        };
+        let is_complete = match request {
+            None => run_stream(&fleet, &mut caller, &id, &mut rng, &mut report).await,
+            Some(request) => {
+                send_one(&fleet, &mut caller, request, &id, &mut report).await.is_some()
+            }
         };
         if is_complete && caller.connection.is_reusable() {
             reusable = Some(caller);
@@ -76,18 +85,17 @@
     report
 }
 
-/// Sends one order or lookup; returns true if a complete answer was received, whatever its
-/// status.
-async fn send_one(
+/// Sends one order or lookup; returns the status of a complete answer, `None` if there is none.
+pub(crate) async fn send_one(
     fleet: &Fleet,
     caller: &mut Caller,
     request: Request,
     id: &str,
     report: &mut Report,
-) -> bool {
+) -> Option<StatusCode> {
     let is_order = request.target.starts_with("/o/");
     let Ok(Ok(response)) = timeout(ANSWER_TIMEOUT, caller.send(request)).await else {
-        return false;
+        return None;
     };
     if response.status.is_success() {
         report.served += 1;
@@ -100,7 +108,7 @@
     } else if is_order && matches!(response.status.as_u16(), 408 | 421 | 429 | 503) {
         fleet.record_refusal(id);
     }
-    true
+    Some(response.status)
 }
 
 fn check_signed(response: &Response, id: &str, report: &mut Report) {
@@ -153,7 +161,7 @@
     report: &mut Report,
 ) -> End {
     let Ok(Ok(reply)) = timeout(ANSWER_TIMEOUT, caller.send_for_head(&request)).await else {
-        return End::NotBegun;
+        return End::NoReply;
     };
     let brief = &request.body;
     let mut text = String::new();
--- a/crates/wisteriawinch/tests/soak/silence.rs
+++ b/crates/wisteriawinch/tests/soak/silence.rs
@@ -170,14 +170,15 @@
         let end = read_events(&fleet, &mut caller, request, &mut last, &mut report).await;
         let is_whole = end == End::Complete && last == EVENTS;
         report.served += u64::from(is_whole);
-        if !is_whole && end != End::NotBegun {
+        let has_begun = !matches!(end, End::NotBegun | End::NoReply);
+        if !is_whole && has_begun {
             let text = format!("stream {id} of daemon {daemon} was cut after event {last}");
             report.violations.push(format!("{text} of {EVENTS}"));
         }
         if caller.connection.is_reusable() {
             kept = Some(caller);
         }
-        if end == End::NotBegun {
+        if !has_begun {
             sleep(INTERVAL).await;
         }
     }
