--- a/crates/wisteriawinch/tests/soak/fleet.rs
+++ b/crates/wisteriawinch/tests/soak/fleet.rs
@@ -14,7 +14,7 @@
     time::Duration,
 };
 
-use tokio::sync::MutexGuard;
+use tokio::{sync::MutexGuard, time::sleep};
 use winch_http::client::Connection;
 
 use super::{
@@ -135,6 +135,17 @@
         opened.ok().map(|connection| Caller { connection })
     }
 
+    /// Waits until a daemon takes connections.
+    pub(crate) async fn wait_listening(&self, number: usize) {
+        let listens = async {
+            while self.caller(number).await.is_none() {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        let listened = tokio::time::timeout(TIMEOUT, listens).await;
+        assert!(listened.is_ok(), "daemon {number} does not listen; logs: {:?}", self.folder);
+    }
+
     /// Waits until every daemon has served a request of each kind.
     pub(crate) async fn wait_serving(&self) {
         for number in 0..DAEMONS {
@@ -148,7 +159,7 @@
                                 return;
                             }
                         }
-                        tokio::time::sleep(Duration::from_millis(50)).await;
+                        sleep(Duration::from_millis(50)).await;
                     }
                 };
                 let served = tokio::time::timeout(TIMEOUT, serves).await;
--- a/crates/wisteriawinch/tests/soak/upgrade.rs
+++ b/crates/wisteriawinch/tests/soak/upgrade.rs
@@ -20,8 +20,11 @@
     for daemon in 0..DAEMONS {
         sleep(Duration::from_millis(rng.random_range(0..MAX_GAP_MS))).await;
         let _turn = fleet.turn(daemon).await;
+        // A process that has just begun has no handlers of signals yet.
+        fleet.wait_listening(daemon).await;
         violations.extend(fault::stop(fleet, daemon).await);
         fleet.replace(daemon, program);
+        fleet.wait_listening(daemon).await;
     }
     violations
 }
