--- a/crates/wisteriawinch/tests/soak/fleet.rs
+++ b/crates/wisteriawinch/tests/soak/fleet.rs
@@ -84,6 +84,11 @@
         Self { store, store_proxy, replicas, processes, turns, former, refused, folder, keeps_logs }
     }
 
+    /// Whether the daemons started with another build than this one.
+    pub(crate) fn has_former(&self) -> bool {
+        self.former != entry::program()
+    }
+
     fn with_process<T>(&self, number: usize, f: impl FnOnce(&mut Process) -> T) -> T {
         f(&mut self.processes.lock().expect("no thread panics while it holds this lock")
             [number % DAEMONS])
