--- a/crates/wisteriawinch/tests/entry/mod.rs
+++ b/crates/wisteriawinch/tests/entry/mod.rs
@@ -78,7 +78,8 @@
 #[derive(Debug)]
 pub struct Process {
     child: Child,
-    program: PathBuf,
+    /// Program of the build that runs.
+    pub program: PathBuf,
     settings: PathBuf,
     log: PathBuf,
     pub addresses: Addresses,
--- a/crates/wisteriawinch/tests/soak/fleet.rs
+++ b/crates/wisteriawinch/tests/soak/fleet.rs
@@ -89,6 +89,13 @@
         self.former != entry::program()
     }
 
+    /// Names the daemon with this number and the build that it runs.
+    pub(crate) fn describe(&self, number: usize) -> String {
+        let program = self.with_process(number, |process| process.program.clone());
+        let build = if program == entry::program() { "this build" } else { "the former build" };
+        format!("daemon {number} of {build}")
+    }
+
     fn with_process<T>(&self, number: usize, f: impl FnOnce(&mut Process) -> T) -> T {
         f(&mut self.processes.lock().expect("no thread panics while it holds this lock")
             [number % DAEMONS])
--- a/crates/wisteriawinch/tests/soak/planned.rs
+++ b/crates/wisteriawinch/tests/soak/planned.rs
@@ -195,13 +195,14 @@
         };
         let id = format!("planned-{number}-{count}-{:x}", rng.random::<u64>());
         let started_at = Instant::now();
+        let place = fleet.describe(daemon);
         let violation = match number {
             ..STREAM_CALLERS => stream(&fleet, &mut caller, &id, &mut report).await,
             _ => send(&fleet, &mut caller, &id, rng.random_bool(0.3), &mut report).await,
         };
         if let Some(violation) = violation {
             let time = started_at.elapsed();
-            report.violations.push(format!("{id} at daemon {daemon}: {violation}, in {time:?}"));
+            report.violations.push(format!("{id} at {place}: {violation}, in {time:?}"));
         }
         let is_kept = rng.random_bool(0.7);
         let pause = Duration::from_millis(rng.random_range(0..20));
