--- a/crates/winch-relay/src/daemon.rs
+++ b/crates/winch-relay/src/daemon.rs
@@ -113,10 +113,16 @@
     let stop_deadline = Instant::now() + node.tuning().stop_grace.saturating_sub(STOP_MARGIN);
     node.stop(stop_deadline);
     emit!(Event::Stopping, open = connections.len());
-    let accepting = accept(&node, &sockets.callers, &mut connections);
+    let mut accepted_at = Instant::now();
+    let accepting = accept_late(&node, &sockets.callers, &mut connections, &mut accepted_at);
     let _ = timeout_at(stop_deadline.min(Instant::now() + STOP_ACCEPT_TIME), accepting).await;
     let queued = close_listener(&node, sockets.callers, &mut connections);
-    emit!(Event::ListenerClosed, queued = queued, open = connections.len());
+    emit!(
+        Event::ListenerClosed,
+        queued = queued,
+        open = connections.len(),
+        quiet_ms = accepted_at.elapsed().as_millis()
+    );
     if timeout_at(stop_deadline, join_all(&node, &mut connections)).await.is_err() {
         emit!(Event::GraceExpired, open = connections.len());
         node.end();
@@ -151,6 +157,20 @@
     }
 }
 
+/// Accepts connections during a stop; `accepted_at` is when the last one came.
+async fn accept_late<P: Protocol>(
+    node: &Arc<Node<P>>,
+    listener: &TcpListener,
+    connections: &mut JoinSet<()>,
+    accepted_at: &mut Instant,
+) {
+    loop {
+        let stream = listen::accept(listener).await;
+        *accepted_at = Instant::now();
+        serve_caller(node, stream, connections);
+    }
+}
+
 /// Closes the listener, and serves the connections that are still in its queue: their callers may
 /// have sent a request, which the close would reset. Returns how many there were.
 fn close_listener<P: Protocol>(
--- a/crates/winch-relay/src/edge/admission.rs
+++ b/crates/winch-relay/src/edge/admission.rs
@@ -120,6 +120,8 @@
         result = code.name(),
         host = call.host,
         path = call.path(),
+        stopping_ms =
+            node.stopping_time().map_or("-".to_owned(), |time| time.as_millis().to_string()),
         key = if call.api_key.is_some() { "given" } else { "none" },
         version = node.config().map_or(0, |config| config.version),
         age_ms = node.state_age_ms().map_or("-".to_owned(), |age| age.to_string())
--- a/crates/winch-relay/src/node/stopping.rs
+++ b/crates/winch-relay/src/node/stopping.rs
@@ -9,6 +9,8 @@
     Running,
     /// It finishes what it has taken.
     Stopping {
+        /// When the stop was requested.
+        since: Instant,
         /// When the grace period is over.
         deadline: Instant,
     },
@@ -24,7 +26,15 @@
 
     /// Requests a graceful stop, whose grace period is over at `deadline`.
     pub fn stop(&self, deadline: Instant) {
-        self.stage.send_replace(Stage::Stopping { deadline });
+        self.stage.send_replace(Stage::Stopping { since: Instant::now(), deadline });
+    }
+
+    /// Time since a stop was requested; `None` if none was, or its grace period is over.
+    pub fn stopping_time(&self) -> Option<Duration> {
+        match *self.stage.borrow() {
+            Stage::Stopping { since, .. } => Some(since.elapsed()),
+            Stage::Running | Stage::Ending => None,
+        }
     }
 
     /// Ends the grace period of a stop.
@@ -37,7 +47,7 @@
     pub fn stops_before(&self, deadline: Instant) -> bool {
         match *self.stage.borrow() {
             Stage::Running => false,
-            Stage::Stopping { deadline: end } => end < deadline,
+            Stage::Stopping { deadline: end, .. } => end < deadline,
             Stage::Ending => true,
         }
     }
