relay: a stopping daemon takes streams that it can finish

Callers saw: in a rolling stop a stream is refused (607) by one stopping daemon after another until its retry is used up. Half of all streams last less than 5.9 s, and the grace had 5.6 to 7.6 s left. Cause: a stopping daemon refused every stream, whatever it could still do. Now it takes one in the first 2.5 s if its expected time, by the averages of its service and the size that it states, fits the grace that is left. Cost: some are longer than expected and are cut by the end of the grace, as streams that began before the stop; their callers resume. winch_stopping_streams_total counts both.

--- a/crates/winch-relay/src/counter.rs
+++ b/crates/winch-relay/src/counter.rs
@@ -21,6 +21,12 @@
     counter!("winch_cut_total", "code" => code.name()).increment(1);
 }
 
+/// Counts a new stream at a stopping daemon: `taken` if it is expected to end within the grace
+/// period, else `refused`.
+pub fn stream_while_stopping(result: &'static str) {
+    counter!("winch_stopping_streams_total", "result" => result).increment(1);
+}
+
 /// Counts a stream that left a silent replica: `silent` if another one has it, `unresponsive`,
 /// `replaced` or `gone` if the replica was given up.
 pub fn abandoned(reason: &'static str) {
--- a/crates/winch-relay/src/edge/admission.rs
+++ b/crates/winch-relay/src/edge/admission.rs
@@ -5,6 +5,7 @@
 
 use crate::{
     config::{Route, Semantics, Team},
+    counter,
     job::Job,
     node::Node,
     prelude::*,
@@ -69,14 +70,13 @@
     if team.is_none() && config.needs_key(&route) {
         return Err(Code::UnknownKey);
     }
-    let is_stream = matches!(route.semantics, Semantics::Stream { .. });
-    if (node.is_stopping() && is_stream) || node.stops_before(call.deadline(route.timeout)) {
+    let service = route.pick(&mut node.rng()).clone();
+    if node.is_stopping() && stops_too_early(node, call, &route, &service) {
         return Err(Code::Stopping);
     }
     if is_quarantined(node, call, team.as_deref()) {
         return Err(Code::Suspect);
     }
-    let service = route.pick(&mut node.rng()).clone();
     if matches!(origin, Origin::Daemon { .. }) && node.is_isolated(&service) {
         return Err(Code::NoReplica);
     }
@@ -89,6 +89,25 @@
     Ok(Admitted { route, service, team, priority, cohort, shared_parts, is_trial })
 }
 
+/// Whether a stopping daemon could end before a request does. A stream may be longer than
+/// expected; its caller then goes on elsewhere, as with streams that had begun before the stop.
+fn stops_too_early<P: Protocol>(
+    node: &Node<P>,
+    call: &Call,
+    route: &Route,
+    service: &Name,
+) -> bool {
+    if !matches!(route.semantics, Semantics::Stream { .. }) {
+        return node.stops_before(call.deadline(route.timeout));
+    }
+    let prompt = call.size.map(|size| size.prompt_tokens);
+    let answer = call.size.map(|size| size.max_answer_tokens);
+    let run_time = node.catalog().typical(service).run_time(prompt, answer);
+    let is_refused = node.stops_before_stream(run_time);
+    counter::stream_while_stopping(if is_refused { "refused" } else { "taken" });
+    is_refused
+}
+
 /// Checks that no part of a prompt is quarantined; true if one is, and the request is its trial.
 /// Only daemons that read the store for others try quarantined parts: these are few in any fleet.
 ///
--- a/crates/winch-relay/src/node/stopping.rs
+++ b/crates/winch-relay/src/node/stopping.rs
@@ -2,6 +2,11 @@
 
 use crate::prelude::*;
 
+/// Time after the stop signal during which a stopping daemon takes streams. Whoever is sent here later
+/// comes from a load balancer that does not leave, and would be cut by the end of the grace
+/// period if the stream lasted longer than expected.
+const STREAM_ACCEPT_TIME: Duration = Duration::from_millis(2_500);
+
 /// Stage of a daemon's life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Stage {
@@ -52,6 +57,20 @@
         }
     }
 
+    /// Whether the daemon stops too early to take a new stream that is expected to last for
+    /// `run_time`; one of unknown length always outlasts it.
+    pub fn stops_before_stream(&self, run_time: Option<Duration>) -> bool {
+        match *self.stage.borrow() {
+            Stage::Running => false,
+            Stage::Stopping { since, deadline } => {
+                let left = deadline.saturating_duration_since(Instant::now());
+                let outlasts = run_time.is_none_or(|run_time| run_time > left);
+                outlasts || since.elapsed() > STREAM_ACCEPT_TIME
+            }
+            Stage::Ending => true,
+        }
+    }
+
     /// Completes when a stop is requested.
     pub async fn stop_requested(&self) {
         self.wait_for_stage(|stage| *stage != Stage::Running).await;
--- a/crates/winch-route/src/engine.rs
+++ b/crates/winch-route/src/engine.rs
@@ -109,12 +109,18 @@
         self.prompt_time.is_some()
     }
 
+    /// Expected time from the start of a request to its end at a typical engine without a queue;
+    /// `None` before a request has ended. Its size is in tokens, if stated.
+    pub fn run_time(&self, prompt: Option<u64>, answer: Option<u64>) -> Option<Duration> {
+        let prompt_s = self.prompt_time().as_secs_f64() * self.prompt_units(prompt);
+        let answer_s = self.answer_time?.as_secs_f64() * share_of(answer, self.answer_tokens);
+        // Requests may state any size.
+        Some(Duration::try_from_secs_f64(prompt_s + answer_s).unwrap_or(Duration::MAX))
+    }
+
     /// Size of a prompt in mean prompts; 1 if it is not known.
     pub fn prompt_units(&self, prompt_tokens: Option<u64>) -> f64 {
-        match (prompt_tokens, self.prompt_tokens) {
-            (Some(tokens), Some(mean)) if mean > 0.0 => tokens as f64 / mean,
-            _ => 1.0,
-        }
+        share_of(prompt_tokens, self.prompt_tokens)
     }
 
     /// Duration of a mean answer, in units of a mean prompt.
@@ -133,6 +139,14 @@
     }
 }
 
+/// `tokens` in units of `mean`; 1 if either is not known.
+fn share_of(tokens: Option<u64>, mean: Option<f64>) -> f64 {
+    match (tokens, mean) {
+        (Some(tokens), Some(mean)) if mean > 0.0 => tokens as f64 / mean,
+        _ => 1.0,
+    }
+}
+
 fn average(mean: &mut Option<f64>, sample: f64) {
     let last = mean.unwrap_or(sample);
     *mean = Some(last + SAMPLE_WEIGHT * (sample - last));
--- a/crates/winch-route/tests/engine_choice.rs
+++ b/crates/winch-route/tests/engine_choice.rs
@@ -219,3 +219,13 @@
     typical.record_size(1_000, 100);
     assert_eq!(typical.prompt_units(Some(500)), 0.5);
 }
+
+#[test]
+fn run_time_follows_size() {
+    let mut typical = Typical::default();
+    assert_eq!(typical.run_time(Some(PROMPT), Some(ANSWER)), None, "no request has ended");
+    typical = service().typical;
+    assert_eq!(typical.run_time(Some(PROMPT), Some(ANSWER)), Some(Duration::from_secs(5)));
+    assert_eq!(typical.run_time(None, Some(2 * ANSWER)), Some(Duration::from_secs(9)));
+    assert!(typical.run_time(Some(u64::MAX), Some(u64::MAX)) > Some(Duration::from_secs(1 << 32)));
+}
