relay: a stopping daemon listens until it is used no more

Callers saw: a connection that is being established when a stopping daemon closes its listener is reset with the request that its caller has sent ("cut, no answer"), and the next ones are refused ("no connection"). Cause: the listener closed 3 s after the signal, while the load balancer uses stopping daemons for as long as fewer than half of a data centre are ready. Now it closes once no connection has come for 3 s, or for half a second after the last request ended, at the latest with the grace period.

--- a/crates/winch-relay/src/daemon.rs
+++ b/crates/winch-relay/src/daemon.rs
@@ -7,7 +7,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     task::JoinSet,
-    time::{sleep, timeout, timeout_at},
+    time::{sleep, sleep_until, timeout, timeout_at},
 };
 
 use winch_platform::table::Table;
@@ -17,9 +17,11 @@
     settings::Settings, store::Access, watch,
 };
 
-/// Time after the stop signal during which new connections are still accepted, so
-/// that the platform's load balancer stops using the daemon first.
+/// Time without a new connection, from the stop signal on, after which the platform's load balancer
+/// is taken to use the daemon no more.
 const STOP_ACCEPT_TIME: Duration = Duration::from_millis(3_000);
+/// The same time for a daemon that has had [`STOP_ACCEPT_TIME`] and serves no request any more.
+const DRAINED_ACCEPT_TIME: Duration = Duration::from_millis(500);
 /// Time before the end of the stop grace period at which what still runs gets its final reply.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 /// Longest time that the final replies take.
@@ -114,8 +116,9 @@
     node.stop(stop_deadline);
     emit!(Event::Stopping, open = connections.len());
     let mut accepted_at = Instant::now();
-    let accepting = accept_late(&node, &sockets.callers, &mut connections, &mut accepted_at);
-    let _ = timeout_at(stop_deadline.min(Instant::now() + STOP_ACCEPT_TIME), accepting).await;
+    let accepting =
+        accept_until_unused(&node, &sockets.callers, &mut connections, &mut accepted_at);
+    let _ = timeout_at(stop_deadline, accepting).await;
     let queued = close_listener(&node, sockets.callers, &mut connections);
     emit!(
         Event::ListenerClosed,
@@ -157,15 +160,30 @@
     }
 }
 
-/// Accepts connections during a stop; `accepted_at` is when the last one came.
-async fn accept_late<P: Protocol>(
+/// Accepts connections during a stop until the load balancer has left, which shows in that no more
+/// come; `accepted_at` is when the last one came, or the stop began.
+///
+/// A load balancer that has too few other daemons goes on to use this one. A listener that is
+/// closed then resets the connections that are just being established, with their requests.
+async fn accept_until_unused<P: Protocol>(
     node: &Arc<Node<P>>,
     listener: &TcpListener,
     connections: &mut JoinSet<()>,
     accepted_at: &mut Instant,
 ) {
+    let earliest = *accepted_at + STOP_ACCEPT_TIME;
     loop {
-        let stream = listen::accept(listener).await;
+        let unused_at = *accepted_at + STOP_ACCEPT_TIME;
+        let drained_at = earliest.max(*accepted_at + DRAINED_ACCEPT_TIME);
+        let drained = async {
+            join_all(node, connections).await;
+            sleep_until(drained_at).await;
+        };
+        let stream = tokio::select! {
+            stream = listen::accept(listener) => stream,
+            () = sleep_until(unused_at) => return,
+            () = drained => return,
+        };
         *accepted_at = Instant::now();
         serve_caller(node, stream, connections);
     }
