--- a/crates/winch-relay/src/node/stopping.rs
+++ b/crates/winch-relay/src/node/stopping.rs
@@ -2,6 +2,11 @@
 
 use crate::prelude::*;
 
+/// Time after the stop signal during which a stopping daemon takes streams. Whoever is sent here later
+/// comes from a load balancer that does not leave, and would be cut by the end of the grace
+/// period if the stream lasted longer than expected.
+const STREAM_ACCEPT_TIME: Duration = Duration::from_millis(2_500);
+
 /// Stage of a daemon's life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Stage {
@@ -9,6 +14,8 @@
     Running,
     /// It finishes what it has taken.
     Stopping {
+        /// When the stop was requested.
+        since: Instant,
         /// When the grace period is over.
         deadline: Instant,
     },
@@ -24,7 +31,15 @@
 
     /// Requests a graceful stop, whose grace period is over at `deadline`.
     pub fn stop(&self, deadline: Instant) {
-        self.stage.send_replace(Stage::Stopping { deadline });
+        self.stage.send_replace(Stage::Stopping { since: Instant::now(), deadline });
+    }
+
+    /// Time since a stop was requested; `None` if none was, or its grace period is over.
+    pub fn stopping_time(&self) -> Option<Duration> {
+        match *self.stage.borrow() {
+            Stage::Stopping { since, .. } => Some(since.elapsed()),
+            Stage::Running | Stage::Ending => None,
+        }
     }
 
     /// Ends the grace period of a stop.
@@ -37,7 +52,21 @@
     pub fn stops_before(&self, deadline: Instant) -> bool {
         match *self.stage.borrow() {
             Stage::Running => false,
-            Stage::Stopping { deadline: end } => end < deadline,
+            Stage::Stopping { deadline: end, .. } => end < deadline,
+            Stage::Ending => true,
+        }
+    }
+
+    /// Whether the daemon stops too early to take a new stream that is expected to last for
+    /// `run_time`; one of unknown length always outlasts it.
+    pub fn stops_before_stream(&self, run_time: Option<Duration>) -> bool {
+        match *self.stage.borrow() {
+            Stage::Running => false,
+            Stage::Stopping { since, deadline } => {
+                let left = deadline.saturating_duration_since(Instant::now());
+                let outlasts = run_time.is_none_or(|run_time| run_time > left);
+                outlasts || since.elapsed() > STREAM_ACCEPT_TIME
+            }
             Stage::Ending => true,
         }
     }
