--- a/crates/winch-relay/src/edge/admission.rs
+++ b/crates/winch-relay/src/edge/admission.rs
@@ -24,6 +24,7 @@
 /// What the configuration assigns to a request.
 pub(super) struct Admitted {
     route: Arc<Route>,
+    version: u64,
     service: Name,
     team: Option<Arc<Team>>,
     priority: Priority,
@@ -36,12 +37,13 @@
     /// The job that carries the request out; messages pass through this daemon within
     /// `passing_time`.
     pub(super) fn into_job(self, call: Call, origin: Origin, passing_time: Duration) -> Job {
-        let Self { route, service, team, priority, cohort, shared_parts, is_trial } = self;
+        let Self { route, version, service, team, priority, cohort, shared_parts, is_trial } = self;
         let is_forwarded = matches!(origin, Origin::Daemon { .. });
         let reply_deadline = call.reply_deadline(route.timeout, passing_time);
         Job {
             call,
             route,
+            version,
             service,
             team,
             priority,
@@ -86,7 +88,8 @@
     node.catalog().record_demand(&service, Instant::now());
     let cohort = node.draw_cohort(&service);
     let priority = config.priority(&service, &route, team.as_deref());
-    Ok(Admitted { route, service, team, priority, cohort, shared_parts, is_trial })
+    let version = config.version;
+    Ok(Admitted { route, version, service, team, priority, cohort, shared_parts, is_trial })
 }
 
 /// Checks that no part of a prompt is quarantined; true if one is, and the request is its trial.
--- a/crates/winch-relay/src/edge/request.rs
+++ b/crates/winch-relay/src/edge/request.rs
@@ -201,6 +201,7 @@
         event,
         request = job.call.label(),
         route = job.route.name,
+        version = job.version,
         service = job.service,
         result = result,
         cut = is_cut,
@@ -210,6 +211,7 @@
             trace.first_event.map_or("-".to_owned(), |time| time.as_millis().to_string()),
         longest_gap_ms = trace.longest_gap.as_millis(),
         limit_ms = job.call.timeout.map_or("-".to_owned(), |time| time.as_millis().to_string()),
+        timeout_ms = job.route.timeout.as_millis(),
         taken_ms = job.call.received_at.elapsed().as_millis()
     );
 }
--- a/crates/winch-relay/src/job.rs
+++ b/crates/winch-relay/src/job.rs
@@ -22,6 +22,8 @@
     pub call: Call,
     /// The route that matched it.
     pub route: Arc<Route>,
+    /// Version of the configuration that admitted the request.
+    pub version: u64,
     /// Service drawn from the route's shares.
     pub service: Name,
     /// The caller's team.
