--- a/crates/winch-relay/src/job.rs
+++ b/crates/winch-relay/src/job.rs
@@ -1,7 +1,10 @@
 //! A request while the daemon handles it: its route and service, its deadlines, its
 //! attempts and its outcome.
 
+use std::{future::Future, pin::pin};
+
 use bytes::Bytes;
+use tokio::time::timeout_at;
 use winch_http::head::Reply;
 use winch_move::evidence::Cohort;
 use winch_route::{quarantine::Part, suspect::Fingerprint};
@@ -44,9 +47,32 @@
 }
 
 impl Job {
-    /// When the request ends: the earlier of the caller's deadline and the route's.
-    pub fn deadline(&self) -> Instant {
-        self.call.deadline(self.route.timeout)
+    /// When an answer that has begun ends: at the earlier of the caller's deadline and the route's.
+    ///
+    /// The route's timeout is that of the version which admitted the request, or of the one now in
+    /// force if that allows more time: its caller cannot know which of the two holds.
+    pub fn deadline<P: Protocol>(&self, node: &Node<P>) -> Instant {
+        let config = node.config();
+        let route = config.as_ref().and_then(|c| c.route(&self.call.host, self.call.path()));
+        let current = route.map_or(Duration::ZERO, |route| route.timeout);
+        self.call.deadline(current.max(self.route.timeout))
+    }
+
+    /// Runs `work` on an answer until it completes; `None` if the answer's deadline passes before,
+    /// which may be prolonged meanwhile.
+    pub async fn until_deadline<P: Protocol, T>(
+        &self,
+        node: &Node<P>,
+        work: impl Future<Output = T>,
+    ) -> Option<T> {
+        let mut work = pin!(work);
+        loop {
+            let deadline = self.deadline(node);
+            let completed = timeout_at(deadline, work.as_mut()).await.ok();
+            if completed.is_some() || self.deadline(node) <= deadline {
+                return completed;
+            }
+        }
     }
 
     /// The key under which strikes against the request are counted.
@@ -59,10 +85,14 @@
         self.call.timeout.map(|_| self.reply_deadline.saturating_duration_since(now))
     }
 
+    /// The caller's own deadline; `None` if the caller set none.
+    pub fn caller_deadline(&self) -> Option<Instant> {
+        self.call.timeout.map(|timeout| self.call.received_at + timeout)
+    }
+
     /// Time left until the caller's own deadline; `None` if the caller set none.
     pub fn time_to_deadline(&self, now: Instant) -> Option<Duration> {
-        let deadline = self.call.received_at + self.call.timeout?;
-        Some(deadline.saturating_duration_since(now))
+        Some(self.caller_deadline()?.saturating_duration_since(now))
     }
 }
 
--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -16,10 +16,7 @@
 mod survey;
 mod target;
 
-use tokio::{
-    io::AsyncWrite,
-    time::{sleep, timeout_at},
-};
+use tokio::{io::AsyncWrite, time::sleep};
 use winch_http::head::Reply;
 use winch_route::suspect::Disposition;
 
@@ -185,12 +182,12 @@
 
 impl<P: Protocol, W: AsyncWrite + Unpin> Session<'_, P, W> {
     async fn run(&mut self) -> Outcome {
-        let deadline = self.job.deadline();
+        let (node, job) = (self.node, self.job);
         let mut code = Code::NoReplica;
         while self.trace.sends < self.job.route.max_attempts
             && self.connect_failures < MAX_CONNECT_FAILURES
         {
-            if Instant::now() >= deadline {
+            if Instant::now() >= job.deadline(node) {
                 return self.give_up(Code::TimedOut);
             }
             if self.job.needs_forwarding(self.node, self.trace)
@@ -202,10 +199,10 @@
                 code = Code::NoBudget;
                 break;
             }
-            let target = match timeout_at(deadline, self.choose_target()).await {
-                Err(_) => return self.give_up(Code::TimedOut),
-                Ok(Choice::Refused(outcome)) => return outcome,
-                Ok(Choice::Target(target)) => target,
+            let target = match job.until_deadline(node, self.choose_target()).await {
+                None => return self.give_up(Code::TimedOut),
+                Some(Choice::Refused(outcome)) => return outcome,
+                Some(Choice::Target(target)) => target,
             };
             let Some(mut target) = target else {
                 if self.job.needs_forwarding(self.node, self.trace) {
@@ -228,7 +225,7 @@
                 code = Code::NoBudget;
                 break;
             }
-            let attempt = timeout_at(deadline, self.attempt(&mut target)).await;
+            let attempt = job.until_deadline(node, self.attempt(&mut target)).await;
             // The stream may have moved.
             let replica = target.replica.clone();
             match attempt.unwrap_or(Attempt::TimedOut) {
@@ -327,7 +324,8 @@
             return true;
         }
         while !self.take_retry() {
-            if Instant::now() + RETRY_INTERVAL >= self.job.deadline() || !self.may_wait() {
+            let deadline = self.job.deadline(self.node);
+            if Instant::now() + RETRY_INTERVAL >= deadline || !self.may_wait() {
                 return false;
             }
             sleep(RETRY_INTERVAL).await;
--- a/crates/winch-relay/src/stream/passing.rs
+++ b/crates/winch-relay/src/stream/passing.rs
@@ -3,10 +3,7 @@
 use std::net::SocketAddr;
 
 use http::StatusCode;
-use tokio::{
-    io::AsyncWrite,
-    time::{sleep_until, timeout_at},
-};
+use tokio::{io::AsyncWrite, time::sleep_until};
 use winch_http::{client::Connection, head::Reply};
 
 use super::{
@@ -54,7 +51,7 @@
             }
             let ask_at = Instant::now() + backoff;
             let may_ask = self.trace.sends < self.job.route.max_attempts
-                && ask_at < self.job.deadline()
+                && ask_at < self.job.deadline(self.node)
                 && !forward::candidates(self.node).is_empty()
                 && self.node.is_isolated(&self.job.service);
             if !self.has_begun() || !may_ask {
@@ -67,14 +64,14 @@
 
     /// Asks several daemons, one after the other, to take the stream; `None` if none takes it.
     async fn forward_once(&mut self) -> Option<Outcome> {
-        let deadline = self.job.deadline();
+        let (node, job) = (self.node, self.job);
         for daemon in forward::candidates(self.node) {
             if self.trace.sends >= self.job.route.max_attempts {
                 break;
             }
-            let forwarded = timeout_at(deadline, self.forward_to(daemon)).await;
+            let forwarded = job.until_deadline(node, self.forward_to(daemon)).await;
             self.trace.pending = None;
-            let Ok(forwarded) = forwarded else {
+            let Some(forwarded) = forwarded else {
                 self.trace.may_have_run = true;
                 return Some(self.give_up(Code::TimedOut));
             };
@@ -97,8 +94,7 @@
         self.trace.steps.push(format!("{daemon}:asked"));
         self.trace.pending = Some(daemon.to_string());
         let (node, job, sends) = (self.node, self.job, self.trace.sends);
-        // The edge sees to it that a stream which has not begun gets its reply earlier.
-        let deadline = job.deadline();
+        let deadline = self.forwarded_deadline();
         match forward::send(node, job, sends, self.last_event, deadline, daemon).await {
             Reached::NotTaken => Forwarded::NotTaken,
             Reached::Broken => Forwarded::Broken,
@@ -116,6 +112,15 @@
         }
     }
 
+    /// The deadline that another daemon is told.
+    fn forwarded_deadline(&self) -> Instant {
+        // The edge sees to it that a stream which has not begun gets its reply earlier.
+        let admitted = self.job.call.deadline(self.job.route.timeout);
+        // This daemon ends a stream that has begun, since only it knows whether it is prolonged.
+        let own = self.job.caller_deadline().filter(|_| self.has_begun());
+        own.unwrap_or(admitted)
+    }
+
     /// Whether the reply to the caller has begun, so that an error can no longer take its place.
     fn has_begun(&self) -> bool {
         self.out.progress() != Progress::Waiting
--- a/crates/winch-relay/src/stream/target.rs
+++ b/crates/winch-relay/src/stream/target.rs
@@ -186,7 +186,7 @@
     /// Whether the next send goes only to a replica that can start the stream at once: it is the last
     /// one of a stream that has begun, and half of the time since its last event is left.
     fn must_start(&self) -> bool {
-        let (now, deadline) = (Instant::now(), self.job.deadline());
+        let (now, deadline) = (Instant::now(), self.job.deadline(self.node));
         self.has_forwarded
             && self.trace.sends + 1 >= self.job.route.max_attempts
             && now - self.last_event_at < deadline.saturating_duration_since(now)
