--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -4,7 +4,8 @@
 //! [`relay`] takes an admitted request, writes the events to the caller's connection and
 //! returns the outcome. `target` chooses the replica of each attempt among those that `survey` has
 //! asked for their load; `attempt` starts the stream there (`start`, with one `sending` at each
-//! replica) and forwards the events, `liveness` decides when it leaves a replica that sends none, and
+//! replica) and forwards the events, `liveness` decides when it leaves a replica that sends none, `retry`
+//! when and how often others are asked, and
 //! `handover` moves a stream that has begun without giving up what it has.
 
 pub(crate) mod admission;
@@ -12,17 +13,14 @@
 mod handover;
 mod liveness;
 mod passing;
+mod retry;
 mod run;
 mod sending;
 mod start;
 mod survey;
 mod target;
 
-use rand::Rng;
-use tokio::{
-    io::AsyncWrite,
-    time::{sleep, sleep_until},
-};
+use tokio::io::AsyncWrite;
 use winch_http::head::Reply;
 use winch_route::suspect::Disposition;
 
@@ -44,18 +42,6 @@
 /// separately because they do not count as sends.
 const MAX_CONNECT_FAILURES: u32 = 6;
 
-/// Interval at which a stream that has begun asks again for a retry.
-const RETRY_INTERVAL: Duration = Duration::from_millis(50);
-
-/// Time after the first refusal in a row at which a stream that has begun asks again; it doubles up
-/// to [`REFUSAL_BACKOFF_MAX`].
-const REFUSAL_BACKOFF_MIN: Duration = Duration::from_millis(50);
-/// Longest time after a refusal at which a stream that has begun asks again.
-const REFUSAL_BACKOFF_MAX: Duration = Duration::from_secs(1);
-/// Relative deviation of these times, so that streams which were refused together do not return
-/// together.
-const REFUSAL_JITTER: f64 = 0.2;
-
 /// How one attempt at a replica ended.
 enum Attempt {
     /// The stream is complete.
@@ -340,81 +326,6 @@
         self.give_up(code)
     }
 
-    /// Number of sends that count against the route's limit. A replica that refuses a stream does not
-    /// run it, so refusals do not use up the sends of one that has begun: its caller would lose what
-    /// it has. Retries and the time between refusals limit these.
-    fn counted_sends(&self) -> u32 {
-        let uncounted = if self.has_forwarded { self.refusals } else { 0 };
-        self.trace.sends - uncounted
-    }
-
-    /// Records that `target` has refused the stream.
-    fn record_refusal(&mut self, target: &Target, is_full: bool) {
-        self.refusals += 1;
-        self.refusals_in_row += 1;
-        self.trace.record(&target.replica, "refused");
-        counter::retried("refused");
-        if is_full {
-            self.node.catalog().record_full(target.key, Instant::now());
-        }
-    }
-
-    /// Waits before a stream that has begun, and was refused, asks another replica; at most until
-    /// its deadline. Other requests ask at once, since they have few sends.
-    async fn wait_after_refusal(&self) {
-        if !self.has_forwarded {
-            return;
-        }
-        let doublings = self.refusals_in_row.saturating_sub(1).min(8);
-        let backoff = (REFUSAL_BACKOFF_MIN * 2_u32.pow(doublings)).min(REFUSAL_BACKOFF_MAX);
-        let jitter = self.node.rng().random_range(1.0 - REFUSAL_JITTER..1.0 + REFUSAL_JITTER);
-        let ask_at = Instant::now() + backoff.mul_f64(jitter);
-        sleep_until(ask_at.min(self.job.deadline(self.node))).await;
-    }
-
-    /// Waits until the next send of a stream that has begun has a retry, at most until its deadline
-    /// and while this daemon reaches its service; `false` if there is none. Other requests take
-    /// theirs once they have a target.
-    async fn wait_for_retry(&mut self) -> bool {
-        if !self.has_forwarded || self.trace.sends == 0 {
-            return true;
-        }
-        while !self.take_retry() {
-            let deadline = self.job.deadline(self.node);
-            if Instant::now() + RETRY_INTERVAL >= deadline || !self.may_wait() {
-                return false;
-            }
-            sleep(RETRY_INTERVAL).await;
-        }
-        true
-    }
-
-    /// Takes a retry for the next send, unless one is held; `false` if the budget is exhausted.
-    fn take_retry(&mut self) -> bool {
-        self.holds_retry = self.holds_retry || self.spend_retry();
-        self.holds_retry
-    }
-
-    /// Whether the stream waits for a replica although there is none now: it has begun, and this
-    /// daemon reaches replicas of its service.
-    fn may_wait(&self) -> bool {
-        self.has_forwarded && !self.node.is_isolated(&self.job.service)
-    }
-
-    /// Takes one retry from the budget of the service; `false` if the budget is exhausted.
-    fn spend_retry(&self) -> bool {
-        if self.has_forwarded {
-            self.node.spend_retry(&self.job.service)
-        } else {
-            self.node.spend_restart(&self.job.service)
-        }
-    }
-
-    /// Whether the budget of the service has a retry left for this stream.
-    fn has_retry(&self) -> bool {
-        self.node.has_retry(&self.job.service, self.has_forwarded)
-    }
-
     /// Whether a part of the prompt was quarantined since the request was admitted.
     fn is_quarantined(&self) -> bool {
         let is_trial = self.job.is_trial && self.trace.sends == 0;
