--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -4,9 +4,9 @@
 //! [`relay`] takes an admitted request, writes the events to the caller's connection and
 //! returns the outcome. `target` chooses the replica of each attempt among those that `survey` has
 //! asked for their load; `attempt` starts the stream there (`start`, with one `sending` at each
-//! replica) and forwards the events, `liveness` decides when it leaves a replica that sends none, `retry`
-//! when and how often others are asked, and
-//! `handover` moves a stream that has begun without giving up what it has.
+//! replica) and forwards the events, `liveness` decides when it leaves a replica that sends none,
+//! `retry` when and how often others are asked, and `handover` moves a stream that has begun
+//! without giving up what it has.
 
 pub(crate) mod admission;
 mod attempt;
