stream: a request whose second replica broke off may have run

Callers saw 503 (609, "not_run": true) for a stream that its second replica had run and broken off, when the first one refused it afterwards: the race of stream/start.rs recorded the failure, but not that it may have run.

--- a/crates/winch-relay/src/stream/start.rs
+++ b/crates/winch-relay/src/stream/start.rs
@@ -71,6 +71,7 @@
                     return Ok(started);
                 }
                 Race::Other(Err(attempt)) => {
+                    self.trace.may_have_run |= !matches!(attempt, Attempt::Refused { .. });
                     self.record_failure(&other, attempt);
                     self.trace.expect(&target.replica);
                     continue;
