winch-relay: a late daemon keeps a lookup when the next one fails

Callers saw 500 although a late daemon was due to answer in time: only refusals of the next daemon fell back to it. Now its errors and error replies do, too; they count if no daemon answers. An order asks one daemon whatever its timer says. late_hop_outlasts_failure failed on (500 for 200).

--- a/crates/winch-relay/src/forward.rs
+++ b/crates/winch-relay/src/forward.rs
@@ -243,7 +243,7 @@
             biased;
             Some(ended) = asked.next() => ended,
             () = sleep_until(wake_at) => {
-                if Instant::now() >= job.reply_deadline {
+                if !may_repeat || Instant::now() >= job.reply_deadline {
                     trace.interrupt("timed out");
                     return Some(Outcome::Error(Code::TimedOut));
                 }
@@ -261,6 +261,18 @@
             Asked::Ended(Outcome::Error(reason)) if may_repeat && is_refusal(reason) => {
                 code = code.or(Some(reason));
             }
+            // A late daemon may still answer.
+            Asked::Ended(Outcome::Error(reason)) if may_repeat && !asked.is_empty() => {
+                trace.may_have_run |= reason.may_have_run();
+                code = code.or(Some(reason));
+            }
+            Asked::Ended(Outcome::Answer { reply, body })
+                if may_repeat && !asked.is_empty() && reply.status.is_server_error() =>
+            {
+                trace.may_have_run = true;
+                trace.error_reply = Some((reply, body));
+                code = code.or(Some(Code::Broken));
+            }
             // The other daemon does not know of attempts that were made here.
             Asked::Ended(Outcome::Error(reason)) if !reason.may_have_run() => {
                 return Some(trace.error(reason));
--- a/crates/winch-relay/src/unary.rs
+++ b/crates/winch-relay/src/unary.rs
@@ -300,6 +300,7 @@
         if self.trace.error_reply.is_none()
             && forward::is_last_resort(self.node, self.job, self.trace).await
             && let Some(outcome) = forward::relay(self.node, self.job, self.trace).await
+            && let Some(outcome) = self.forwarded(outcome)
         {
             return outcome;
         }
