stream: a prolonged stream that is passed on without a deadline of its caller runs on

It is told the deadline that holds now. prolonged_without_deadline failed on (unexpected end of file).

--- a/crates/winch-relay/src/stream/passing.rs
+++ b/crates/winch-relay/src/stream/passing.rs
@@ -115,10 +115,11 @@
     /// The deadline that another daemon is told.
     fn forwarded_deadline(&self) -> Instant {
         // The edge sees to it that a stream which has not begun gets its reply earlier.
-        let admitted = self.job.call.deadline(self.job.route.timeout);
+        if !self.has_begun() {
+            return self.job.call.deadline(self.job.route.timeout);
+        }
         // This daemon ends a stream that has begun, since only it knows whether it is prolonged.
-        let own = self.job.caller_deadline().filter(|_| self.has_begun());
-        own.unwrap_or(admitted)
+        self.job.caller_deadline().unwrap_or_else(|| self.job.deadline(self.node))
     }
 
     /// Whether the reply to the caller has begun, so that an error can no longer take its place.
