--- a/crates/winch-relay/src/edge/request.rs
+++ b/crates/winch-relay/src/edge/request.rs
@@ -163,18 +163,11 @@
     if node.is_stopping() {
         out.close_after();
     }
-    let (result, failed) = match &outcome {
-        Outcome::Answer { reply, .. } => (reply.status.as_str(), !reply.status.is_success()),
-        Outcome::Error(code) | Outcome::Shed { code, .. } | Outcome::Aborted(code) => {
-            (code.name(), true)
-        }
-        Outcome::Streamed => ("200", false),
-        Outcome::CallerGone => ("caller_gone", false),
-    };
     if let Outcome::Aborted(code) = &outcome {
         counter::cut(*code);
     }
-    log_ended(job, result, trace, failed, matches!(outcome, Outcome::Aborted(_)));
+    let failed = outcome.is_failed();
+    log_ended(job, &outcome, trace);
     if !failed && !node.strikes().is_empty() {
         node.strikes().record_completion(job.fingerprint());
     }
@@ -200,17 +193,19 @@
     };
 }
 
-/// Logs the end of a request; `is_cut` if its answer had begun and this daemon broke it off.
-fn log_ended(job: &Job, result: &str, trace: &Trace, failed: bool, is_cut: bool) {
-    let event = if failed { Event::RequestFailed } else { Event::RequestEnded };
+/// Logs the end of a request.
+fn log_ended(job: &Job, outcome: &Outcome, trace: &Trace) {
+    let event = if outcome.is_failed() { Event::RequestFailed } else { Event::RequestEnded };
     emit!(
         event,
         request = job.call.label(),
         route = job.route.name,
         version = job.version,
         service = job.service,
-        result = result,
-        cut = is_cut,
+        result = outcome.result(),
+        cut = matches!(outcome, Outcome::Aborted(_)),
+        forwarded = job.is_forwarded,
+        may_have_run = trace.may_have_run,
         sends = trace.sends,
         steps = trace.steps.join(" "),
         first_event_ms =
--- a/crates/winch-relay/src/forward.rs
+++ b/crates/winch-relay/src/forward.rs
@@ -47,6 +47,8 @@
 const ROOM_PER_OWN: usize = 3;
 /// Share of the time left after which another daemon is asked for a lookup.
 const MAX_ATTEMPT_SHARE: f64 = 0.5;
+/// Result of a daemon whose connection broke.
+pub(crate) const BROKEN: &str = "connection broken";
 /// Largest body of a reply.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 
@@ -127,12 +129,24 @@
     Reply(Reply, Box<Connection>),
     /// The daemon ended the request with this code.
     Error(Code),
-    /// The daemon did not take the request, which has not run.
-    NotTaken,
+    /// The daemon did not take the request, which has not run, for this reason.
+    NotTaken(&'static str),
     /// The connection broke after the request was sent; it may have run.
     Broken,
 }
 
+impl Reached {
+    /// What the daemon answered, as the log names it.
+    pub fn result(&self) -> String {
+        match self {
+            Self::Reply(reply, _) => reply.status.as_u16().to_string(),
+            Self::Error(code) => code.name().to_owned(),
+            Self::NotTaken(reason) => (*reason).to_owned(),
+            Self::Broken => BROKEN.to_owned(),
+        }
+    }
+}
+
 /// The daemons to ask in turn, in random order; those that refused lately come last.
 pub fn candidates<P: Protocol>(node: &Node<P>) -> Vec<SocketAddr> {
     let mut daemons = node.fleet().relays().to_vec();
@@ -162,7 +176,7 @@
     let Ok(Ok(mut connection)) = opened else {
         node.running.avoid(daemon);
         counter::forwarded("unreachable");
-        return Reached::NotTaken;
+        return Reached::NotTaken("unreachable");
     };
     let time_left = deadline.saturating_duration_since(Instant::now());
     let request = node.protocol.encode_forwarded(&job.call, time_left, after_event);
@@ -178,13 +192,13 @@
             counter::forwarded("taken");
             Reached::Reply(reply, Box::new(connection))
         }
-        Some(Code::NoConfig | Code::NoReplica | Code::Stopping | Code::Busy) => {
+        Some(code @ (Code::NoConfig | Code::NoReplica | Code::Stopping | Code::Busy)) => {
             node.running.avoid(daemon);
             counter::forwarded("refused");
-            Reached::NotTaken
+            Reached::NotTaken(code.name())
         }
         Some(code) => {
-            counter::forwarded("failed");
+            counter::forwarded(if code.may_have_run() { "failed" } else { "not_run" });
             Reached::Error(code)
         }
     }
@@ -254,7 +268,7 @@
                 continue;
             }
         };
-        trace.record_end(&daemon.to_string(), "asked");
+        trace.record_end(&daemon.to_string(), end.result());
         let is_last = last.is_some_and(|(last, _)| last == daemon);
         last = last.filter(|_| !is_last);
         match end {
@@ -278,7 +292,7 @@
                 return Some(trace.error(reason));
             }
             Asked::Ended(outcome) => return Some(outcome),
-            Asked::NotTaken => continue,
+            Asked::NotTaken(_) => continue,
             Asked::Broken => {
                 trace.may_have_run = true;
                 code = Some(Code::Broken);
@@ -308,13 +322,25 @@
 /// How asking one daemon ended.
 enum Asked {
     Ended(Outcome),
-    NotTaken,
+    /// For this reason.
+    NotTaken(&'static str),
     Broken,
 }
 
+impl Asked {
+    /// What the daemon answered, as the log names it.
+    fn result(&self) -> String {
+        match self {
+            Self::Ended(outcome) => outcome.result().to_owned(),
+            Self::NotTaken(reason) => (*reason).to_owned(),
+            Self::Broken => BROKEN.to_owned(),
+        }
+    }
+}
+
 async fn ask<P: Protocol>(node: &Node<P>, job: &Job, sends: u32, daemon: SocketAddr) -> Asked {
     match send(node, job, sends, None, job.reply_deadline, daemon).await {
-        Reached::NotTaken => Asked::NotTaken,
+        Reached::NotTaken(reason) => Asked::NotTaken(reason),
         Reached::Broken => Asked::Broken,
         Reached::Error(code) => Asked::Ended(Outcome::Error(code)),
         Reached::Reply(reply, mut connection) => {
--- a/crates/winch-relay/src/job.rs
+++ b/crates/winch-relay/src/job.rs
@@ -124,6 +124,27 @@
     CallerGone,
 }
 
+impl Outcome {
+    /// The outcome as the log names it: the status of a reply, or the code's name.
+    pub fn result(&self) -> &str {
+        match self {
+            Self::Answer { reply, .. } => reply.status.as_str(),
+            Self::Error(code) | Self::Shed { code, .. } | Self::Aborted(code) => code.name(),
+            Self::Streamed => "200",
+            Self::CallerGone => "caller_gone",
+        }
+    }
+
+    /// Whether the caller gets no answer of a replica that is a success.
+    pub fn is_failed(&self) -> bool {
+        match self {
+            Self::Answer { reply, .. } => !reply.status.is_success(),
+            Self::Error(_) | Self::Shed { .. } | Self::Aborted(_) => true,
+            Self::Streamed | Self::CallerGone => false,
+        }
+    }
+}
+
 /// What a request was doing when it was interrupted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
--- a/crates/winch-relay/src/stream/passing.rs
+++ b/crates/winch-relay/src/stream/passing.rs
@@ -37,6 +37,17 @@
     Broken,
 }
 
+impl Forwarded {
+    /// How the stream ended, as the log names it.
+    fn result(&self) -> &str {
+        match self {
+            Self::Ended(outcome) => outcome.result(),
+            Self::NotTaken => "not taken",
+            Self::Broken => forward::BROKEN,
+        }
+    }
+}
+
 impl<P: Protocol, W: AsyncWrite + Unpin> Session<'_, P, W> {
     /// Passes the stream on to other daemons; `None` if none takes it.
     ///
@@ -71,12 +82,9 @@
             }
             let forwarded = job.until_deadline(node, self.forward_to(daemon)).await;
             let Some(forwarded) = forwarded else {
-                self.trace.record_phase();
-                self.trace.pending = None;
-                self.trace.may_have_run = true;
+                self.trace.interrupt("deadline exceeded");
                 return Some(self.give_up(Code::TimedOut));
             };
-            self.trace.pending = None;
             match forwarded {
                 Forwarded::Ended(outcome) => return Some(outcome),
                 Forwarded::NotTaken => {}
@@ -93,13 +101,26 @@
     }
 
     async fn forward_to(&mut self, daemon: SocketAddr) -> Forwarded {
-        self.trace.steps.push(format!("{daemon}:asked"));
         self.trace.pending = Some(daemon.to_string());
         self.trace.begin_run();
         let (node, job, sends) = (self.node, self.job, self.counted_sends());
         let deadline = self.forwarded_deadline();
-        match forward::send(node, job, sends, self.last_event, deadline, daemon).await {
-            Reached::NotTaken => Forwarded::NotTaken,
+        let reached = forward::send(node, job, sends, self.last_event, deadline, daemon).await;
+        let is_reply = matches!(reached, Reached::Reply(..));
+        if !is_reply {
+            self.trace.record_end(&daemon.to_string(), reached.result());
+        }
+        let forwarded = self.take_reached(reached).await;
+        if is_reply {
+            self.trace.record_end(&daemon.to_string(), forwarded.result());
+        }
+        forwarded
+    }
+
+    /// Takes what another daemon answered.
+    async fn take_reached(&mut self, reached: Reached) -> Forwarded {
+        match reached {
+            Reached::NotTaken(_) => Forwarded::NotTaken,
             Reached::Broken => Forwarded::Broken,
             // It has not run, and another daemon may reach a replica that goes on with it.
             Reached::Error(Code::Refused | Code::NoBudget | Code::Limited | Code::Overloaded)
