--- a/crates/winch-relay/src/counter.rs
+++ b/crates/winch-relay/src/counter.rs
@@ -2,7 +2,7 @@
 
 use metrics::{counter, gauge, histogram};
 
-use crate::{controller::State, job::Phase, prelude::*};
+use crate::{controller::State, prelude::*, trace::Phase};
 
 /// Counts a request that ended and records its duration. The kind is `lookup`, `order` or
 /// `stream`, the outcome `served` or `failed`.
--- a/crates/winch-relay/src/edge/request.rs
+++ b/crates/winch-relay/src/edge/request.rs
@@ -14,11 +14,13 @@
     call::reply_time,
     config::Semantics,
     counter,
-    job::{Job, Outcome, Phase, Trace},
+    job::{Job, Outcome},
     node::Node,
     prelude::*,
     respond::{Begun, Progress, Responder},
-    stream, unary,
+    stream,
+    trace::{Phase, Trace},
+    unary,
 };
 
 /// A request that was read completely.
@@ -78,6 +80,7 @@
     if matches!(outcome, Outcome::CallerGone) {
         trace.interrupt("caller gone");
     }
+    let outcome = trace.conclude(outcome);
     if matches!(job.route.semantics, Semantics::Stream { .. }) {
         stream::record_time(node, &job, &outcome);
     }
@@ -128,7 +131,7 @@
         }
         match trace.error_reply.take() {
             Some((reply, body)) => Outcome::Answer { reply, body },
-            None => trace.error(code),
+            None => Outcome::Error(code),
         }
     }
 }
@@ -205,7 +208,7 @@
         result = outcome.result(),
         cut = matches!(outcome, Outcome::Aborted(_)),
         forwarded = job.is_forwarded,
-        may_have_run = trace.may_have_run,
+        may_have_run = trace.may_have_run(),
         sends = trace.sends,
         steps = trace.steps.join(" "),
         first_event_ms =
--- a/crates/winch-relay/src/forward.rs
+++ b/crates/winch-relay/src/forward.rs
@@ -21,12 +21,14 @@
 
 use crate::{
     counter,
+    delivery::Deliveries,
     exchange::{CallReply, ForwardedReply},
-    job::{Job, Outcome, Trace},
+    job::{Job, Outcome},
     memory,
     node::Node,
     peer,
     prelude::*,
+    trace::Trace,
 };
 
 /// Header of a reply to a forwarded request that the daemon itself made: its result code.
@@ -163,10 +165,11 @@
 /// Sends a request to another daemon and reads the head of the reply.
 ///
 /// `after_event` is the id of the last event that the caller has of a stream. The daemon is told
-/// that the request ends at `deadline`.
+/// that the request ends at `deadline`, and that it was sent to replicas `sends` times.
 pub async fn send<P: Protocol>(
     node: &Node<P>,
     job: &Job,
+    deliveries: &Deliveries,
     sends: u32,
     after_event: Option<u64>,
     deadline: Instant,
@@ -182,7 +185,9 @@
     let request = node.protocol.encode_forwarded(&job.call, time_left, after_event);
     let call_reply = CallReply { protocol: &node.protocol, id: job.call.id.as_ref() };
     let matcher = ForwardedReply(call_reply);
-    let Ok(reply) = connection.exchange(&job.call.method, &request, &matcher).await else {
+    let delivery = deliveries.begin();
+    let method = &job.call.method;
+    let Ok(reply) = delivery.exchange(&mut connection, method, &request, &matcher).await else {
         counter::forwarded("broken");
         return Reached::Broken;
     };
@@ -193,12 +198,18 @@
             Reached::Reply(reply, Box::new(connection))
         }
         Some(code @ (Code::NoConfig | Code::NoReplica | Code::Stopping | Code::Busy)) => {
+            delivery.not_run();
             node.running.avoid(daemon);
             counter::forwarded("refused");
             Reached::NotTaken(code.name())
         }
+        Some(code) if code.may_have_run() => {
+            counter::forwarded("failed");
+            Reached::Error(code)
+        }
         Some(code) => {
-            counter::forwarded(if code.may_have_run() { "failed" } else { "not_run" });
+            delivery.not_run();
+            counter::forwarded("not_run");
             Reached::Error(code)
         }
     }
@@ -247,10 +258,11 @@
             last = Some((daemon, late_at(job)));
             trace.pending = Some(daemon.to_string());
             let sends = trace.sends;
-            asked.push(async move { (daemon, ask(node, job, sends, daemon).await) });
+            let deliveries = trace.deliveries();
+            asked.push(async move { (daemon, ask(node, job, &deliveries, sends, daemon).await) });
         }
         if asked.is_empty() {
-            return code.map(|code| trace.error(code));
+            return code.map(Outcome::Error);
         }
         let wake_at = last.map_or(job.reply_deadline, |(_, late_at)| late_at);
         let (daemon, end) = tokio::select! {
@@ -277,24 +289,17 @@
             }
             // A late daemon may still answer.
             Asked::Ended(Outcome::Error(reason)) if may_repeat && !asked.is_empty() => {
-                trace.may_have_run |= reason.may_have_run();
                 code = code.or(Some(reason));
             }
             Asked::Ended(Outcome::Answer { reply, body })
                 if may_repeat && !asked.is_empty() && reply.status.is_server_error() =>
             {
-                trace.may_have_run = true;
                 trace.error_reply = Some((reply, body));
                 code = code.or(Some(Code::Broken));
             }
-            // The other daemon does not know of attempts that were made here.
-            Asked::Ended(Outcome::Error(reason)) if !reason.may_have_run() => {
-                return Some(trace.error(reason));
-            }
             Asked::Ended(outcome) => return Some(outcome),
             Asked::NotTaken(_) => continue,
             Asked::Broken => {
-                trace.may_have_run = true;
                 code = Some(Code::Broken);
                 if !may_repeat {
                     return Some(Outcome::Error(Code::Broken));
@@ -338,8 +343,14 @@
     }
 }
 
-async fn ask<P: Protocol>(node: &Node<P>, job: &Job, sends: u32, daemon: SocketAddr) -> Asked {
-    match send(node, job, sends, None, job.reply_deadline, daemon).await {
+async fn ask<P: Protocol>(
+    node: &Node<P>,
+    job: &Job,
+    deliveries: &Deliveries,
+    sends: u32,
+    daemon: SocketAddr,
+) -> Asked {
+    match send(node, job, deliveries, sends, None, job.reply_deadline, daemon).await {
         Reached::NotTaken(reason) => Asked::NotTaken(reason),
         Reached::Broken => Asked::Broken,
         Reached::Error(code) => Asked::Ended(Outcome::Error(code)),
--- a/crates/winch-relay/src/lib.rs
+++ b/crates/winch-relay/src/lib.rs
@@ -4,7 +4,7 @@
 //! [`catalog`] holds the known replicas, [`placement`] chooses one, [`sse`] splits
 //! streams into complete events, [`stall`] detects stalled streams, [`running_time`] judges
 //! silence, and [`moves`] holds the state of version moves. [`edge`], [`unary`] and [`stream`]
-//! carry out requests, [`probe`] requests load reports from replicas, [`copy_holder`] finds a
+//! carry out requests, [`trace`] and [`delivery`] hold what became of them, [`probe`] requests load reports from replicas, [`copy_holder`] finds a
 //! replica for a KV cache copy, and [`strikes`] detects requests that crash replicas.
 //!
 //! [`watch`] and [`peer`] keep the state of [`node`] in sync with the platform's store, and
@@ -19,6 +19,7 @@
 pub mod copy_holder;
 pub mod counter;
 pub mod daemon;
+pub mod delivery;
 pub mod edge;
 pub mod edition;
 pub mod exchange;
@@ -53,5 +54,6 @@
 pub mod store;
 pub mod stream;
 pub mod strikes;
+pub mod trace;
 pub mod unary;
 pub mod watch;
--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -28,7 +28,7 @@
     catalog::Key,
     config::Semantics,
     counter, forward,
-    job::{Job, Outcome, Trace},
+    job::{Job, Outcome},
     kv_snapshot::Refresher,
     node::Node,
     prelude::*,
@@ -36,6 +36,7 @@
     respond::{Progress, Responder},
     stall::Detector,
     strikes,
+    trace::Trace,
 };
 
 /// Number of failed connections after which a stream is given up. They are limited
@@ -275,7 +276,6 @@
                 Attempt::TimedOut => {
                     self.trace.record_phase();
                     self.trace.record(&replica, "deadline exceeded");
-                    self.trace.may_have_run = true;
                     return self.give_up(Code::TimedOut);
                 }
                 Attempt::Refused { is_full } => {
@@ -304,7 +304,6 @@
                     counter::retried("failure");
                     let is_last = self.counted_sends() >= self.job.route.max_attempts;
                     let may_repeat = self.job.route.semantics.may_repeat();
-                    self.trace.may_have_run = true;
                     code = Code::Broken;
                     if self.out.progress() == Progress::Waiting && (is_last || !may_repeat) {
                         return Outcome::Answer { reply, body };
@@ -319,7 +318,6 @@
                     self.trace.excluded.push(replica.id.clone());
                     self.node.eject(target.key, &replica, &cause);
                     self.broken_dc = Some(replica.dc.clone());
-                    self.trace.may_have_run = true;
                     counter::retried("lost");
                     if !self.job.route.semantics.may_repeat() {
                         strikes::attribute_crash_later(
@@ -336,8 +334,7 @@
                 }
             }
         }
-        let may_run = !self.trace.may_have_run || self.job.route.semantics.may_repeat();
-        if may_run
+        if self.trace.may_send(self.job.route.semantics)
             && forward::is_last_resort(self.node, self.job, self.trace).await
             && let Some(outcome) = self.forward().await
         {
@@ -371,12 +368,11 @@
 
     /// The outcome of a request that is given up because of `code`.
     ///
-    /// A stream that has started is aborted. Otherwise the caller gets an error reply whose
-    /// code states whether the request may have run.
+    /// A stream that has started is aborted. Otherwise the caller gets an error reply.
     fn give_up(&self, code: Code) -> Outcome {
         if self.out.progress() == Progress::Streaming {
             return Outcome::Aborted(code);
         }
-        self.trace.error(code)
+        Outcome::Error(code)
     }
 }
--- a/crates/winch-relay/src/stream/attempt.rs
+++ b/crates/winch-relay/src/stream/attempt.rs
@@ -27,10 +27,11 @@
             Err(error) => return Attempt::NotSent(error.to_string()),
         };
         self.holds_retry = false;
-        self.trace.send(&target.replica);
+        let delivery = self.trace.send(&target.replica);
         self.begin_run(target);
         let mut run = Run::new(self.node, target);
-        let Started { reply, source, read } = match self.start(target, &mut run, connection).await {
+        let started = self.start(target, &mut run, connection, delivery).await;
+        let Started { reply, source, read } = match started {
             Ok(started) => started,
             Err(attempt) => return attempt,
         };
--- a/crates/winch-relay/src/stream/handover.rs
+++ b/crates/winch-relay/src/stream/handover.rs
@@ -22,7 +22,7 @@
     run::{End, Read, Run, Source},
     sending::Started,
 };
-use crate::{counter, prelude::*, probe, strikes};
+use crate::{counter, delivery::Delivery, prelude::*, probe, strikes};
 
 /// Longest time for which a run is asked for at a second replica while the first one may go on.
 const MAX_OVERLAP: Duration = Duration::from_millis(300);
@@ -128,10 +128,10 @@
         };
         let Some((target, connection)) = place else { return Handover::Kept };
         watch.record_handover();
-        self.trace.send(&target.replica);
+        let delivery = self.trace.send(&target.replica);
         let run = Run::new(self.node, &target);
         let mut lost = None;
-        match self.race(&target, connection, reading, &mut lost).await {
+        match self.race(&target, connection, delivery, reading, &mut lost).await {
             Opened::Begun(source, read) => {
                 self.leave(former, lost);
                 self.trace.expect(&target.replica);
@@ -159,6 +159,7 @@
         &self,
         target: &Target,
         connection: Connection,
+        delivery: Delivery,
         mut reading: Pin<&mut Fuse<F>>,
         lost: &mut Option<String>,
     ) -> Opened
@@ -166,7 +167,7 @@
         F: Future<Output = (Source, Read)>,
     {
         let is_accepted = AtomicBool::new(false);
-        let mut opening = pin!(self.open(target, connection, &is_accepted));
+        let mut opening = pin!(self.open(target, connection, delivery, &is_accepted));
         let mut overlap = pin!(sleep(MAX_OVERLAP).fuse());
         loop {
             tokio::select! {
@@ -195,13 +196,14 @@
         &self,
         target: &Target,
         connection: Connection,
+        delivery: Delivery,
         is_accepted: &AtomicBool,
     ) -> Result<(Source, Read), Attempt> {
         let accept = || is_accepted.store(true, Ordering::Relaxed);
         let mut watch = StartWatch::default();
         tokio::select! {
             biased;
-            started = self.sending(target).start(connection, accept) => {
+            started = self.sending(target, delivery).start(connection, accept) => {
                 started.map(|Started { source, read, .. }| (source, read))
             }
             _ = self.abandoned_before_first_event(target, &mut watch) => {
@@ -263,7 +265,6 @@
         // The copy is used.
         self.take_copy();
         self.broken_dc = Some(former.replica.dc.clone());
-        self.trace.may_have_run = true;
     }
 
     /// Takes the request back from `target`; the stream stays at `former`.
--- a/crates/winch-relay/src/stream/passing.rs
+++ b/crates/winch-relay/src/stream/passing.rs
@@ -90,7 +90,6 @@
                 Forwarded::NotTaken => {}
                 Forwarded::Broken => {
                     self.trace.sends += 1;
-                    self.trace.may_have_run = true;
                     if !self.job.route.semantics.may_repeat() {
                         return Some(self.give_up(Code::Broken));
                     }
@@ -105,7 +104,9 @@
         self.trace.begin_run();
         let (node, job, sends) = (self.node, self.job, self.counted_sends());
         let deadline = self.forwarded_deadline();
-        let reached = forward::send(node, job, sends, self.last_event, deadline, daemon).await;
+        let (deliveries, last_event) = (self.trace.deliveries(), self.last_event);
+        let reached =
+            forward::send(node, job, &deliveries, sends, last_event, deadline, daemon).await;
         let is_reply = matches!(reached, Reached::Reply(..));
         if !is_reply {
             self.trace.record_end(&daemon.to_string(), reached.result());
@@ -128,10 +129,7 @@
             {
                 Forwarded::NotTaken
             }
-            Reached::Error(code) => {
-                self.trace.may_have_run |= code.may_have_run();
-                Forwarded::Ended(self.give_up(code))
-            }
+            Reached::Error(code) => Forwarded::Ended(self.give_up(code)),
             Reached::Reply(reply, connection) => self.forward_reply(reply, connection).await,
         }
     }
@@ -158,7 +156,6 @@
             }
             return self.forward_all(&mut connection).await;
         }
-        self.trace.may_have_run = true;
         if self.has_begun() {
             return Forwarded::Ended(self.give_up(Code::Broken));
         }
--- a/crates/winch-relay/src/stream/run.rs
+++ b/crates/winch-relay/src/stream/run.rs
@@ -6,6 +6,7 @@
 use super::Target;
 use crate::{
     catalog::{Entry, Key},
+    delivery::Delivery,
     job::InFlightGuard,
     memory::Reservation,
     node::Node,
@@ -40,14 +41,17 @@
 /// The connection on which the events of a run arrive. Dropping it ends the run.
 pub(super) struct Source {
     connection: Connection,
+    /// The request runs for as long as its events are read.
+    _delivery: Delivery,
     splitter: Splitter,
     reservation: Reservation,
 }
 
 impl Source {
     /// The events on `connection`, whose memory is taken from `blocks`.
-    pub(super) fn new(connection: Connection, blocks: &Arc<Semaphore>) -> Self {
-        Self { connection, splitter: Splitter::default(), reservation: Reservation::new(blocks) }
+    pub(super) fn new(connection: Connection, delivery: Delivery, blocks: &Arc<Semaphore>) -> Self {
+        let (splitter, reservation) = (Splitter::default(), Reservation::new(blocks));
+        Self { connection, _delivery: delivery, splitter, reservation }
     }
 
     /// The connection, which may be used again if the stream is complete.
@@ -58,7 +62,7 @@
     /// Reads until an event advances the stream after `last`, or the stream ends; see
     /// [`read_events()`].
     pub(super) async fn next(mut self, last: Option<u64>) -> (Self, Read) {
-        let Self { connection, splitter, reservation } = &mut self;
+        let Self { connection, splitter, reservation, .. } = &mut self;
         let read = read_events(connection, splitter, reservation, last).await;
         (self, read)
     }
--- a/crates/winch-relay/src/stream/sending.rs
+++ b/crates/winch-relay/src/stream/sending.rs
@@ -13,7 +13,8 @@
     run::{Read, Source},
 };
 use crate::{
-    exchange::CallReply, forward, job::Job, memory, node::Node, prelude::*, protocol::Dispatch,
+    delivery::Delivery, exchange::CallReply, forward, job::Job, memory, node::Node, prelude::*,
+    protocol::Dispatch,
 };
 
 /// Largest body of a reply that is not a stream.
@@ -33,12 +34,13 @@
     job: &'a Job,
     replica: Arc<Replica>,
     request: Bytes,
+    delivery: Delivery,
     last_event: Option<u64>,
 }
 
 impl<'a, P: Protocol, W: AsyncWrite + Unpin> Session<'a, P, W> {
     /// The request that starts or resumes the stream at `target`.
-    pub(super) fn sending(&self, target: &Target) -> Sending<'a, P> {
+    pub(super) fn sending(&self, target: &Target, delivery: Delivery) -> Sending<'a, P> {
         let dispatch = Dispatch {
             replica: &target.replica,
             time_left: self.job.time_to_deadline(Instant::now()),
@@ -53,6 +55,7 @@
             job: self.job,
             replica: target.replica.clone(),
             request: self.node.protocol.encode_request(&self.job.call, &dispatch),
+            delivery,
             last_event: self.last_event,
         }
     }
@@ -60,7 +63,7 @@
     /// Whether the request was lost before, at a replica or with an earlier daemon, and starts
     /// again from its prompt.
     fn is_repeated(&self, target: &Target) -> bool {
-        target.copy_from.is_none() && (self.trace.may_have_run || self.last_event.is_some())
+        target.copy_from.is_none() && (self.trace.was_lost() || self.last_event.is_some())
     }
 }
 
@@ -78,6 +81,9 @@
         let reply = match self.request(&mut connection).await {
             Ok(reply) => reply,
             Err(attempt) => {
+                if matches!(attempt, Attempt::Refused { .. }) {
+                    self.delivery.not_run();
+                }
                 if attempt.leaves_connection() {
                     self.node.pool.put(self.replica.address, connection);
                 }
@@ -85,7 +91,7 @@
             }
         };
         on_head();
-        let source = Source::new(connection, &self.node.body_blocks);
+        let source = Source::new(connection, self.delivery, &self.node.body_blocks);
         let (source, read) = source.next(self.last_event).await;
         match read.failure(self.last_event) {
             Some(cause) => Err(Attempt::Broken(cause.to_owned())),
@@ -97,7 +103,8 @@
     async fn request(&self, connection: &mut Connection) -> Result<Reply, Attempt> {
         let call = &self.job.call;
         let matcher = CallReply { protocol: &self.node.protocol, id: call.id.as_ref() };
-        let reply = connection.exchange(&call.method, &self.request, &matcher).await;
+        let exchange = self.delivery.exchange(connection, &call.method, &self.request, &matcher);
+        let reply = exchange.await;
         self.check_reply(reply.map_err(broken)?, connection).await
     }
 
--- a/crates/winch-relay/src/stream/start.rs
+++ b/crates/winch-relay/src/stream/start.rs
@@ -15,7 +15,7 @@
     run::Run,
     sending::Started,
 };
-use crate::{counter, prelude::*};
+use crate::{counter, delivery::Delivery, prelude::*};
 
 /// Rounds in which replicas are asked for their load for a stream whose replica has been silent for
 /// longer than a pause; each asks twice as many as the one before.
@@ -42,8 +42,9 @@
         target: &mut Target,
         run: &mut Run<'a, P>,
         connection: Connection,
+        delivery: Delivery,
     ) -> Result<Started, Attempt> {
-        let mut starting = Box::pin(self.sending(target).start(connection, ignore_head));
+        let mut starting = Box::pin(self.sending(target, delivery).start(connection, ignore_head));
         let mut watch = StartWatch::default();
         loop {
             let leave = tokio::select! {
@@ -65,9 +66,10 @@
                 place = self.choose_other(target, leave) => place,
             };
             let Some((other, connection)) = place else { continue };
-            self.trace.send(&other.replica);
+            let delivery = self.trace.send(&other.replica);
             let other_run = Run::new(self.node, &other);
-            let mut other_starting = Box::pin(self.sending(&other).start(connection, ignore_head));
+            let mut other_starting =
+                Box::pin(self.sending(&other, delivery).start(connection, ignore_head));
             let race = tokio::select! {
                 biased;
                 started = &mut starting => Race::Former(started),
@@ -81,14 +83,11 @@
                     return Ok(started);
                 }
                 Race::Probed(Silence::Answered) => {
-                    // The other replica may have begun to run it.
-                    self.trace.may_have_run = true;
                     self.withdraw(target, &other, "withdrawn");
                     self.withdrawals += 1;
                     continue;
                 }
                 Race::Other(Err(attempt)) => {
-                    self.trace.may_have_run |= !matches!(attempt, Attempt::Refused { .. });
                     self.record_failure(&other, attempt);
                     self.trace.expect(&target.replica);
                     continue;
@@ -145,7 +144,6 @@
     /// Leaves `former`, which has ended with `attempt` before its first event; another replica has
     /// the stream.
     fn leave_at_start(&mut self, former: &Target, attempt: Attempt) {
-        self.trace.may_have_run |= !matches!(attempt, Attempt::Refused { .. });
         self.broken_dc = Some(former.replica.dc.clone());
         counter::abandoned("silent");
         self.record_failure(former, attempt);
--- a/crates/winch-relay/src/unary.rs
+++ b/crates/winch-relay/src/unary.rs
@@ -21,12 +21,15 @@
 };
 use crate::{
     catalog::Key,
-    counter, forward,
-    job::{Job, Outcome, Trace},
+    counter,
+    delivery::Delivery,
+    forward,
+    job::{Job, Outcome},
     node::Node,
     prelude::*,
     shed::{self, Sample},
     strikes,
+    trace::Trace,
 };
 
 /// Number of failed connections after which a request is given up. They are limited
@@ -61,8 +64,8 @@
             };
             match place {
                 Place::Open(target, connection) => {
-                    relay.start(&target);
-                    running.push(attempt::run(node, job, target, connection));
+                    let delivery = relay.start(&target);
+                    running.push(attempt::run(node, job, target, connection, delivery));
                 }
                 Place::Unreachable => {}
                 Place::Nowhere => relay.is_exhausted = true,
@@ -149,20 +152,21 @@
     /// Whether another attempt is to be made now, if there is a place for it.
     fn wants_place(&self) -> bool {
         self.has_sends()
+            && self.trace.may_send(self.job.route.semantics)
             && self.connect_failures < MAX_CONNECT_FAILURES
             && !self.is_exhausted
             && self.open.iter().all(|attempt| attempt.is_late)
     }
 
-    /// Records that an attempt at `target` begins.
-    fn start(&mut self, target: &Target) {
+    /// Records that an attempt at `target` begins, and begins its delivery.
+    fn start(&mut self, target: &Target) -> Delivery {
         let Target { key, replica } = target;
         let can_follow = self.may_repeat() && self.trace.sends + 1 < self.job.route.max_attempts;
         self.late_at =
             can_follow.then(|| retry_deadline(self.node, *key, self.job, Instant::now()));
         self.sample.start(replica);
-        self.trace.send(replica);
         self.open.push(Open { node: self.node, replica: replica.clone(), is_late: false });
+        self.trace.send(replica)
     }
 
     /// Records that the last attempt is late. It stays open while another replica is asked.
@@ -204,7 +208,6 @@
                 self.sample.failed(&replica);
                 self.trace.record(&replica, reply.status.as_u16());
                 counter::retried("failure");
-                self.trace.may_have_run = true;
                 self.trace.error_reply = Some((reply, body));
                 None
             }
@@ -262,7 +265,6 @@
         self.sample.failed(replica);
         self.trace.record(replica, cause);
         self.node.rollouts().record_broken(replica, self.node.uptime());
-        self.trace.may_have_run = true;
         counter::retried("broken");
     }
 
@@ -322,7 +324,7 @@
     fn fail(&mut self, code: Code) -> Outcome {
         match self.trace.error_reply.take() {
             Some((reply, body)) => Outcome::Answer { reply, body },
-            None => self.trace.error(code),
+            None => Outcome::Error(code),
         }
     }
 }
--- a/crates/winch-relay/src/unary/attempt.rs
+++ b/crates/winch-relay/src/unary/attempt.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     catalog::Key,
+    delivery::Delivery,
     exchange::CallReply,
     forward,
     job::{InFlightGuard, Job},
@@ -69,16 +70,21 @@
     job: &Job,
     target: Target,
     mut connection: Connection,
+    delivery: Delivery,
 ) -> Ended {
     let in_flight = InFlightGuard::new(node, target.key);
     let stopwatch = node.pulse.start();
-    let exchange = exchange(node, job, &target.replica, &mut connection);
+    let exchange = exchange(node, job, &target.replica, &mut connection, &delivery);
     let exchanged = doubt_if_late(node, job, exchange).await;
     drop(in_flight);
     let end = match exchanged {
         Ok((reply, body)) => {
             let latency = node.pulse.running_time(stopwatch);
-            record_reply(node, job, &target, connection, latency, reply, body)
+            let end = record_reply(node, job, &target, connection, latency, reply, body);
+            if matches!(end, End::Refused { .. }) {
+                delivery.not_run();
+            }
+            end
         }
         Err(error) => {
             node.eject(target.key, &target.replica, &error.to_string());
@@ -152,6 +158,7 @@
     job: &Job,
     replica: &Replica,
     connection: &mut Connection,
+    delivery: &Delivery,
 ) -> Result<(Reply, Bytes), Error> {
     let dispatch = Dispatch {
         replica,
@@ -164,7 +171,7 @@
     };
     let request = node.protocol.encode_request(&job.call, &dispatch);
     let matcher = CallReply { protocol: &node.protocol, id: job.call.id.as_ref() };
-    let reply = connection.exchange(&job.call.method, &request, &matcher).await?;
+    let reply = delivery.exchange(connection, &job.call.method, &request, &matcher).await?;
     let body = memory::read_body(connection, &node.body_blocks, MAX_BODY_BYTES).await?;
     Ok((reply, body))
 }
