--- a/crates/winch-http/src/client.rs
+++ b/crates/winch-http/src/client.rs
@@ -93,6 +93,10 @@
     io: TcpStream,
     input: BytesMut,
     decoder: Decoder,
+    /// Whether a request was sent whose reply is not complete.
+    is_pending: bool,
+    /// Whether the connection is reset if it is dropped meanwhile.
+    resets_pending: bool,
     reusable: bool,
     /// When input was last read.
     read_at: Instant,
@@ -131,6 +135,8 @@
             io,
             input: BytesMut::new(),
             decoder: Decoder::new(Framing::Length(0)),
+            is_pending: false,
+            resets_pending: false,
             reusable: true,
             read_at: now,
             arrived_after: now,
@@ -140,6 +146,14 @@
         }
     }
 
+    /// From now on, the connection is reset, not closed, if it is dropped before a reply is complete.
+    ///
+    /// What a partition holds up of a request that is given up is lost then; after a close it would
+    /// arrive at the end of the partition.
+    pub fn reset_pending(&mut self) {
+        self.resets_pending = true;
+    }
+
     /// Returns the number of requests sent on this connection, including failed ones.
     pub fn exchanges(&self) -> u32 {
         self.exchanges
@@ -184,6 +198,7 @@
     ) -> Result<Reply, Error> {
         let is_first = self.exchanges == 0;
         self.exchanges += 1;
+        self.is_pending = true;
         self.reusable = false;
         let (mut reader, mut writer) = self.io.split();
         let mut write = std::pin::pin!(writer.write_all(request));
@@ -214,6 +229,7 @@
                 if matcher.matches(&reply, is_first) {
                     // After an early reply the server still expects the rest of the request.
                     self.reusable = written && reply.keeps_alive();
+                    self.is_pending = !self.decoder.is_done();
                     self.idle_limit = reply.idle_limit_s().map_or(DEFAULT_IDLE_LIMIT, |limit| {
                         Duration::from_secs(limit).saturating_sub(IDLE_MARGIN).min(MAX_IDLE_LIMIT)
                     });
@@ -248,7 +264,10 @@
         loop {
             match self.decoder.step(&mut self.input)? {
                 Step::Data(data) => return Ok(Some(data)),
-                Step::Done => return Ok(None),
+                Step::Done => {
+                    self.is_pending = false;
+                    return Ok(None);
+                }
                 Step::More => {}
             }
             match self.fill().await {
@@ -299,3 +318,12 @@
         Ok(body.freeze())
     }
 }
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if self.is_pending && self.resets_pending {
+            // An error means that the connection has already been reset.
+            let _ = self.io.set_zero_linger();
+        }
+    }
+}
--- a/crates/winch-http/tests/client_exchange.rs
+++ b/crates/winch-http/tests/client_exchange.rs
@@ -206,3 +206,39 @@
     connection.start_idle();
     assert!(!connection.is_usable(), "the stated limit less the margin has passed");
 }
+
+/// How a connection ends for a server that has sent `reply`, after its client has read it or, if
+/// `waits` is false, has given it up.
+async fn end_after(reply: &'static str, waits: bool, resets: bool) -> std::io::Result<usize> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut connection =
+        Connection::open(listener.local_addr().unwrap(), CONNECT_TIMEOUT).await.unwrap();
+    let (mut server, _) = listener.accept().await.unwrap();
+    if resets {
+        connection.reset_pending();
+    }
+    let client = async move {
+        let request = b"GET / HTTP/1.1\r\n\r\n";
+        let exchange = connection.exchange(&Method::GET, request, &NotOld).await;
+        if waits && exchange.is_ok() {
+            connection.body(1_000).await.unwrap();
+        }
+    };
+    let mut bytes = [0; 1_000];
+    let served = async {
+        assert!(server.read(&mut bytes).await.unwrap() > 0, "the client sends a request");
+        server.write_all(reply.as_bytes()).await.unwrap();
+    };
+    tokio::join!(client, served);
+    server.read(&mut bytes).await
+}
+
+// Guards against bytes of a request that was given up and arrive at the end of a partition.
+#[tokio::test]
+async fn given_up_request_reset() {
+    let whole = "HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nab";
+    let part = "HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\nab";
+    assert!(end_after(part, false, true).await.is_err(), "a reset");
+    assert_matches!(end_after(whole, true, true).await, Ok(0), "the reply was read");
+    assert_matches!(end_after(part, false, false).await, Ok(0), "not asked for");
+}
--- a/crates/winch-relay/src/delivery.rs
+++ b/crates/winch-relay/src/delivery.rs
@@ -57,7 +57,8 @@
 
 impl Delivery {
     /// Sends the encoded `request` on `connection`, and reads the head of the reply that `matcher`
-    /// finds to answer it.
+    /// finds to answer it. If the request is given up, the connection is reset, so that it does not
+    /// run long after its caller was told so.
     ///
     /// # Errors
     /// As [`Connection::exchange()`].
@@ -68,6 +69,7 @@
         request: &[u8],
         matcher: &impl Matcher,
     ) -> Result<Reply, Error> {
+        connection.reset_pending();
         connection.exchange(method, request, matcher).await
     }
 
