--- a/crates/winch-relay/src/edge/request.rs
+++ b/crates/winch-relay/src/edge/request.rs
@@ -1,10 +1,11 @@
 //! One request of a caller or of another daemon: admits it, relays it and replies to it.
 
-use std::future::pending;
+use std::future::{pending, ready};
 
 use bytes::Bytes;
 use tokio::{
     io::{AsyncRead, AsyncWrite},
+    task::yield_now,
     time::{sleep_until, timeout_at},
 };
 use winch_http::{head::Request, server::Reader};
@@ -66,8 +67,10 @@
         trace.sends = sends;
     }
     let begun = out.begun();
+    let has_left = has_left(node, reader).await;
     let interrupt = tokio::select! {
         biased;
+        () = ready(()), if has_left => Ok(Interrupt::CallerGone),
         outcome = relay(node, &job, out, &mut trace) => Err(outcome),
         () = reader.closed() => Ok(Interrupt::CallerGone),
         () = is_overdue(&job, &begun) => Ok(Interrupt::Overdue),
@@ -95,6 +98,23 @@
     let _ = timeout_at(call.received_at + reply_time(limit, passing_time), initialized).await;
 }
 
+/// Whether the sender of a request has closed the connection before the request is carried out.
+async fn has_left<P, R>(node: &Node<P>, reader: &mut Reader<R>) -> bool
+where
+    P: Protocol,
+    R: AsyncRead + Unpin,
+{
+    if node.pulse.is_waking(Instant::now()) {
+        // The runtime finds closes that came during the pause after the requests before them.
+        yield_now().await;
+    }
+    tokio::select! {
+        biased;
+        () = reader.closed() => true,
+        () = ready(()) => false,
+    }
+}
+
 /// Completes when the reply to a request must begin and nothing of it has been sent.
 async fn is_overdue(job: &Job, begun: &Begun) {
     sleep_until(job.reply_deadline).await;
--- a/crates/winch-relay/src/pulse.rs
+++ b/crates/winch-relay/src/pulse.rs
@@ -97,11 +97,20 @@
         elapsed.saturating_sub(lost).max(elapsed / MAX_ELAPSED_RATIO)
     }
 
+    /// The pause that is just over.
+    fn latest_pause(&self, now: Instant) -> Option<Pause> {
+        self.state().pause_until(now).filter(|pause| now <= pause.until + NOTICE_TIME)
+    }
+
     /// The earliest moment at which what this process notices `now` can have happened: the start of
     /// a pause that is just over, or now.
     pub(crate) fn earliest_cause(&self, now: Instant) -> Instant {
-        let pause = self.state().pause_until(now).filter(|pause| now <= pause.until + NOTICE_TIME);
-        pause.map_or(now, |pause| pause.from)
+        self.latest_pause(now).map_or(now, |pause| pause.from)
+    }
+
+    /// Whether a pause is just over, so that this process has yet to notice what happened meanwhile.
+    pub(crate) fn is_waking(&self, now: Instant) -> bool {
+        self.latest_pause(now).is_some()
     }
 
     /// Whether this process was paused within the last `time` before `now`.
