--- a/crates/winch-relay/src/code.rs
+++ b/crates/winch-relay/src/code.rs
@@ -81,7 +81,8 @@
     ClosedIdle = 618, "closed_idle", REQUEST_TIMEOUT, false;
     /// The connection to the replica broke; the request may have run.
     Broken = 620, "broken", BAD_GATEWAY, true;
-    /// The reply of the replica is invalid; the request may have run.
+    /// The reply of the replica is invalid, or its status says that a request has not run which may
+    /// have run.
     BadReply = 621, "bad_reply", BAD_GATEWAY, true;
     /// The deadline of the request or its route passed; the request may have run.
     TimedOut = 622, "timed_out", GATEWAY_TIMEOUT, true;
--- a/crates/winch-relay/src/edge/request.rs
+++ b/crates/winch-relay/src/edge/request.rs
@@ -80,7 +80,7 @@
     if matches!(outcome, Outcome::CallerGone) {
         trace.interrupt("caller gone");
     }
-    let outcome = trace.conclude(outcome);
+    let outcome = trace.conclude(job.route.semantics, outcome);
     if matches!(job.route.semantics, Semantics::Stream { .. }) {
         stream::record_time(node, &job, &outcome);
     }
--- a/crates/winch-relay/src/trace.rs
+++ b/crates/winch-relay/src/trace.rs
@@ -10,6 +10,7 @@
     delivery::{Deliveries, Delivery},
     job::Outcome,
     prelude::*,
+    unary::guarantees_not_run,
 };
 
 /// What a request was doing when it was interrupted.
@@ -145,10 +146,16 @@
         }
     }
 
-    /// The outcome of a request that has ended with `outcome`: its reply says that the request has not
-    /// run only if that is certain. All replies of this daemon's own pass here.
-    pub fn conclude(&self, outcome: Outcome) -> Outcome {
+    /// The outcome of a request of this kind that has ended with `outcome`: its reply says that the
+    /// request has not run only if that is certain. All replies pass here.
+    pub fn conclude(&self, semantics: Semantics, outcome: Outcome) -> Outcome {
         match outcome {
+            // The caller would send it once more: it cannot know that the replica has run it.
+            Outcome::Answer { reply, .. }
+                if guarantees_not_run(reply.status) && !self.may_send(semantics) =>
+            {
+                Outcome::Error(Code::BadReply)
+            }
             Outcome::Error(code) => Outcome::Error(self.reply_code(code)),
             Outcome::Shed { code, .. } if self.may_have_run() => {
                 Outcome::Error(self.reply_code(code))
--- a/crates/winch-relay/tests/reply_promise.rs
+++ b/crates/winch-relay/tests/reply_promise.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use winch_relay::{code::Code, job::Outcome, trace::Trace};
+use bytes::Bytes;
+use http::{HeaderMap, StatusCode};
+use winch_http::head::Reply;
+use winch_relay::{code::Code, config::Semantics, job::Outcome, trace::Trace, unary};
 
 /// How a delivery ends, as whoever got the request states it or leaves it open.
 #[derive(Clone, Copy, Debug)]
@@ -14,9 +17,9 @@
 
 const ENDS: [End; 3] = [End::Open, End::Dropped, End::NotRun];
 
-/// The code of the reply to a request that was given up because of `code`, after deliveries that have
-/// ended so; the outcome is an error or, if `is_shed`, that of a request that was shed.
-fn reply_code(ends: &[End], code: Code, is_shed: bool) -> Code {
+/// The outcome of a request of this kind that has ended with `outcome`, after deliveries that have ended
+/// so.
+fn conclude(ends: &[End], semantics: Semantics, outcome: Outcome) -> Outcome {
     let trace = Trace::default();
     let mut open = Vec::new();
     for end in ends {
@@ -27,11 +30,17 @@
             End::NotRun => delivery.not_run(),
         }
     }
+    trace.conclude(semantics, outcome)
+}
+
+/// The code of the reply to a request that was given up because of `code`, after deliveries that have
+/// ended so; the outcome is an error or, if `is_shed`, that of a request that was shed.
+fn reply_code(ends: &[End], code: Code, is_shed: bool) -> Code {
     let outcome = match is_shed {
         true => Outcome::Shed { code, retry_after: Duration::ZERO },
         false => Outcome::Error(code),
     };
-    match trace.conclude(outcome) {
+    match conclude(ends, Semantics::AtMostOnce, outcome) {
         Outcome::Error(code) | Outcome::Shed { code, .. } => code,
         outcome => panic!("{outcome:?}"),
     }
@@ -65,3 +74,22 @@
     }
     assert_eq!(reply_code(&[End::Dropped], Code::Expired, false), Code::TimedOut);
 }
+
+// Guards against the status of a replica's reply that passes for a promise.
+#[test]
+fn answer_promises_nothing() {
+    let stream = |resumable| Semantics::Stream { resumable, max_gap: None };
+    let kinds = [Semantics::Idempotent, Semantics::AtMostOnce, stream(true), stream(false)];
+    for status in (200..600).map(|status| StatusCode::from_u16(status).expect("a status")) {
+        for semantics in kinds {
+            let reply = Reply { status, headers: HeaderMap::new(), minor: 1 };
+            let answer = Outcome::Answer { reply, body: Bytes::new() };
+            let outcome = conclude(&[End::Dropped], semantics, answer);
+            if unary::guarantees_not_run(status) && !semantics.may_repeat() {
+                assert!(matches!(outcome, Outcome::Error(Code::BadReply)), "{status}: {outcome:?}");
+            } else {
+                assert!(matches!(outcome, Outcome::Answer { .. }), "{status}: {outcome:?}");
+            }
+        }
+    }
+}
