--- a/crates/winch-relay/src/forward.rs
+++ b/crates/winch-relay/src/forward.rs
@@ -197,7 +197,7 @@
             counter::forwarded("taken");
             Reached::Reply(reply, Box::new(connection))
         }
-        Some(code @ (Code::NoConfig | Code::NoReplica | Code::Stopping | Code::Busy)) => {
+        Some(code) if is_not_taken(code) => {
             delivery.not_run();
             node.running.avoid(daemon);
             counter::forwarded("refused");
@@ -215,6 +215,15 @@
     }
 }
 
+/// Whether a daemon that answers with this code has not taken a request that another one may take.
+///
+/// That includes a daemon that denies the request: the one that its caller asked has admitted it, by
+/// a configuration that the other one may not have yet.
+fn is_not_taken(code: Code) -> bool {
+    let is_unable = matches!(code, Code::NoConfig | Code::NoReplica | Code::Stopping | Code::Busy);
+    is_unable || code.status().is_client_error()
+}
+
 /// The result code of a reply that a daemon made itself; `None` if a replica made it.
 fn decode_code(reply: &Reply) -> Option<Code> {
     let text = reply.headers.get(CODE)?.to_str().ok()?;
