--- a/crates/winch-relay/src/edge/request.rs
+++ b/crates/winch-relay/src/edge/request.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use tokio::{
     io::{AsyncRead, AsyncWrite},
+    task::yield_now,
     time::{sleep_until, timeout_at},
 };
 use winch_http::{head::Request, server::Reader};
@@ -66,10 +67,13 @@
         trace.sends = sends;
     }
     let begun = out.begun();
+    // The runtime may see a close that has arrived with the request one step after its bytes.
+    yield_now().await;
     let interrupt = tokio::select! {
         biased;
-        outcome = relay(node, &job, out, &mut trace) => Err(outcome),
+        // First, so that nothing is sent for a caller whose close has arrived with its request.
         () = reader.closed() => Ok(Interrupt::CallerGone),
+        outcome = relay(node, &job, out, &mut trace) => Err(outcome),
         () = is_overdue(&job, &begun) => Ok(Interrupt::Overdue),
         () = node.end_requested() => Ok(Interrupt::DaemonEnds),
     };
