--- a/crates/winch-relay/src/exchange.rs
+++ b/crates/winch-relay/src/exchange.rs
@@ -17,8 +17,9 @@
 /// Matches the reply to a caller's request, by the request's id.
 ///
 /// On a reused connection a late second reply to an earlier request may arrive, with the id of that
-/// request or without any. There, a reply to a request with an id has to state it: a refusal
-/// that is taken for another request's claims that a request has not run which is running.
+/// request or without any. There, a reply has to state the id of its request: a refusal that is
+/// taken for another request's claims that a request has not run which is running. A request without
+/// an id is sent on a new connection.
 #[derive(Debug)]
 pub struct CallReply<'a, P> {
     /// Decodes the id of a reply.
@@ -33,8 +34,7 @@
         match (meta.id, self.id) {
             (Some(reply_id), Some(request_id)) => reply_id == *request_id,
             (Some(_), None) => false,
-            (None, Some(_)) => is_first,
-            (None, None) => is_first || !reply.status.is_success(),
+            (None, _) => is_first,
         }
     }
 }
--- a/crates/winch-relay/src/reach.rs
+++ b/crates/winch-relay/src/reach.rs
@@ -43,12 +43,18 @@
 }
 
 impl<P: Protocol> Node<P> {
-    /// Takes an idle connection to `replica`, or opens a new one; records whether that succeeds.
+    /// Takes an idle connection to `replica` for `call`, or opens a new one; records whether that
+    /// succeeds.
+    ///
+    /// A call without an id always gets a new one, since a late second reply to an earlier request
+    /// could not be told from its own.
     ///
     /// # Errors
     /// [`Error::Connect`] if no connection could be opened; nothing was sent.
-    pub async fn open(&self, replica: &Replica) -> Result<Connection, Error> {
-        if let Some(connection) = self.pool.take(replica.address) {
+    pub async fn open(&self, replica: &Replica, call: &Call) -> Result<Connection, Error> {
+        if call.id.is_some()
+            && let Some(connection) = self.pool.take(replica.address)
+        {
             return Ok(connection);
         }
         self.open_new(replica).await
--- a/crates/winch-relay/src/stream/attempt.rs
+++ b/crates/winch-relay/src/stream/attempt.rs
@@ -22,7 +22,7 @@
     /// Sends the request to `target` and forwards its events to the caller. If the stream moves to
     /// another replica meanwhile, `target` becomes that one.
     pub(super) async fn attempt(&mut self, target: &mut Target) -> Attempt {
-        let connection = match self.node.open(&target.replica).await {
+        let connection = match self.node.open(&target.replica, &self.job.call).await {
             Ok(connection) => connection,
             Err(error) => return Attempt::NotSent(error.to_string()),
         };
--- a/crates/winch-relay/src/stream/handover.rs
+++ b/crates/winch-relay/src/stream/handover.rs
@@ -229,7 +229,7 @@
 
     /// `target` with a connection to it, and a retry of the budget, which is taken.
     pub(super) async fn connect(&self, target: Target) -> Option<(Target, Connection)> {
-        let connection = match self.node.open(&target.replica).await {
+        let connection = match self.node.open(&target.replica, &self.job.call).await {
             Ok(connection) => connection,
             Err(error) => {
                 self.node.eject(target.key, &target.replica, &error.to_string());
--- a/crates/winch-relay/src/unary/place.rs
+++ b/crates/winch-relay/src/unary/place.rs
@@ -29,7 +29,7 @@
         let Some(target) = self.choose_target() else { return Place::Nowhere };
         let Target { key, replica } = &target;
         self.trace.excluded.push(replica.id.clone());
-        match self.node.open(replica).await {
+        match self.node.open(replica, &self.job.call).await {
             Ok(connection) => Place::Open(target, connection),
             Err(error) => {
                 let cause = error.to_string();
