--- a/crates/wisteriawinch/tests/order_effects.rs
+++ b/crates/wisteriawinch/tests/order_effects.rs
@@ -1,10 +1,14 @@
 //! An order takes effect at most once, and `not_run` in a refusal is correct.
 
 mod common;
+#[allow(dead_code, unreachable_pub)]
+#[path = "../../../platform/tests/common/proxy.rs"]
+mod proxy;
 
 use std::time::Duration;
 
 use common::{World, base_objects, order_objects, service};
+use proxy::{Mode, Proxy};
 use serde_json::{Value, json};
 use winch_standin::{platform, service as standin};
 
@@ -63,6 +67,32 @@
     assert_eq!(total_effects(&service), 1);
 }
 
+// Guards against an order that a partition holds up and that is recorded otherwise than it ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn held_order_recorded() {
+    let (service, address) = service().await;
+    let proxy = Proxy::start(address).await;
+    let world = World::new(2).await;
+    let engine = common::engine(common::engine_options("v1")).await;
+    let mut objects = base_objects();
+    objects.push(common::upstream("e0", engine.address, "v1"));
+    objects.extend(order_objects(proxy.address, 300));
+    world.apply(&objects).await;
+    proxy.set_mode(Mode::Hold);
+    for key in [Some("k10"), None] {
+        let held = world.call(0, "POST", "/orders/x", key, key.unwrap_or("no key")).await;
+        assert_eq!((held.0, code(&held.1)), (504, 201), "{key:?}: {}", held.1);
+        assert_eq!(held.1["error"]["not_run"], Value::from("unknown"));
+    }
+    assert_eq!(total_effects(&service), 0);
+    proxy.set_mode(Mode::Open);
+    common::until("the late reply is recorded", || async {
+        world.call(1, "POST", "/orders/x", Some("k10"), "k10").await.0 == 201
+    })
+    .await;
+    assert!(service.effects().values().all(|count| *count == 1), "{:?}", service.effects());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn outage_refuses_orders() {
     let (world, service) = world_with_orders(1, 2_000).await;
