--- a/crates/winch-relay/src/edge/request.rs
+++ b/crates/winch-relay/src/edge/request.rs
@@ -1,6 +1,6 @@
 //! One request of a caller or of another daemon: admits it, relays it and replies to it.
 
-use std::future::{pending, ready};
+use std::future::pending;
 
 use bytes::Bytes;
 use tokio::{
@@ -67,12 +67,13 @@
         trace.sends = sends;
     }
     let begun = out.begun();
-    let has_left = has_left(node, reader).await;
+    // The runtime may see a close that has arrived with the request one step after its bytes.
+    yield_now().await;
     let interrupt = tokio::select! {
         biased;
-        () = ready(()), if has_left => Ok(Interrupt::CallerGone),
-        outcome = relay(node, &job, out, &mut trace) => Err(outcome),
+        // First, so that nothing is sent for a caller whose close has arrived with its request.
         () = reader.closed() => Ok(Interrupt::CallerGone),
+        outcome = relay(node, &job, out, &mut trace) => Err(outcome),
         () = is_overdue(&job, &begun) => Ok(Interrupt::Overdue),
         () = node.end_requested() => Ok(Interrupt::DaemonEnds),
     };
@@ -83,7 +84,7 @@
     if matches!(outcome, Outcome::CallerGone) {
         trace.interrupt("caller gone");
     }
-    let outcome = trace.conclude(outcome);
+    let outcome = trace.conclude(job.route.semantics, outcome);
     if matches!(job.route.semantics, Semantics::Stream { .. }) {
         stream::record_time(node, &job, &outcome);
     }
@@ -98,23 +99,6 @@
     let _ = timeout_at(call.received_at + reply_time(limit, passing_time), initialized).await;
 }
 
-/// Whether the sender of a request has closed the connection before the request is carried out.
-async fn has_left<P, R>(node: &Node<P>, reader: &mut Reader<R>) -> bool
-where
-    P: Protocol,
-    R: AsyncRead + Unpin,
-{
-    if node.pulse.is_waking(Instant::now()) {
-        // The runtime finds closes that came during the pause after the requests before them.
-        yield_now().await;
-    }
-    tokio::select! {
-        biased;
-        () = reader.closed() => true,
-        () = ready(()) => false,
-    }
-}
-
 /// Completes when the reply to a request must begin and nothing of it has been sent.
 async fn is_overdue(job: &Job, begun: &Begun) {
     sleep_until(job.reply_deadline).await;
