--- a/crates/winch-relay/src/counter.rs
+++ b/crates/winch-relay/src/counter.rs
@@ -133,7 +133,7 @@
     counter!("winch_waits_total", "result" => result).increment(1);
 }
 
-/// Counts an attempt to open a connection to a replica, by result.
+/// Counts an attempt to open a connection to a replica, by result: `ok` or the name of its failure.
 pub fn connected(result: &'static str) {
     counter!("winch_connections_total", "result" => result).increment(1);
 }
--- a/crates/winch-relay/src/lib.rs
+++ b/crates/winch-relay/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod memory;
 pub mod moves;
 pub mod node;
+pub mod opening;
 pub mod peer;
 pub mod placement;
 pub mod pool;
--- a/crates/winch-relay/src/reach.rs
+++ b/crates/winch-relay/src/reach.rs
@@ -8,9 +8,14 @@
 use rand::seq::IteratorRandom;
 use tokio::{sync::Notify, time::sleep};
 use winch_http::client::{Connection, Error};
-use winch_route::{hash, reach::Reach};
+use winch_route::{
+    hash,
+    reach::{Reach, Tally, WINDOW},
+};
 
-use crate::{counter, node::Node, pool::CONNECT_TIMEOUT, prelude::*, running_time::timeout};
+use crate::{
+    counter, node::Node, opening::Failure, pool::CONNECT_TIMEOUT, prelude::*, running_time::timeout,
+};
 
 /// Interval of checks of a service that is in doubt.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -61,20 +66,30 @@
     pub async fn open_new(&self, replica: &Replica) -> Result<Connection, Error> {
         let opened = timeout(CONNECT_TIMEOUT, Connection::connect(replica.address)).await;
         let opened = opened.unwrap_or_else(|_| Err(Error::timed_out()));
-        counter::connected(if opened.is_ok() { "ok" } else { "failed" });
-        self.record_opening(replica, opened.is_ok());
+        let failure = opened.as_ref().err().map(Failure::of);
+        counter::connected(failure.map_or("ok", Failure::name));
+        self.record_opening(replica, failure);
         opened
     }
 
-    fn record_opening(&self, replica: &Replica, is_open: bool) {
+    fn record_opening(&self, replica: &Replica, failure: Option<Failure>) {
         let service = &replica.service;
         let (now, known) = (self.uptime(), self.catalog().serving(service).count());
         let mut paths = self.paths();
         let reach = paths.service(service);
-        if reach.record(hash::name(&replica.id), is_open, known, now) {
+        if reach.record(hash::name(&replica.id), failure.is_none(), known, now) {
             let is_isolated = reach.is_isolated();
             let event = if is_isolated { Event::ServiceOutOfReach } else { Event::ServiceReached };
-            emit!(event, service = service, replicas = known);
+            let Tally { opened, failed } = reach.tally();
+            emit!(
+                event,
+                service = service,
+                replicas = known,
+                opened = opened,
+                failed = failed,
+                last = failure.map_or("ok", Failure::name),
+                paused = self.pulse.was_paused(Instant::now(), WINDOW),
+            );
         }
         if reach.needs_check() {
             paths.in_doubt.notify_one();
--- a/crates/winch-route/src/reach.rs
+++ b/crates/winch-route/src/reach.rs
@@ -14,7 +14,7 @@
 /// Time for which replicas have to take no connection.
 const MIN_TIME: Duration = Duration::from_millis(250);
 /// Time for which the latest attempt to open a connection to a replica counts.
-const WINDOW: Duration = Duration::from_millis(1_500);
+pub const WINDOW: Duration = Duration::from_millis(1_500);
 /// Time after a connection was opened within which a slow reply raises no doubt.
 const DOUBT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -25,6 +25,15 @@
     at: Duration,
 }
 
+/// Numbers of replicas by the result of the latest attempt to open a connection to each.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Replicas that have taken a connection.
+    pub opened: usize,
+    /// Replicas that have not.
+    pub failed: usize,
+}
+
 /// What a daemon knows of its paths to the replicas of one service.
 #[derive(Debug, Default)]
 pub struct Reach {
@@ -47,8 +56,7 @@
             self.opened_at = Some(now);
             self.is_doubted = false;
         }
-        let opened = self.openings.values().filter(|opening| opening.is_open).count();
-        let failed = self.openings.len() - opened;
+        let Tally { opened, failed } = self.tally();
         let was_isolated = self.is_isolated;
         if opened >= failed {
             self.failing_since = None;
@@ -61,6 +69,12 @@
         self.is_isolated != was_isolated
     }
 
+    /// The attempts that counted when the last one was recorded.
+    pub fn tally(&self) -> Tally {
+        let opened = self.openings.values().filter(|opening| opening.is_open).count();
+        Tally { opened, failed: self.openings.len() - opened }
+    }
+
     /// Records that a reply on an open connection is late, which may be its replica's or the
     /// path's fault; returns whether this is worth a check.
     pub fn doubt(&mut self, now: Duration) -> bool {
--- a/crates/winch-route/tests/reach_service.rs
+++ b/crates/winch-route/tests/reach_service.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use winch_route::reach::Reach;
+use winch_route::reach::{Reach, Tally};
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -86,3 +86,12 @@
     assert!(reach.needs_check());
     assert!(!reach.is_isolated(), "a doubt alone isolates nobody");
 }
+
+#[test]
+fn latest_attempts_tallied() {
+    let mut reach = isolated();
+    reach.record(1, true, 36, ms(500));
+    assert_eq!(reach.tally(), Tally { opened: 1, failed: 2 });
+    reach.record(4, true, 36, ms(1_850));
+    assert_eq!(reach.tally(), Tally { opened: 2, failed: 1 }, "old ones have expired");
+}
