--- a/crates/winch-relay/src/opening.rs
+++ b/crates/winch-relay/src/opening.rs
@@ -1,6 +1,6 @@
 //! Why a connection could not be opened, and whose failure that is.
 
-use std::io::ErrorKind;
+use std::io;
 
 use winch_http::client::Error;
 
@@ -21,21 +21,29 @@
 impl Failure {
     /// Classifies the error of an opening. What is not known to come from the other side or from the
     /// path to it counts as the host's own.
-    pub fn of(error: &Error) -> Self {
-        let Error::Connect { source } = error else { return Self::Host };
-        match source.kind() {
-            ErrorKind::TimedOut => Self::TimedOut,
-            ErrorKind::ConnectionRefused
-            | ErrorKind::ConnectionReset
-            | ErrorKind::ConnectionAborted => Self::Refused,
-            ErrorKind::HostUnreachable
-            | ErrorKind::NetworkUnreachable
-            | ErrorKind::PermissionDenied
-            | ErrorKind::InvalidInput => Self::Unreachable,
+    pub fn of(error: &io::Error) -> Self {
+        use io::ErrorKind as Kind;
+        match error.kind() {
+            Kind::TimedOut => Self::TimedOut,
+            Kind::ConnectionRefused | Kind::ConnectionReset | Kind::ConnectionAborted => {
+                Self::Refused
+            }
+            Kind::HostUnreachable
+            | Kind::NetworkUnreachable
+            | Kind::PermissionDenied
+            | Kind::InvalidInput => Self::Unreachable,
             _ => Self::Host,
         }
     }
 
+    /// Why an exchange found no connection; `None` if it had one.
+    pub fn of_exchange(error: &Error) -> Option<Self> {
+        match error {
+            Error::Connect { source } => Some(Self::of(source)),
+            _ => None,
+        }
+    }
+
     /// Name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
--- a/crates/winch-relay/src/probe.rs
+++ b/crates/winch-relay/src/probe.rs
@@ -10,6 +10,7 @@
     catalog::Key,
     counter,
     exchange::Query,
+    opening::Failure,
     prelude::*,
     replica::Report,
     running_time::timeout,
@@ -42,6 +43,8 @@
     Alive(Report),
     /// No valid report has arrived in time; a healthy replica may pause for a second or so.
     Unresponsive,
+    /// This daemon's own host gave it no connection, which says nothing of the replica.
+    Unasked,
     /// Another incarnation answers at the replica's address, so that the known one is gone.
     Replaced,
 }
@@ -52,6 +55,12 @@
 /// certain and it is healthy.
 pub async fn probe<P: Protocol>(node: &Node<P>, replica: &Replica) -> Finding {
     let received = timeout(PROBE_TIMEOUT, fetch_report(node, replica)).await;
+    if let Ok(Err(error)) = &received
+        && Failure::of_exchange(error) == Some(Failure::Host)
+    {
+        counter::probed("unasked");
+        return Finding::Unasked;
+    }
     let report = received.ok().and_then(Result::ok).flatten();
     counter::probed(if report.is_some() { "ok" } else { "failed" });
     let Some(report) = report else {
@@ -70,7 +79,7 @@
 pub async fn request_report<P: Protocol>(node: &Node<P>, replica: &Replica) -> Option<Report> {
     match probe(node, replica).await {
         Finding::Alive(report) => Some(report),
-        Finding::Unresponsive | Finding::Replaced => None,
+        Finding::Unresponsive | Finding::Unasked | Finding::Replaced => None,
     }
 }
 
@@ -81,15 +90,18 @@
     service.is_some_and(|service| service.engine.is_some())
 }
 
-/// Whether the known incarnation of `replica` is alive.
+/// Whether the known incarnation of `replica` seems dead; it does not if this daemon's own host gives
+/// no connection to ask it.
 ///
 /// A model engine is alive if it answers with its report. A replica of a plain service
 /// has none and is alive if it accepts a new connection.
-pub async fn is_alive<P: Protocol>(node: &Node<P>, replica: &Replica) -> bool {
+pub async fn seems_dead<P: Protocol>(node: &Node<P>, replica: &Replica) -> bool {
     if has_reports(node, replica) {
-        return request_report(node, replica).await.is_some();
+        let finding = probe(node, replica).await;
+        return matches!(finding, Finding::Unresponsive | Finding::Replaced);
     }
-    node.open_new(replica).await.is_ok()
+    let opened = node.open_new(replica).await;
+    opened.is_err_and(|error| Failure::of_exchange(&error) != Some(Failure::Host))
 }
 
 async fn fetch_report<P: Protocol>(
@@ -145,8 +157,8 @@
 /// Requests the reports of several replicas at the same time, and returns those that arrive
 /// in time, with the share of `prompt` that each replica has cached.
 ///
-/// Ejects each replica for which [`request_report`] returns `None`. An empty `prompt` is not
-/// asked for.
+/// Ejects each replica that sends no report, or that another incarnation has replaced. An empty
+/// `prompt` is not asked for.
 pub async fn request_reports<P: Protocol>(
     node: &Arc<Node<P>>,
     candidates: Vec<(Key, Arc<Replica>)>,
@@ -158,13 +170,18 @@
         let (node, sender) = (node.clone(), sender.clone());
         let (tasks, prompt) = (node.tasks.clone(), prompt.clone());
         tasks.spawn(async move {
-            let report = request_report(&node, &replica);
+            let finding = probe(&node, &replica);
             let cached = request_cached(&node, &replica, &prompt);
-            let (report, cached) = tokio::join!(report, cached);
-            match report {
+            let (finding, cached) = tokio::join!(finding, cached);
+            match finding {
                 // Sending fails if the report is late: the receiver is dropped then.
-                Some(report) => drop(sender.send(Answer { key, replica, report, cached })),
-                None => node.eject(key, &replica, "no report"),
+                Finding::Alive(report) => {
+                    drop(sender.send(Answer { key, replica, report, cached }))
+                }
+                Finding::Unresponsive | Finding::Replaced => {
+                    node.eject(key, &replica, "no report");
+                }
+                Finding::Unasked => {}
             }
         });
     }
--- a/crates/winch-relay/src/reach.rs
+++ b/crates/winch-relay/src/reach.rs
@@ -1,6 +1,6 @@
 //! Finds out whether this daemon reaches the replicas of its services.
 //!
-//! Each opened or failed connection to a replica is recorded. While a service is in doubt or out of
+//! Each connection to a replica that was opened, or that it did not take, is recorded. While a service is in doubt or out of
 //! reach, connections are opened to see if any replica takes one.
 
 use std::collections::HashMap;
@@ -14,7 +14,8 @@
 };
 
 use crate::{
-    counter, node::Node, opening::Failure, pool::CONNECT_TIMEOUT, prelude::*, running_time::timeout,
+    catalog::Key, counter, node::Node, opening::Failure, pool::CONNECT_TIMEOUT, prelude::*,
+    running_time::timeout,
 };
 
 /// Interval of checks of a service that is in doubt.
@@ -59,19 +60,30 @@
         self.open_new(replica).await
     }
 
-    /// Opens a new connection to `replica`, and records whether that succeeds.
+    /// Opens a new connection to `replica`, and records whether that succeeds unless this daemon's own
+    /// host has failed.
     ///
     /// # Errors
     /// As [`Self::open()`].
     pub async fn open_new(&self, replica: &Replica) -> Result<Connection, Error> {
         let opened = timeout(CONNECT_TIMEOUT, Connection::connect(replica.address)).await;
         let opened = opened.unwrap_or_else(|_| Err(Error::timed_out()));
-        let failure = opened.as_ref().err().map(Failure::of);
+        let failure = opened.as_ref().err().and_then(Failure::of_exchange);
         counter::connected(failure.map_or("ok", Failure::name));
-        self.record_opening(replica, failure);
+        if failure != Some(Failure::Host) {
+            self.record_opening(replica, failure);
+        }
         opened
     }
 
+    /// Ejects a replica to which no connection could be opened, unless this daemon's own host has
+    /// failed.
+    pub fn eject_unopened(&self, key: Key, replica: &Replica, error: &Error) {
+        if Failure::of_exchange(error) != Some(Failure::Host) {
+            self.eject(key, replica, &error.to_string());
+        }
+    }
+
     fn record_opening(&self, replica: &Replica, failure: Option<Failure>) {
         let service = &replica.service;
         let (now, known) = (self.uptime(), self.catalog().serving(service).count());
--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -21,7 +21,7 @@
 mod target;
 
 use tokio::io::AsyncWrite;
-use winch_http::head::Reply;
+use winch_http::{client::Error, head::Reply};
 use winch_route::suspect::Disposition;
 
 use crate::{
@@ -52,7 +52,7 @@
     /// The replica sent a complete error reply.
     ErrorReply(Reply, bytes::Bytes),
     /// No connection could be opened; nothing was sent.
-    NotSent(String),
+    NotSent(Error),
     /// The connection broke, the reply is unusable, or the replica stalled.
     Broken(String),
     /// The caller has closed the connection.
@@ -291,9 +291,9 @@
                     }
                     self.wait_after_refusal().await;
                 }
-                Attempt::NotSent(cause) => {
-                    self.trace.record(&replica, &cause);
-                    self.node.eject(target.key, &replica, &cause);
+                Attempt::NotSent(error) => {
+                    self.trace.record(&replica, error.to_string());
+                    self.node.eject_unopened(target.key, &replica, &error);
                     self.connect_failures += 1;
                     counter::retried("not_sent");
                 }
--- a/crates/winch-relay/src/stream/attempt.rs
+++ b/crates/winch-relay/src/stream/attempt.rs
@@ -24,7 +24,7 @@
     pub(super) async fn attempt(&mut self, target: &mut Target) -> Attempt {
         let connection = match self.node.open(&target.replica).await {
             Ok(connection) => connection,
-            Err(error) => return Attempt::NotSent(error.to_string()),
+            Err(error) => return Attempt::NotSent(error),
         };
         self.holds_retry = false;
         let delivery = self.trace.send(&target.replica);
--- a/crates/winch-relay/src/stream/handover.rs
+++ b/crates/winch-relay/src/stream/handover.rs
@@ -232,7 +232,7 @@
         let connection = match self.node.open(&target.replica).await {
             Ok(connection) => connection,
             Err(error) => {
-                self.node.eject(target.key, &target.replica, &error.to_string());
+                self.node.eject_unopened(target.key, &target.replica, &error);
                 return None;
             }
         };
--- a/crates/winch-relay/src/stream/liveness.rs
+++ b/crates/winch-relay/src/stream/liveness.rs
@@ -185,6 +185,7 @@
         loop {
             sleep(OVERLAP_PROBE_INTERVAL).await;
             match probe::probe(self.node, &target.replica).await {
+                Finding::Unasked => {}
                 Finding::Replaced => return Silence::Lost,
                 Finding::Alive(_) => {
                     watch.probes = Probes::default();
@@ -214,6 +215,7 @@
                 sleep_until(self.stall.probe_at()).await;
             }
             match probe::probe(self.node, &target.replica).await {
+                Finding::Unasked => {}
                 Finding::Replaced => return Leave::Gone("replaced"),
                 Finding::Alive(_) => {
                     watch.probes = Probes::default();
@@ -276,6 +278,7 @@
     /// if it stays.
     async fn probe_starting(&self, target: &Target, probes: &mut Probes) -> Option<Leave> {
         match probe::probe(self.node, &target.replica).await {
+            Finding::Unasked => None,
             Finding::Replaced => Some(Leave::Gone("replaced")),
             Finding::Alive(report) => {
                 let loss = self.loss(&report);
--- a/crates/winch-relay/src/strikes/attribution.rs
+++ b/crates/winch-relay/src/strikes/attribution.rs
@@ -79,7 +79,7 @@
     parts: Arc<[Part]>,
 ) -> Disposition {
     let request = job.fingerprint();
-    if probe::is_alive(node, replica).await {
+    if !probe::seems_dead(node, replica).await {
         return node.strikes().disposition(request, &parts, Instant::now());
     }
     let incarnation = format!("{}/{}", replica.id, replica.started_at_ms.unwrap_or_default());
@@ -117,7 +117,7 @@
         match probe::probe(node, replica).await {
             Finding::Alive(report) => return report.started_at_ms == replica.started_at_ms,
             Finding::Replaced => return false,
-            Finding::Unresponsive => {}
+            Finding::Unresponsive | Finding::Unasked => {}
         }
     }
     false
--- a/crates/winch-relay/src/unary/place.rs
+++ b/crates/winch-relay/src/unary/place.rs
@@ -34,7 +34,7 @@
             Err(error) => {
                 let cause = error.to_string();
                 self.trace.record(replica, &cause);
-                self.node.eject(*key, replica, &cause);
+                self.node.eject_unopened(*key, replica, &error);
                 self.connect_failures += 1;
                 counter::retried("not_sent");
                 Place::Unreachable
--- a/crates/winch-relay/tests/opening_failure.rs
+++ b/crates/winch-relay/tests/opening_failure.rs
@@ -24,8 +24,15 @@
 #[test]
 fn failure_of_error() {
     for (number, name, failure) in CASES {
-        let error = Error::Connect { source: IoError::from_raw_os_error(number) };
-        assert_eq!(Failure::of(&error), failure, "{name}");
+        let source = IoError::from_raw_os_error(number);
+        assert_eq!(Failure::of(&source), failure, "{name}");
+        assert_eq!(Failure::of_exchange(&Error::Connect { source }), Some(failure), "{name}");
     }
-    assert_eq!(Failure::of(&Error::timed_out()), Failure::TimedOut);
+    assert_eq!(Failure::of_exchange(&Error::timed_out()), Some(Failure::TimedOut));
+}
+
+#[test]
+fn broken_connection_was_open() {
+    let source = IoError::from_raw_os_error(24);
+    assert_eq!(Failure::of_exchange(&Error::Broken { source }), None);
 }
