--- a/crates/winch-relay/src/pulse.rs
+++ b/crates/winch-relay/src/pulse.rs
@@ -70,10 +70,15 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// How long this process has not run until `now`.
+    pub(crate) fn lost(&self, now: Instant) -> Duration {
+        self.state().lost_until(now)
+    }
+
     /// Starts to measure how long another process takes.
     pub(crate) fn start(&self) -> Stopwatch {
         let started_at = Instant::now();
-        Stopwatch { started_at, lost_before: self.state().lost_until(started_at) }
+        Stopwatch { started_at, lost_before: self.lost(started_at) }
     }
 
     /// The time since `stopwatch` was started; `None` if this process did not run for a good part
@@ -84,7 +89,7 @@
         now: Instant,
     ) -> Option<Duration> {
         let elapsed = now - stopwatch.started_at;
-        let lost = self.state().lost_until(now).saturating_sub(stopwatch.lost_before);
+        let lost = self.lost(now).saturating_sub(stopwatch.lost_before);
         (lost <= elapsed / MAX_LOST_PART).then_some(elapsed)
     }
 
@@ -93,7 +98,7 @@
     pub(crate) fn running_time(&self, stopwatch: Stopwatch) -> Duration {
         let now = Instant::now();
         let elapsed = now - stopwatch.started_at;
-        let lost = self.state().lost_until(now).saturating_sub(stopwatch.lost_before);
+        let lost = self.lost(now).saturating_sub(stopwatch.lost_before);
         elapsed.saturating_sub(lost).max(elapsed / MAX_ELAPSED_RATIO)
     }
 
--- a/crates/winch-relay/src/reach.rs
+++ b/crates/winch-relay/src/reach.rs
@@ -10,7 +10,7 @@
 use winch_http::client::{Connection, Error};
 use winch_route::{
     hash,
-    reach::{Reach, Tally, WINDOW},
+    reach::{Moment, Reach, Tally, WINDOW},
 };
 
 use crate::{
@@ -86,7 +86,7 @@
 
     fn record_opening(&self, replica: &Replica, failure: Option<Failure>) {
         let service = &replica.service;
-        let (now, known) = (self.uptime(), self.catalog().serving(service).count());
+        let (now, known) = (self.moment(), self.catalog().serving(service).count());
         let mut paths = self.paths();
         let reach = paths.service(service);
         if reach.record(hash::name(&replica.id), failure.is_none(), known, now) {
@@ -108,6 +108,11 @@
         }
     }
 
+    fn moment(&self) -> Moment {
+        let uptime = self.uptime();
+        Moment { uptime, running: uptime.saturating_sub(self.pulse.lost(Instant::now())) }
+    }
+
     /// Records that a reply of a replica of `service` is late.
     pub fn doubt_paths(&self, service: &Name) {
         let mut paths = self.paths();
--- a/crates/winch-route/src/reach.rs
+++ b/crates/winch-route/src/reach.rs
@@ -11,13 +11,23 @@
 const MIN_FAILED: usize = 3;
 /// Replicas that have to take no connection for each one that does.
 const FAILED_PER_OPENED: usize = 3;
-/// Time for which replicas have to take no connection.
+/// Time for which replicas have to take no connection while this process runs.
 const MIN_TIME: Duration = Duration::from_millis(250);
 /// Time for which the latest attempt to open a connection to a replica counts.
 pub const WINDOW: Duration = Duration::from_millis(1_500);
 /// Time after a connection was opened within which a slow reply raises no doubt.
 const DOUBT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// A moment on two clocks, each of which began when the process started.
+#[derive(Clone, Copy, Debug)]
+pub struct Moment {
+    /// Time since then.
+    pub uptime: Duration,
+    /// The part of it in which the process ran: beside a pause of its own, failed openings say
+    /// nothing of the time between them.
+    pub running: Duration,
+}
+
 /// The latest attempt to open a connection to one replica.
 #[derive(Clone, Copy, Debug)]
 struct Opening {
@@ -39,7 +49,7 @@
 pub struct Reach {
     /// Recent openings, by the hash of the replica.
     openings: HashMap<u64, Opening>,
-    /// When connections began to fail; `None` while more are opened than fail.
+    /// Running time at which connections began to fail; `None` while more are opened than fail.
     failing_since: Option<Duration>,
     opened_at: Option<Duration>,
     is_doubted: bool,
@@ -49,11 +59,12 @@
 impl Reach {
     /// Records whether `replica`, one of `known`, has taken a connection. Returns whether
     /// [`Self::is_isolated()`] has changed.
-    pub fn record(&mut self, replica: u64, is_open: bool, known: usize, now: Duration) -> bool {
-        self.openings.retain(|_, opening| now < opening.at + WINDOW);
-        self.openings.insert(replica, Opening { is_open, at: now });
+    pub fn record(&mut self, replica: u64, is_open: bool, known: usize, now: Moment) -> bool {
+        let Moment { uptime, running } = now;
+        self.openings.retain(|_, opening| uptime < opening.at + WINDOW);
+        self.openings.insert(replica, Opening { is_open, at: uptime });
         if is_open {
-            self.opened_at = Some(now);
+            self.opened_at = Some(uptime);
             self.is_doubted = false;
         }
         let Tally { opened, failed } = self.tally();
@@ -62,9 +73,9 @@
             self.failing_since = None;
             self.is_isolated = false;
         } else {
-            let since = *self.failing_since.get_or_insert(now);
+            let since = *self.failing_since.get_or_insert(running);
             let least = MIN_FAILED.min(known).max(FAILED_PER_OPENED * opened);
-            self.is_isolated |= failed >= least && now >= since + MIN_TIME;
+            self.is_isolated |= failed >= least && running >= since + MIN_TIME;
         }
         self.is_isolated != was_isolated
     }
