--- a/crates/winch-relay/src/reach.rs
+++ b/crates/winch-relay/src/reach.rs
@@ -1,6 +1,6 @@
 //! Finds out whether this daemon reaches the replicas of its services.
 //!
-//! Each opened or failed connection to a replica is recorded. While a service is in doubt or out of
+//! Each connection to a replica that was opened, or that it did not take, is recorded. While a service is in doubt or out of
 //! reach, connections are opened to see if any replica takes one.
 
 use std::collections::HashMap;
@@ -8,9 +8,15 @@
 use rand::seq::IteratorRandom;
 use tokio::{sync::Notify, time::sleep};
 use winch_http::client::{Connection, Error};
-use winch_route::{hash, reach::Reach};
+use winch_route::{
+    hash,
+    reach::{Moment, Reach, Tally, WINDOW},
+};
 
-use crate::{counter, node::Node, pool::CONNECT_TIMEOUT, prelude::*, running_time::timeout};
+use crate::{
+    catalog::Key, counter, node::Node, opening::Failure, pool::CONNECT_TIMEOUT, prelude::*,
+    running_time::timeout,
+};
 
 /// Interval of checks of a service that is in doubt.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -60,33 +66,59 @@
         self.open_new(replica).await
     }
 
-    /// Opens a new connection to `replica`, and records whether that succeeds.
+    /// Opens a new connection to `replica`, and records whether that succeeds unless this daemon's own
+    /// host has failed.
     ///
     /// # Errors
     /// As [`Self::open()`].
     pub async fn open_new(&self, replica: &Replica) -> Result<Connection, Error> {
         let opened = timeout(CONNECT_TIMEOUT, Connection::connect(replica.address)).await;
         let opened = opened.unwrap_or_else(|_| Err(Error::timed_out()));
-        counter::connected(if opened.is_ok() { "ok" } else { "failed" });
-        self.record_opening(replica, opened.is_ok());
+        let failure = opened.as_ref().err().and_then(Failure::of_exchange);
+        counter::connected(failure.map_or("ok", Failure::name));
+        if failure != Some(Failure::Host) {
+            self.record_opening(replica, failure);
+        }
         opened
     }
 
-    fn record_opening(&self, replica: &Replica, is_open: bool) {
+    /// Ejects a replica to which no connection could be opened, unless this daemon's own host has
+    /// failed.
+    pub fn eject_unopened(&self, key: Key, replica: &Replica, error: &Error) {
+        if Failure::of_exchange(error) != Some(Failure::Host) {
+            self.eject(key, replica, &error.to_string());
+        }
+    }
+
+    fn record_opening(&self, replica: &Replica, failure: Option<Failure>) {
         let service = &replica.service;
-        let (now, known) = (self.uptime(), self.catalog().serving(service).count());
+        let (now, known) = (self.moment(), self.catalog().serving(service).count());
         let mut paths = self.paths();
         let reach = paths.service(service);
-        if reach.record(hash::name(&replica.id), is_open, known, now) {
+        if reach.record(hash::name(&replica.id), failure.is_none(), known, now) {
             let is_isolated = reach.is_isolated();
             let event = if is_isolated { Event::ServiceOutOfReach } else { Event::ServiceReached };
-            emit!(event, service = service, replicas = known);
+            let Tally { opened, failed } = reach.tally();
+            emit!(
+                event,
+                service = service,
+                replicas = known,
+                opened = opened,
+                failed = failed,
+                last = failure.map_or("ok", Failure::name),
+                paused = self.pulse.was_paused(Instant::now(), WINDOW),
+            );
         }
         if reach.needs_check() {
             paths.in_doubt.notify_one();
         }
     }
 
+    fn moment(&self) -> Moment {
+        let uptime = self.uptime();
+        Moment { uptime, running: uptime.saturating_sub(self.pulse.lost(Instant::now())) }
+    }
+
     /// Records that a reply of a replica of `service` is late.
     pub fn doubt_paths(&self, service: &Name) {
         let mut paths = self.paths();
