--- a/crates/winch-relay/src/daemon.rs
+++ b/crates/winch-relay/src/daemon.rs
@@ -127,13 +127,16 @@
     let mut accepted_at = Instant::now();
     let accepting =
         accept_until_drained(&node, &sockets.callers, &mut connections, &mut accepted_at);
-    let _ = timeout_at(stop_deadline, accepting).await;
-    let queued = close_listener(&node, sockets.callers, &mut connections);
+    let _ = timeout_at(stop_deadline - listen::HANDSHAKE_TIME, accepting).await;
+    let quiet = accepted_at.elapsed();
+    let serve = |stream| serve_caller(&node, stream, &mut connections);
+    let closed = listen::close(sockets.callers, serve).await;
     emit!(
         Event::ListenerClosed,
-        queued = queued,
+        queued = closed.queued,
+        refused_first = closed.refused_first,
         open = connections.len(),
-        quiet_ms = accepted_at.elapsed().as_millis()
+        quiet_ms = quiet.as_millis()
     );
     if timeout_at(stop_deadline, join_all(&node, &mut connections)).await.is_err() {
         emit!(Event::GraceExpired, open = connections.len());
@@ -197,21 +200,6 @@
     }
 }
 
-/// Closes the listener, and serves the connections that are still in its queue: their callers may
-/// have sent a request, which the close would reset. Returns how many there were.
-fn close_listener<P: Protocol>(
-    node: &Arc<Node<P>>,
-    listener: TcpListener,
-    connections: &mut JoinSet<()>,
-) -> usize {
-    let queued = listen::close(listener);
-    let count = queued.len();
-    for stream in queued {
-        serve_caller(node, stream, connections);
-    }
-    count
-}
-
 fn serve_caller<P: Protocol>(
     node: &Arc<Node<P>>,
     stream: TcpStream,
