--- a/crates/wisteriawinch/tests/fault_soak.rs
+++ b/crates/wisteriawinch/tests/fault_soak.rs
@@ -8,6 +8,10 @@
 //! begun stream that is cut fails it too; in the one with planned stops and changes also a request
 //! without an answer, and a lookup that a sound replica could have answered.
 //!
+//! A second test, `hop_guarantees_hold`, lets one daemon lose its paths to the replicas while others
+//! keep theirs, with a fleet of its own. It fails also if an order begins long after its caller
+//! was told its end.
+//!
 //! Beside the faults, and in the series of planned work, the daemons are replaced one after the
 //! other. `SOAK_FORMER` is the absolute path of the program of another build: the daemons start
 //! with it, are replaced by those of this build and back, and at last by those of this build.
@@ -24,6 +28,8 @@
 mod caller;
 #[path = "../../../platform/tests/common/mod.rs"]
 mod common;
+#[path = "soak/cut.rs"]
+mod cut;
 mod entry;
 #[path = "soak/excuse.rs"]
 mod excuse;
@@ -31,6 +37,10 @@
 mod fault;
 #[path = "soak/fleet.rs"]
 mod fleet;
+#[path = "soak/hop.rs"]
+mod hop;
+#[path = "soak/ledger.rs"]
+mod ledger;
 #[path = "soak/pause.rs"]
 mod pause;
 #[path = "soak/planned.rs"]
@@ -53,7 +63,10 @@
 use fleet::Fleet;
 use rand::{SeedableRng, rngs::SmallRng};
 use size::Size;
-use tokio::{sync::watch, task::JoinSet};
+use tokio::{
+    sync::{Mutex, watch},
+    task::JoinSet,
+};
 
 /// Number of concurrent callers.
 const CALLERS: u64 = 6;
@@ -157,11 +170,14 @@
     violations
 }
 
-#[tokio::test]
-async fn guarantees_hold() {
+/// Runs all seeds, and fails with the guarantees that were violated. One test runs at a time, because
+/// the pauses of one stop this process.
+async fn run_seeds(run: impl AsyncFn(u64) -> Vec<String>) {
+    static TURN: Mutex<()> = Mutex::const_new(());
+    let _turn = TURN.lock().await;
     let mut failures = Vec::new();
     for seed in seeds() {
-        let result = tokio::time::timeout(SEED_TIMEOUT, run_seed(seed)).await;
+        let result = tokio::time::timeout(SEED_TIMEOUT, run(seed)).await;
         let violations =
             result.unwrap_or_else(|_| vec![format!("not finished after {SEED_TIMEOUT:?}")]);
         failures
@@ -169,3 +185,13 @@
     }
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
+
+#[tokio::test]
+async fn guarantees_hold() {
+    run_seeds(run_seed).await;
+}
+
+#[tokio::test]
+async fn hop_guarantees_hold() {
+    run_seeds(hop::run).await;
+}
--- a/crates/wisteriawinch/tests/soak/caller.rs
+++ b/crates/wisteriawinch/tests/soak/caller.rs
@@ -11,6 +11,7 @@
     sync::watch,
     time::{Instant, sleep, timeout},
 };
+use winch_relay::unary::guarantees_not_run;
 
 use super::{
     common::{Caller, EVENTS, Request, Response},
@@ -112,8 +113,8 @@
                 .violations
                 .push(format!("{id} got the answer to another request: {}", response.body));
         }
-    } else if is_order && matches!(response.status.as_u16(), 408 | 421 | 429 | 503) {
-        fleet.record_refusal(id);
+    } else if is_order && guarantees_not_run(response.status) {
+        fleet.ledger.record_refusal(id);
     }
     Some(response.status)
 }
@@ -186,7 +187,7 @@
         if let Some(Ok(id)) = request.headers.get("attempt-id").map(|id| id.to_str())
             && states_not_run
         {
-            fleet.record_refusal(id);
+            fleet.ledger.record_refusal(id);
         }
         return End::NotBegun;
     }
--- a/crates/wisteriawinch/tests/soak/fleet.rs
+++ b/crates/wisteriawinch/tests/soak/fleet.rs
@@ -4,7 +4,7 @@
 //! faults act on.
 
 use std::{
-    collections::{HashMap, HashSet},
+    net::SocketAddr,
     path::{Path, PathBuf},
     process::{Command, ExitStatus, Stdio},
     sync::{
@@ -21,6 +21,7 @@
     common::{Caller, Mode, Proxy, Replica, Request, Store, TIMEOUT, wait_until},
     entry::{self, Addresses, Process},
     excuse::Stops,
+    ledger::Ledger,
     program,
     size::Size,
 };
@@ -61,8 +62,7 @@
     pub(crate) stops: Stops,
     /// Program of the build that the daemons start with.
     pub(crate) former: PathBuf,
-    /// Ids of orders and streams refused with a reply that says that they never run.
-    refused: Mutex<HashSet<String>>,
+    pub(crate) ledger: Ledger,
     /// Settings and logs.
     folder: PathBuf,
     keeps_logs: AtomicBool,
@@ -95,9 +95,8 @@
             Process::start_build(&former, number, dc, addresses[number], &seeds, store, &folder)
         });
         let processes = Mutex::new(processes.collect());
-        let refused = Mutex::default();
         let turns = (0..size.daemons).map(|_| tokio::sync::Mutex::default()).collect();
-        let (stops, keeps_logs) = Default::default();
+        let (stops, ledger, keeps_logs) = Default::default();
         Self {
             size,
             store,
@@ -107,12 +106,27 @@
             turns,
             stops,
             former,
-            refused,
+            ledger,
             folder,
             keeps_logs,
         }
     }
 
+    /// Starts a further daemon, with this program, which has the first two as seeds and a store of its
+    /// own.
+    pub(crate) fn start_reader(&mut self, program: &Path, store: SocketAddr) {
+        let processes =
+            self.processes.get_mut().expect("no thread panics while it holds this lock");
+        let (number, addresses) = (processes.len(), Addresses::unused());
+        let seeds = [processes[0].addresses.control, processes[1].addresses.control];
+        let dc = DCS[number % DCS.len()];
+        let folder = &self.folder;
+        let process = Process::start_build(program, number, dc, addresses, &seeds, store, folder);
+        processes.push(process);
+        self.turns.push(tokio::sync::Mutex::default());
+        self.size.daemons += 1;
+    }
+
     /// The replicas for streams.
     pub(crate) fn engines(&self) -> impl Iterator<Item = &Replica> {
         self.replicas[..self.size.engines].iter().map(|other| &other.replica)
@@ -241,33 +255,10 @@
         }
     }
 
-    /// Records that a daemon has stated that the order or stream with this id never runs.
-    pub(crate) fn record_refusal(&self, id: &str) {
-        self.refused
-            .lock()
-            .expect("no thread panics while it holds this lock")
-            .insert(id.to_owned());
-    }
-
     /// Orders that ran more than once, and orders and streams that ran although they were
     /// refused.
     pub(crate) fn run_violations(&self) -> Vec<String> {
-        let mut orders: HashMap<String, u32> = HashMap::new();
-        let mut runs = HashSet::new();
-        for request in self.replicas.iter().flat_map(|proxied| proxied.replica.received()) {
-            if request.executed {
-                let id = request.header("attempt-id").unwrap_or("none").to_owned();
-                if request.target.starts_with("/o/") {
-                    *orders.entry(id.clone()).or_default() += 1;
-                }
-                runs.insert(id);
-            }
-        }
-        let refused = self.refused.lock().expect("no thread panics while it holds this lock");
-        let ran_twice = orders.iter().filter(|(_, count)| **count > 1);
-        let ran_twice = ran_twice.map(|(id, count)| format!("order {id} ran {count} times"));
-        let ran_after_refusal = refused.intersection(&runs);
-        ran_twice.chain(ran_after_refusal.map(|id| format!("{id} was refused and ran"))).collect()
+        self.ledger.run_violations(self.replicas.iter().map(|proxied| &proxied.replica))
     }
 
     /// Lists a replica as another incarnation with the same id.
