--- a/crates/winch-http/src/client.rs
+++ b/crates/winch-http/src/client.rs
@@ -146,12 +146,18 @@
         }
     }
 
-    /// From now on, the connection is reset, not closed, if it is dropped before a reply is complete.
+    /// From now on, the connection is reset, not closed, if it is dropped before a reply is complete,
+    /// or if the process is killed.
     ///
     /// What a partition holds up of a request that is given up is lost then; after a close it would
     /// arrive at the end of the partition.
     pub fn reset_pending(&mut self) {
-        self.resets_pending = true;
+        if !self.resets_pending {
+            self.resets_pending = true;
+            // Set beforehand: nothing is dropped when the process is killed. An error means that
+            // the connection has already been reset.
+            let _ = self.io.set_zero_linger();
+        }
     }
 
     /// Returns the number of requests sent on this connection, including failed ones.
@@ -321,9 +327,10 @@
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        if self.is_pending && self.resets_pending {
+        if self.resets_pending && !self.is_pending {
             // An error means that the connection has already been reset.
-            let _ = self.io.set_zero_linger();
+            #[expect(deprecated, reason = "without a time to linger, no close blocks")]
+            let _ = self.io.set_linger(None);
         }
     }
 }
