--- a/crates/wisteriawinch/tests/soak/cut.rs
+++ b/crates/wisteriawinch/tests/soak/cut.rs
@@ -11,6 +11,7 @@
 
 use super::{
     common::{Mode, Proxy, Step},
+    fault,
     fleet::Fleet,
     hop::SECOND_DAEMONS,
     series::Series,
@@ -27,6 +28,10 @@
 const STEP_MS: Range<u64> = 200..900;
 /// Time after which a late replica replies; mostly longer than its daemon waits.
 const LATE_MS: Range<u64> = 500..1_500;
+/// Restarts of second daemons in a series.
+const MAX_RESTARTS: usize = 2;
+/// Time until a daemon that was killed starts again.
+const PAUSE_MS: Range<u64> = 0..400;
 /// Time for which a replica is silent; shorter than an order may begin after its end.
 const SILENCE_MS: Range<u64> = 100..800;
 
@@ -100,7 +105,7 @@
             4..6 if self.second_cut_until.is_none() => self.hold_second(rng),
             6..9 if self.steps_until.is_none() => self.set_steps(rng),
             9 => self.silence(rng),
-            10 if self.restarts.is_empty() => self.restart(rng),
+            10..12 if self.restarts.len() < MAX_RESTARTS => self.restart(rng),
             _ => {}
         }
     }
@@ -164,11 +169,16 @@
         }
     }
 
-    /// Stops a second daemon, which may have orders, and starts it again.
+    /// Stops or kills a second daemon, which may have orders, and starts it again.
     fn restart(&mut self, rng: &mut SmallRng) {
         let (fleet, number) = (self.fleet.clone(), rng.random_range(0..SECOND_DAEMONS));
-        let mut rng = SmallRng::seed_from_u64(rng.random());
+        let (mut rng, is_killed) = (SmallRng::seed_from_u64(rng.random()), rng.random_bool(0.5));
+        let pause = Duration::from_millis(rng.random_range(PAUSE_MS));
         self.restarts.spawn(async move {
+            if is_killed {
+                fault::kill(&fleet, number, pause).await;
+                return Vec::new();
+            }
             let program = fleet.former.clone();
             upgrade::roll(&fleet, number..=number, &program, &mut rng).await
         });
--- a/crates/wisteriawinch/tests/soak/fault.rs
+++ b/crates/wisteriawinch/tests/soak/fault.rs
@@ -52,12 +52,7 @@
     let short = Duration::from_millis(rng.random_range(50..900));
     let mut violations = Vec::new();
     match rng.random_range(0..18) {
-        0 => {
-            let _turn = fleet.turn(daemon).await;
-            fleet.kill(daemon);
-            sleep(short / 4).await;
-            fleet.restart(daemon);
-        }
+        0 => kill(fleet, daemon, short / 4).await,
         1 => violations.extend(graceful_stop(fleet, daemon).await),
         2 => {
             fleet.signal(daemon, "-STOP");
@@ -123,6 +118,14 @@
     violations
 }
 
+/// Kills a daemon, and starts it again after a pause.
+pub(crate) async fn kill(fleet: &Fleet, daemon: usize, pause: Duration) {
+    let _turn = fleet.turn(daemon).await;
+    fleet.kill(daemon);
+    sleep(pause).await;
+    fleet.restart(daemon);
+}
+
 /// Stops a daemon with SIGTERM, as the platform does, and starts it again.
 async fn graceful_stop(fleet: &Fleet, daemon: usize) -> Option<String> {
     let _turn = fleet.turn(daemon).await;
