--- a/crates/wisteriawinch/src/control/moves.rs
+++ b/crates/wisteriawinch/src/control/moves.rs
@@ -213,7 +213,8 @@
         self.act(name).await;
     }
 
-    /// Acquires or renews the lease, at most once per [`CONTEND_INTERVAL`].
+    /// Acquires or renews the lease, at most once per [`CONTEND_INTERVAL`]; a holder repeats a failed
+    /// renewal at its next tick, since its lease runs out meanwhile.
     async fn contend(&mut self, name: &Name) {
         let fleet = self.fleet.clone();
         let state = self.state_mut(name);
@@ -232,6 +233,7 @@
             Ok(None) => self.step_down(name),
             // Without the table no other daemon can acquire the lease either. The stage is kept
             // and, once the lease has expired, not advanced.
+            Err(_) if state.fencing_token > 0 => state.contended_at = None,
             Err(_) => {}
         }
     }
--- a/crates/wisteriawinch/tests/move_verdict.rs
+++ b/crates/wisteriawinch/tests/move_verdict.rs
@@ -15,6 +15,7 @@
 };
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
+use winch_platform::{lease, table::Table};
 use winch_standin::{engine::Fault, platform};
 use wisteriawinch::prelude::unix_now;
 
@@ -178,6 +179,32 @@
     traffic.await.unwrap();
 }
 
+/// Number of times that the lease of the move has been acquired or renewed.
+async fn renewals(world: &World) -> u64 {
+    let row = world.platform.memory().read("lease/move/to-v2").await.expect("no outage");
+    row.map_or(0, |row| serde_json::from_str::<lease::Record>(&row.value).expect("a lease").beat)
+}
+
+// Guards against a holder that waits for a whole interval after a renewal that failed, while its lease runs out.
+#[tokio::test(flavor = "multi_thread")]
+async fn failed_renewal_repeated() {
+    let (world, _engines) = world_with_versions().await;
+    world.apply(&[move_object(40)]).await;
+    until("the lease is held", || async { renewals(&world).await > 0 }).await;
+    let held = renewals(&world).await;
+    until("the lease is renewed", || async { renewals(&world).await > held }).await;
+    let renewed = renewals(&world).await;
+    // The next renewal is due 2 s to 2.5 s after that one.
+    sleep(Duration::from_millis(1_900)).await;
+    world.platform.set_fault(&platform::Fault { outage: true, ..Default::default() });
+    sleep(Duration::from_millis(800)).await;
+    world.platform.set_fault(&platform::Fault::default());
+    let ended_at = Instant::now();
+    until("the lease is renewed again", || async { renewals(&world).await > renewed }).await;
+    let waited = ended_at.elapsed();
+    assert!(waited < Duration::from_secs(1), "renewed {waited:?} after the outage");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn deadline_expires() {
     let (world, engines) = world_with_versions().await;
