--- a/crates/wisteriawinch/src/code.rs
+++ b/crates/wisteriawinch/src/code.rs
@@ -98,6 +98,8 @@
     /// The event id was not issued by this fleet, belongs to another request or does not match
     /// the accepted tokens.
     BadTicket = 205, "bad_ticket", 400, No, false;
+    /// The request is refused because several engines crashed, also while they ran it for this call.
+    EnginesCrashed = 206, "engines_crashed", 422, Unknown, false;
     /// The changed configuration has faults; the body lists them.
     Faulty = 401, "faulty", 422, No, false;
     /// Another change was committed first: the base revision is no longer the head, or a change
--- a/crates/wisteriawinch/src/generate/drive/recover.rs
+++ b/crates/wisteriawinch/src/generate/drive/recover.rs
@@ -29,7 +29,7 @@
     /// move if the answer is assigned to it and a replica has room, and after admission otherwise.
     pub(super) async fn begin(&mut self) -> Result<(), End> {
         let max_wait = self.call.arrival.max_wait;
-        let checked = timeout(max_wait, self.check_disposition()).await;
+        let checked = timeout(max_wait, self.check_disposition(Code::Suspect)).await;
         checked.unwrap_or_else(|_| Err(end_from_admission(admit::Error::Expired)))?;
         if let Some(point) = self.job.resume.clone() {
             return self.resume_at(point.cursor, point.tokens);
@@ -102,11 +102,11 @@
         Ok(())
     }
 
-    /// Refuses a request that must not run. One that must be isolated waits until no other
-    /// isolated request runs on this daemon; requests that are not isolated may still run on its
-    /// replica.
-    pub(super) async fn check_disposition(&mut self) -> Result<(), End> {
-        self.refuse_suspect()?;
+    /// Refuses a request that must not run; the caller gets `code`. One that must be isolated waits
+    /// until no other isolated request runs on this daemon; requests that are not isolated may still
+    /// run on its replica.
+    pub(super) async fn check_disposition(&mut self, code: Code) -> Result<(), End> {
+        self.refuse_suspect(code)?;
         let disposition = strike::disposition(&self.fleet, self.job.fingerprint);
         if disposition != Disposition::Isolated || self.isolation_permit.is_some() {
             return Ok(());
@@ -124,18 +124,18 @@
             () = sleep(STRIKE_PROPAGATION_TIME) => {}
             () = self.output.closed() => return Err(End::Disconnected),
         }
-        self.refuse_suspect()
+        self.refuse_suspect(code)
     }
 
-    /// Fails the answer if the request has so many strikes that it must not run at all.
-    fn refuse_suspect(&self) -> Result<(), End> {
+    /// Fails the answer with `code` if the request has so many strikes that it must not run at all.
+    fn refuse_suspect(&self, code: Code) -> Result<(), End> {
         if strike::disposition(&self.fleet, self.job.fingerprint) != Disposition::Refused {
             return Ok(());
         }
         let request = format!("{:016x}", self.job.request);
         emit!(Event::RequestSuspected, request = request, standing = "refused");
         let message = "engines died of this request".to_owned();
-        Err(End::Failed((Code::Suspect, message)))
+        Err(End::Failed((code, message)))
     }
 
     /// The call with the number of tokens that a resume prefills: the prompt and all accepted
@@ -171,7 +171,8 @@
         if self.replay_until > self.answer.len() {
             return Err(End::Failed(resume_unavailable()));
         }
-        let checked = timeout(self.progress_time_left(), self.check_disposition()).await;
+        let checked =
+            timeout(self.progress_time_left(), self.check_disposition(Code::EnginesCrashed)).await;
         checked.unwrap_or_else(|_| Err(no_progress()))?;
         if self.is_unsent() {
             self.fall_back();
--- a/crates/wisteriawinch/tests/suspect_request.rs
+++ b/crates/wisteriawinch/tests/suspect_request.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::{Generation, all_complete, fleet, start_generations, until};
+use serde_json::Value;
 use winch_standin::{engine::Fault, load::Error};
 
 /// Largest number of engines in the whole fleet that one such request may crash.
@@ -42,3 +43,26 @@
     assert!(crashed <= MAX_CRASHED, "{crashed} engines crashed");
     assert!(refused >= 1);
 }
+
+// Guards against a promise that a call has not run which has crashed engines.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_call_may_have_run() {
+    let (world, engines) = fleet(1, 6).await;
+    for running in &engines {
+        let poison = Some("poison".to_owned());
+        running.engine.set_fault(Fault { poison, ..Fault::default() });
+    }
+    let mut refusals = Vec::new();
+    for _ in 0..2 {
+        let mut generation = Generation::new("the poison", 20);
+        match generation.read(&world.client, world.url(0)).await {
+            Err(Error::Refused { body }) => {
+                let body: Value = serde_json::from_str(&body).expect("JSON");
+                refusals.push((body["error"]["code"].as_u64(), body["error"]["not_run"].clone()));
+            }
+            end => panic!("{end:?}"),
+        }
+    }
+    let expected = [(Some(206), Value::from("unknown")), (Some(117), Value::Bool(true))];
+    assert_eq!(refusals, expected, "the first call has crashed engines, and the second one none");
+}
