--- a/crates/winch-relay/src/edge.rs
+++ b/crates/winch-relay/src/edge.rs
@@ -29,6 +29,7 @@
     call::reply_time,
     config::Limits,
     counter,
+    job::Sends,
     node::Node,
     prelude::*,
     respond::{Progress, Responder},
@@ -39,8 +40,8 @@
 /// How long remaining input is read before a connection is closed.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Serves one request that another daemon passes on; it was sent to replicas `sends` times.
-pub async fn serve_forwarded<P, R, W>(node: &Arc<Node<P>>, read: R, write: W, sends: u32)
+/// Serves one request that another daemon passes on.
+pub async fn serve_forwarded<P, R, W>(node: &Arc<Node<P>>, read: R, write: W, sends: Sends)
 where
     P: Protocol,
     R: AsyncRead + Unpin,
--- a/crates/winch-relay/src/edge/admission.rs
+++ b/crates/winch-relay/src/edge/admission.rs
@@ -6,7 +6,7 @@
 use crate::{
     config::{Route, Semantics, Team},
     counter,
-    job::Job,
+    job::{Job, Sends},
     node::Node,
     prelude::*,
     priority::Priority,
@@ -22,8 +22,8 @@
 pub(super) enum Origin {
     /// A caller.
     Caller,
-    /// Another daemon, which has sent it to replicas this many times.
-    Daemon { sends: u32 },
+    /// Another daemon, with what it tells of the sends.
+    Daemon { sends: Sends },
 }
 
 /// What the configuration assigns to a request.
@@ -44,6 +44,10 @@
     pub(super) fn into_job(self, call: Call, origin: Origin, passing_time: Duration) -> Job {
         let Self { route, version, service, team, priority, cohort, shared_parts, is_trial } = self;
         let is_forwarded = matches!(origin, Origin::Daemon { .. });
+        let max_sends = match origin {
+            Origin::Daemon { sends } => sends.limit(route.max_attempts),
+            Origin::Caller => route.max_attempts,
+        };
         let reply_deadline = call.reply_deadline(route.timeout, passing_time);
         Job {
             call,
@@ -55,6 +59,7 @@
             shared_parts,
             is_trial,
             is_forwarded,
+            max_sends,
             reply_deadline,
             cohort,
         }
--- a/crates/winch-relay/src/edge/request.rs
+++ b/crates/winch-relay/src/edge/request.rs
@@ -14,7 +14,7 @@
     call::reply_time,
     config::Semantics,
     counter,
-    job::{Job, Outcome},
+    job::{Job, Outcome, Sends},
     node::Node,
     prelude::*,
     respond::{Begun, Progress, Responder},
@@ -63,7 +63,7 @@
     };
     let mut trace = Trace::default();
     if let Origin::Daemon { sends } = origin {
-        trace.sends = sends;
+        trace.sends = sends.made;
     }
     let begun = out.begun();
     let interrupt = tokio::select! {
@@ -84,6 +84,9 @@
     if matches!(job.route.semantics, Semantics::Stream { .. }) {
         stream::record_time(node, &job, &outcome);
     }
+    if let Origin::Daemon { sends: Sends { max: Some(_), .. } } = origin {
+        out.set_sends(trace.sends);
+    }
     finish(node, &job, out, outcome, &trace).await;
 }
 
--- a/crates/winch-relay/src/forward.rs
+++ b/crates/winch-relay/src/forward.rs
@@ -7,6 +7,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
+    num::NonZeroU32,
     sync::{
         Mutex, PoisonError,
         atomic::{AtomicUsize, Ordering},
@@ -23,7 +24,7 @@
     counter,
     delivery::Deliveries,
     exchange::{CallReply, ForwardedReply},
-    job::{Job, Outcome},
+    job::{Job, Outcome, Sends},
     memory,
     node::Node,
     peer,
@@ -34,6 +35,10 @@
 /// Header of a reply to a forwarded request that the daemon itself made: its result code.
 pub const CODE: HeaderName = HeaderName::from_static("winch-code");
 
+/// Header of a complete reply to a forwarded request whose sends were limited: how often it was sent
+/// to replicas, with those of the daemon that passed it on.
+pub const SENDS: HeaderName = HeaderName::from_static("winch-sends");
+
 /// Header of a reply to a forwarded request that a replica made: the replica's id.
 pub const REPLICA: HeaderName = HeaderName::from_static("winch-replica");
 
@@ -129,8 +134,13 @@
 pub enum Reached {
     /// The reply of a replica, whose body is still to be read from the connection.
     Reply(Reply, Box<Connection>),
-    /// The daemon ended the request with this code.
-    Error(Code),
+    /// The daemon ended the request.
+    Error {
+        /// Why.
+        code: Code,
+        /// How often it was sent to replicas; `None` if the daemon does not say so.
+        sends: Option<u32>,
+    },
     /// The daemon did not take the request, which has not run, for this reason.
     NotTaken(&'static str),
     /// The connection broke after the request was sent; it may have run.
@@ -142,7 +152,7 @@
     pub fn result(&self) -> String {
         match self {
             Self::Reply(reply, _) => reply.status.as_u16().to_string(),
-            Self::Error(code) => code.name().to_owned(),
+            Self::Error { code, .. } => code.name().to_owned(),
             Self::NotTaken(reason) => (*reason).to_owned(),
             Self::Broken => BROKEN.to_owned(),
         }
@@ -165,12 +175,12 @@
 /// Sends a request to another daemon and reads the head of the reply.
 ///
 /// `after_event` is the id of the last event that the caller has of a stream. The daemon is told
-/// that the request ends at `deadline`, and that it was sent to replicas `sends` times.
+/// that the request ends at `deadline`, and how often it was and may be sent to replicas.
 pub async fn send<P: Protocol>(
     node: &Node<P>,
     job: &Job,
     deliveries: &Deliveries,
-    sends: u32,
+    sends: Sends,
     after_event: Option<u64>,
     deadline: Instant,
     daemon: SocketAddr,
@@ -205,12 +215,12 @@
         }
         Some(code) if code.may_have_run() => {
             counter::forwarded("failed");
-            Reached::Error(code)
+            Reached::Error { code, sends: decode_sends(&reply) }
         }
         Some(code) => {
             delivery.not_run();
             counter::forwarded("not_run");
-            Reached::Error(code)
+            Reached::Error { code, sends: decode_sends(&reply) }
         }
     }
 }
@@ -222,6 +232,12 @@
     Some(text.parse().ok().and_then(Code::from_number).unwrap_or(Code::Broken))
 }
 
+/// How often the request was sent to replicas; `None` if the daemon does not say so, as those of
+/// earlier releases.
+fn decode_sends(reply: &Reply) -> Option<u32> {
+    reply.headers.get(SENDS)?.to_str().ok()?.parse().ok()
+}
+
 /// States in a reply which replica made it, for the daemon that has passed the request on.
 pub fn name_replica(reply: &mut Reply, replica: &Replica) {
     match HeaderValue::from_str(&replica.id) {
@@ -239,8 +255,9 @@
 
 /// Passes a lookup or an order on to other daemons; `None` if none takes it.
 ///
-/// A lookup goes on to the next daemon if the replicas of one refuse it, or if one is late. The
-/// latter keeps it meanwhile, and the first answer counts.
+/// A lookup goes on to the next daemon if the replicas of one refuse or fail it, or if one is late.
+/// The latter keeps it meanwhile, and the first answer counts. Each daemon is told how often it may
+/// send the request: a late one does so unseen.
 pub async fn relay<P: Protocol>(node: &Node<P>, job: &Job, trace: &mut Trace) -> Option<Outcome> {
     trace.was_forwarded = true;
     let may_repeat = job.route.semantics.may_repeat();
@@ -257,15 +274,19 @@
         {
             last = Some((daemon, late_at(job)));
             trace.pending = Some(daemon.to_string());
-            let sends = trace.sends;
+            let sends = grant(job, trace.sends, daemons.len());
+            // All that the daemon may do, until it says how much it has done.
+            trace.sends += sends.left();
             let deliveries = trace.deliveries();
-            asked.push(async move { (daemon, ask(node, job, &deliveries, sends, daemon).await) });
+            asked.push(
+                async move { (daemon, sends, ask(node, job, &deliveries, sends, daemon).await) },
+            );
         }
         if asked.is_empty() {
             return code.map(Outcome::Error);
         }
         let wake_at = last.map_or(job.reply_deadline, |(_, late_at)| late_at);
-        let (daemon, end) = tokio::select! {
+        let (daemon, sends, end) = tokio::select! {
             biased;
             Some(ended) = asked.next() => ended,
             () = sleep_until(wake_at) => {
@@ -273,44 +294,50 @@
                     trace.interrupt("timed out");
                     return Some(Outcome::Error(Code::TimedOut));
                 }
-                // The daemon may have sent it to a replica.
-                trace.sends += 1;
                 trace.expect_late();
                 last = None;
                 continue;
             }
         };
         trace.record_end(&daemon.to_string(), end.result());
-        let is_last = last.is_some_and(|(last, _)| last == daemon);
-        last = last.filter(|_| !is_last);
+        last = last.filter(|(last, _)| *last != daemon);
+        trace.sends -= end.unused(sends);
+        // A late daemon may still answer. One that does not say how often it has sent the request has
+        // tried further replicas itself.
+        let has_place = trace.sends < job.route.max_attempts && daemons.len() > 0;
+        let can_go_on = !asked.is_empty() || end.states_sends() && has_place;
         match end {
-            Asked::Ended(Outcome::Error(reason)) if may_repeat && is_refusal(reason) => {
-                code = code.or(Some(reason));
-            }
-            // A late daemon may still answer.
-            Asked::Ended(Outcome::Error(reason)) if may_repeat && !asked.is_empty() => {
+            Asked::NotTaken(_) => {}
+            Asked::Ended { outcome, .. } if !may_repeat => return Some(outcome),
+            Asked::Broken if !may_repeat => return Some(Outcome::Error(Code::Broken)),
+            Asked::Broken => code = Some(Code::Broken),
+            Asked::Ended { outcome: Outcome::Error(reason), .. }
+                if is_refusal(reason)
+                    || !asked.is_empty()
+                    || can_go_on && reason == Code::Broken =>
+            {
                 code = code.or(Some(reason));
             }
-            Asked::Ended(Outcome::Answer { reply, body })
-                if may_repeat && !asked.is_empty() && reply.status.is_server_error() =>
+            Asked::Ended { outcome: Outcome::Answer { reply, body }, .. }
+                if can_go_on && reply.status.is_server_error() =>
             {
                 trace.error_reply = Some((reply, body));
                 code = code.or(Some(Code::Broken));
             }
-            Asked::Ended(outcome) => return Some(outcome),
-            Asked::NotTaken(_) => continue,
-            Asked::Broken => {
-                code = Some(Code::Broken);
-                if !may_repeat {
-                    return Some(Outcome::Error(Code::Broken));
-                }
-            }
+            Asked::Ended { outcome, .. } => return Some(outcome),
         }
-        // A late one has been counted.
-        trace.sends += u32::from(is_last);
     }
 }
 
+/// What a daemon is told of the sends of a request that was sent `made` times, while `daemons` more
+/// may be asked. Of a lookup it leaves some sends to these.
+fn grant(job: &Job, made: u32, daemons: usize) -> Sends {
+    let left = job.route.max_attempts.saturating_sub(made);
+    let is_shared = job.route.semantics.may_repeat() && daemons > 0;
+    let granted = if is_shared { left.div_ceil(2) } else { left };
+    Sends { made, max: NonZeroU32::new(made + granted) }
+}
+
 /// Whether the replicas that a daemon reaches have refused a request, so that another daemon may
 /// find one that takes it.
 fn is_refusal(code: Code) -> bool {
@@ -326,7 +353,11 @@
 
 /// How asking one daemon ended.
 enum Asked {
-    Ended(Outcome),
+    Ended {
+        outcome: Outcome,
+        /// How often the request was sent to replicas; `None` if the daemon does not say so.
+        sends: Option<u32>,
+    },
     /// For this reason.
     NotTaken(&'static str),
     Broken,
@@ -336,27 +367,44 @@
     /// What the daemon answered, as the log names it.
     fn result(&self) -> String {
         match self {
-            Self::Ended(outcome) => outcome.result().to_owned(),
+            Self::Ended { outcome, .. } => outcome.result().to_owned(),
             Self::NotTaken(reason) => (*reason).to_owned(),
             Self::Broken => BROKEN.to_owned(),
         }
     }
+
+    /// Number of sends that the daemon was granted and has not made.
+    fn unused(&self, granted: Sends) -> u32 {
+        match self {
+            Self::NotTaken(_) => granted.left(),
+            Self::Ended { sends: Some(sends), .. } => {
+                granted.left().saturating_sub(sends.saturating_sub(granted.made))
+            }
+            Self::Ended { sends: None, .. } | Self::Broken => 0,
+        }
+    }
+
+    /// Whether the daemon says how often it has sent the request.
+    fn states_sends(&self) -> bool {
+        matches!(self, Self::Ended { sends: Some(_), .. })
+    }
 }
 
 async fn ask<P: Protocol>(
     node: &Node<P>,
     job: &Job,
     deliveries: &Deliveries,
-    sends: u32,
+    sends: Sends,
     daemon: SocketAddr,
 ) -> Asked {
     match send(node, job, deliveries, sends, None, job.reply_deadline, daemon).await {
         Reached::NotTaken(reason) => Asked::NotTaken(reason),
         Reached::Broken => Asked::Broken,
-        Reached::Error(code) => Asked::Ended(Outcome::Error(code)),
+        Reached::Error { code, sends } => Asked::Ended { outcome: Outcome::Error(code), sends },
         Reached::Reply(reply, mut connection) => {
+            let sends = decode_sends(&reply);
             match memory::read_body(&mut connection, &node.body_blocks, MAX_BODY_BYTES).await {
-                Ok(body) => Asked::Ended(Outcome::Answer { reply, body }),
+                Ok(body) => Asked::Ended { outcome: Outcome::Answer { reply, body }, sends },
                 Err(_) => Asked::Broken,
             }
         }
--- a/crates/winch-relay/src/job.rs
+++ b/crates/winch-relay/src/job.rs
@@ -1,6 +1,6 @@
 //! A request while the daemon handles it: its route and service, its deadlines and its outcome.
 
-use std::{future::Future, pin::pin};
+use std::{future::Future, num::NonZeroU32, pin::pin};
 
 use bytes::Bytes;
 use tokio::time::timeout_at;
@@ -38,6 +38,8 @@
     pub is_trial: bool,
     /// Whether another daemon has passed the request on, so that it is not passed on again.
     pub is_forwarded: bool,
+    /// Number of sends after which a lookup or an order is sent no more, with those of other daemons.
+    pub max_sends: u32,
     /// When the reply must begin, so that it reaches the caller before its deadline.
     pub reply_deadline: Instant,
     /// Version of the service, old or new, for which the request was drawn while the service
@@ -95,6 +97,28 @@
     }
 }
 
+/// What a daemon tells of the sends of a request that it passes on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sends {
+    /// Number of times that the request was sent to replicas.
+    pub made: u32,
+    /// Number of sends, with these, after which it is sent no more; `None` if only the route's limit
+    /// holds.
+    pub max: Option<NonZeroU32>,
+}
+
+impl Sends {
+    /// Number of sends that the daemon may make to which the request is passed on.
+    pub fn left(self) -> u32 {
+        self.max.map_or(0, |max| max.get().saturating_sub(self.made))
+    }
+
+    /// The limit of the sends, which is not above that of the route.
+    pub fn limit(self, max_attempts: u32) -> u32 {
+        self.max.map_or(max_attempts, |max| max.get().min(max_attempts))
+    }
+}
+
 /// How a request ended.
 #[derive(Clone, Debug)]
 pub enum Outcome {
--- a/crates/winch-relay/src/peer.rs
+++ b/crates/winch-relay/src/peer.rs
@@ -18,7 +18,7 @@
 mod serve;
 mod speeds;
 
-use std::{io, net::SocketAddr};
+use std::{io, net::SocketAddr, num::NonZeroU32};
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
@@ -39,6 +39,7 @@
 };
 use crate::{
     counter,
+    job::Sends,
     node::Node,
     prelude::*,
     running_time::{Budget, timeout},
@@ -86,13 +87,13 @@
     timeout(REQUEST_TIMEOUT, connected).await?
 }
 
-/// Opens a connection to a daemon on which a caller's request is sent next; the request was sent to
-/// replicas `sends` times.
+/// Opens a connection to a daemon on which a caller's request is sent next.
 ///
 /// # Errors
 /// The system's error; nothing of the request was sent.
-pub async fn open_forwarding(address: SocketAddr, sends: u32) -> io::Result<Connection> {
-    let forwarding = Some(Forwarding { sends });
+pub async fn open_forwarding(address: SocketAddr, sends: Sends) -> io::Result<Connection> {
+    let Sends { made, max } = sends;
+    let forwarding = Some(Forwarding { sends: made, max_sends: max.map_or(0, NonZeroU32::get) });
     let framed = connect(address, Request { forwarding, ..Request::default() }).await?;
     Ok(Connection::new(framed.into_inner()))
 }
--- a/crates/winch-relay/src/peer/message.rs
+++ b/crates/winch-relay/src/peer/message.rs
@@ -2,7 +2,7 @@
 //!
 //! See [`peer`](super) for the exchange of these messages.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, num::NonZeroU32};
 
 use bytes::Bytes;
 use prost::Message;
@@ -20,6 +20,7 @@
 use crate::{
     catalog::Drain,
     edition::Edition,
+    job::Sends,
     prelude::*,
     store::{Change, Listing},
 };
@@ -63,6 +64,17 @@
     /// Number of times that the request was sent.
     #[prost(uint32, tag = "1")]
     pub sends: u32,
+    /// Number of sends, with these, after which the receiver sends the request no more; zero if only
+    /// the route's limit holds.
+    #[prost(uint32, tag = "2")]
+    pub max_sends: u32,
+}
+
+impl Forwarding {
+    /// What the message tells of the sends.
+    pub(super) fn decode(self) -> Sends {
+        Sends { made: self.sends, max: NonZeroU32::new(self.max_sends) }
+    }
 }
 
 /// Daemons to which requests may be passed on.
--- a/crates/winch-relay/src/peer/serve.rs
+++ b/crates/winch-relay/src/peer/serve.rs
@@ -223,7 +223,7 @@
         let (read, write) = io.into_split();
         let read = io::Cursor::new(read_buf).chain(read);
         if has_room {
-            edge::serve_forwarded(node, read, write, forwarding.sends).await;
+            edge::serve_forwarded(node, read, write, forwarding.decode()).await;
         } else {
             refuse_forwarded(read, write).await;
         }
--- a/crates/winch-relay/src/respond.rs
+++ b/crates/winch-relay/src/respond.rs
@@ -17,7 +17,7 @@
 };
 
 use crate::{
-    forward::{CODE, REPLICA},
+    forward::{CODE, REPLICA, SENDS},
     prelude::*,
 };
 
@@ -68,6 +68,8 @@
     has_body: bool,
     /// Whether error replies state their code in a header, for another daemon.
     states_code: bool,
+    /// Sends of the request that a complete reply states for another daemon.
+    sends: Option<u32>,
 }
 
 impl<W: AsyncWrite + Unpin> Responder<W> {
@@ -83,6 +85,7 @@
             method: Method::GET,
             has_body: true,
             states_code: false,
+            sends: None,
         }
     }
 
@@ -103,6 +106,7 @@
     fn reset(&mut self) {
         self.progress = Progress::Waiting;
         self.begun.set(false);
+        self.sends = None;
     }
 
     /// Prepares for the reply to `request`.
@@ -116,6 +120,12 @@
         self.method = request.method.clone();
     }
 
+    /// Sets how often the request was sent to replicas, which a complete reply to another daemon
+    /// states.
+    pub fn set_sends(&mut self, sends: u32) {
+        self.sends = self.states_code.then_some(sends);
+    }
+
     /// Progress of the current reply.
     pub fn progress(&self) -> Progress {
         self.progress
@@ -176,6 +186,7 @@
     fn strip_daemon_headers(&self, headers: &mut HeaderMap) {
         // A replica must not pass for a daemon.
         headers.remove(CODE);
+        headers.remove(SENDS);
         if !self.states_code {
             headers.remove(REPLICA);
         }
@@ -199,9 +210,12 @@
     async fn send_whole(
         &mut self,
         status: StatusCode,
-        headers: HeaderMap,
+        mut headers: HeaderMap,
         body: &[u8],
     ) -> io::Result<()> {
+        if let Some(sends) = self.sends {
+            headers.insert(SENDS, sends.into());
+        }
         self.put_head(status, headers, (header::CONTENT_LENGTH, body.len().into()));
         if permits_body(&self.method, status) {
             self.writer.buffer().extend_from_slice(body);
--- a/crates/winch-relay/src/stream/passing.rs
+++ b/crates/winch-relay/src/stream/passing.rs
@@ -12,7 +12,7 @@
 };
 use crate::{
     forward::{self, Reached},
-    job::Outcome,
+    job::{Outcome, Sends},
     memory::{self, Reservation},
     prelude::*,
     respond::Progress,
@@ -102,7 +102,8 @@
     async fn forward_to(&mut self, daemon: SocketAddr) -> Forwarded {
         self.trace.pending = Some(daemon.to_string());
         self.trace.begin_run();
-        let (node, job, sends) = (self.node, self.job, self.counted_sends());
+        let (node, job) = (self.node, self.job);
+        let sends = Sends { made: self.counted_sends(), max: None };
         let deadline = self.forwarded_deadline();
         let (deliveries, last_event) = (self.trace.deliveries(), self.last_event);
         let reached =
@@ -124,12 +125,11 @@
             Reached::NotTaken(_) => Forwarded::NotTaken,
             Reached::Broken => Forwarded::Broken,
             // It has not run, and another daemon may reach a replica that goes on with it.
-            Reached::Error(Code::Refused | Code::NoBudget | Code::Limited | Code::Overloaded)
-                if self.has_begun() =>
-            {
-                Forwarded::NotTaken
-            }
-            Reached::Error(code) => Forwarded::Ended(self.give_up(code)),
+            Reached::Error {
+                code: Code::Refused | Code::NoBudget | Code::Limited | Code::Overloaded,
+                ..
+            } if self.has_begun() => Forwarded::NotTaken,
+            Reached::Error { code, .. } => Forwarded::Ended(self.give_up(code)),
             Reached::Reply(reply, connection) => self.forward_reply(reply, connection).await,
         }
     }
--- a/crates/winch-relay/src/unary.rs
+++ b/crates/winch-relay/src/unary.rs
@@ -146,7 +146,7 @@
     }
 
     fn has_sends(&self) -> bool {
-        self.trace.sends < self.job.route.max_attempts
+        self.trace.sends < self.job.max_sends
     }
 
     /// Whether another attempt is to be made now, if there is a place for it.
@@ -161,7 +161,7 @@
     /// Records that an attempt at `target` begins, and begins its delivery.
     fn start(&mut self, target: &Target) -> Delivery {
         let Target { key, replica } = target;
-        let can_follow = self.may_repeat() && self.trace.sends + 1 < self.job.route.max_attempts;
+        let can_follow = self.may_repeat() && self.trace.sends + 1 < self.job.max_sends;
         self.late_at =
             can_follow.then(|| retry_deadline(self.node, *key, self.job, Instant::now()));
         self.sample.start(replica);
