--- a/crates/winch-relay/src/forward.rs
+++ b/crates/winch-relay/src/forward.rs
@@ -196,6 +196,8 @@
     let call_reply = CallReply { protocol: &node.protocol, id: job.call.id.as_ref() };
     let matcher = ForwardedReply(call_reply);
     let delivery = deliveries.begin();
+    // Whoever sends a request again needs what it has earned.
+    node.give_retry(&job.service);
     let method = &job.call.method;
     let Ok(reply) = delivery.exchange(&mut connection, method, &request, &matcher).await else {
         counter::forwarded("broken");
@@ -209,6 +211,7 @@
         }
         Some(code @ (Code::NoConfig | Code::NoReplica | Code::Stopping | Code::Busy)) => {
             delivery.not_run();
+            node.earn_retry(&job.service);
             node.running.avoid(daemon);
             counter::forwarded("refused");
             Reached::NotTaken(code.name())
--- a/crates/winch-relay/src/node/budgets.rs
+++ b/crates/winch-relay/src/node/budgets.rs
@@ -38,6 +38,11 @@
         self.with_budget(service, Budget::earn);
     }
 
+    /// Takes back what one request has earned, which a daemon earns to which it is passed on.
+    pub fn give_retry(&self, service: &Name) {
+        self.with_budget(service, Budget::give_away);
+    }
+
     /// Takes one retry from the budget of `service`; `false` if the budget is exhausted.
     pub fn spend_retry(&self, service: &Name) -> bool {
         self.with_budget(service, Budget::spend)
--- a/crates/winch-route/src/budget.rs
+++ b/crates/winch-route/src/budget.rs
@@ -34,6 +34,12 @@
         self.tokens = (self.tokens + self.options.ratio).min(self.options.burst);
     }
 
+    /// Takes back the share of a retry that one first attempt has earned, since another daemon earns
+    /// it. What was spent meanwhile is owed, up to the size of the budget.
+    pub fn give_away(&mut self) {
+        self.tokens = (self.tokens - self.options.ratio).max(-self.options.burst);
+    }
+
     /// Adds retries that no first attempt has earned, such as this daemon's part of a slack that
     /// all daemons share.
     pub fn add(&mut self, retries: f64) {
