--- a/crates/winch-relay/src/listen.rs
+++ b/crates/winch-relay/src/listen.rs
@@ -37,8 +37,8 @@
 pub struct Closed {
     /// Number of connections that came while it closed, or were in its queue.
     pub queued: usize,
-    /// Whether new connections were refused first; without that, a connection that is being
-    /// established at the close is reset.
+    /// Whether the system took the option by which it refuses new connections first; without that,
+    /// a connection that is being established at the close is reset.
     pub refused_first: bool,
 }
 
