--- a/crates/wisteriawinch/tests/soak/caller.rs
+++ b/crates/wisteriawinch/tests/soak/caller.rs
@@ -11,7 +11,6 @@
     sync::watch,
     time::{Instant, sleep, timeout},
 };
-use winch_relay::unary::guarantees_not_run;
 
 use super::{
     common::{Caller, EVENTS, Request, Response},
@@ -113,7 +112,7 @@
                 .violations
                 .push(format!("{id} got the answer to another request: {}", response.body));
         }
-    } else if is_order && guarantees_not_run(response.status) {
+    } else if is_order && matches!(response.status.as_u16(), 408 | 421 | 429 | 503) {
         fleet.ledger.record_refusal(id);
     }
     Some(response.status)
