--- a/crates/winch-relay/src/edge/request.rs
+++ b/crates/winch-relay/src/edge/request.rs
@@ -15,7 +15,7 @@
     call::reply_time,
     config::Semantics,
     counter,
-    job::{Job, Outcome, Sends},
+    job::{Job, Outcome},
     node::Node,
     prelude::*,
     respond::{Begun, Progress, Responder},
@@ -85,15 +85,42 @@
         trace.interrupt("caller gone");
     }
     let outcome = trace.conclude(job.route.semantics, outcome);
+    let outcome = match origin {
+        Origin::Daemon { sends } if sends.max.is_none() => for_former_release(&job, outcome),
+        _ => outcome,
+    };
     if matches!(job.route.semantics, Semantics::Stream { .. }) {
         stream::record_time(node, &job, &outcome);
     }
-    if let Origin::Daemon { sends: Sends { max: Some(_), .. } } = origin {
-        out.set_sends(trace.sends);
+    if let Origin::Daemon { sends } = origin {
+        return_retry(node, &job, &outcome);
+        if sends.max.is_some() {
+            out.set_sends(trace.sends);
+        }
     }
     finish(node, &job, out, outcome, &trace).await;
 }
 
+/// The outcome for a daemon that limits no sends. It may be of the release that takes 622 of an order
+/// for a request that has not run; 620 says as much as 622 and is kept.
+fn for_former_release(job: &Job, outcome: Outcome) -> Outcome {
+    match (job.route.semantics, outcome) {
+        (Semantics::AtMostOnce, Outcome::Error(Code::TimedOut)) => Outcome::Error(Code::Broken),
+        (_, outcome) => outcome,
+    }
+}
+
+/// Gives back what a request has earned that another daemon has passed on and that has not run here:
+/// that daemon takes it back when it reads the reply.
+fn return_retry<P: Protocol>(node: &Node<P>, job: &Job, outcome: &Outcome) {
+    if let Outcome::Error(code) | Outcome::Shed { code, .. } = outcome
+        && !code.may_have_run()
+        && job.returns_retry()
+    {
+        node.give_retry(&job.service);
+    }
+}
+
 /// Waits until the daemon is initialized, at most until the reply to `call` must begin.
 async fn wait_initialized<P: Protocol>(node: &Node<P>, call: &Call, passing_time: Duration) {
     let initialized = node.wait_initialized();
--- a/crates/winch-relay/src/forward.rs
+++ b/crates/winch-relay/src/forward.rs
@@ -222,6 +222,9 @@
         }
         Some(code) => {
             delivery.not_run();
+            if job.returns_retry() {
+                node.earn_retry(&job.service);
+            }
             counter::forwarded("not_run");
             Reached::Error { code, sends: decode_sends(&reply) }
         }
--- a/crates/winch-relay/src/job.rs
+++ b/crates/winch-relay/src/job.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     catalog::Key,
-    config::{Route, Team},
+    config::{Route, Semantics, Team},
     node::Node,
     prelude::*,
     priority::Priority,
@@ -76,6 +76,12 @@
         }
     }
 
+    /// Whether a daemon to which the request is passed on gives back what it has earned if the request
+    /// has not run there. A stream asks again, and its sends are paid for each time.
+    pub fn returns_retry(&self) -> bool {
+        !matches!(self.route.semantics, Semantics::Stream { .. })
+    }
+
     /// The key under which strikes against the request are counted.
     pub fn fingerprint(&self) -> Fingerprint {
         strikes::fingerprint(&self.call, self.team.as_ref().map(|team| &team.name))
