--- a/crates/winch-relay/src/delivery.rs
+++ b/crates/winch-relay/src/delivery.rs
@@ -32,7 +32,7 @@
     /// Begins a delivery: from now on the request may run.
     pub fn begin(&self) -> Delivery {
         self.0.open.fetch_add(1, Ordering::Relaxed);
-        Delivery { counts: self.0.clone(), has_run: true }
+        Delivery { counts: self.0.clone(), may_have_run: true }
     }
 
     /// Whether the request may have run, or may run yet.
@@ -52,7 +52,7 @@
 #[must_use]
 pub struct Delivery {
     counts: Arc<Counts>,
-    has_run: bool,
+    may_have_run: bool,
 }
 
 impl Delivery {
@@ -75,13 +75,13 @@
 
     /// Ends a delivery whose receiver states that it has not run the request, and never will.
     pub fn not_run(mut self) {
-        self.has_run = false;
+        self.may_have_run = false;
     }
 }
 
 impl Drop for Delivery {
     fn drop(&mut self) {
-        if self.has_run {
+        if self.may_have_run {
             self.counts.unresolved.fetch_add(1, Ordering::Relaxed);
         }
         self.counts.open.fetch_sub(1, Ordering::Relaxed);
