--- a/review/standin-2/leaving.rs
+++ b/review/standin-2/leaving.rs
@@ -1,5 +1,5 @@
-//! Replicas are replaced one after the other. While one leaves, the store turns the machine that reads
-//! the list for others away for half a second.
+//! Replicas are replaced one after the other. While one leaves, the store turns the three machines
+//! that read the list for others away for a second.
 
 use std::{
     net::SocketAddr,
@@ -18,7 +18,7 @@
     daemon::{Daemon, free_network, start_all},
     record::Record,
     replica::{Options, Replica, Run},
-    store::Store,
+    store::{Door, Store},
 };
 
 /// Machines of the system; the first three are the seeds.
@@ -29,9 +29,9 @@
 const REPLICAS: usize = 4;
 const REPLACED: usize = 7;
 const REPLACE_INTERVAL: Duration = Duration::from_secs(10);
-/// Time for which the store turns a machine away, and from its start until a replica leaves.
-const TURNED_AWAY_TIME: Duration = Duration::from_millis(500);
-const LEAVE_DELAY: Duration = Duration::from_millis(100);
+/// Time for which the store turns the seeds away, and from its start until a replica leaves.
+const TURNED_AWAY_TIME: Duration = Duration::from_millis(1_000);
+const LEAVE_DELAY: Duration = Duration::from_millis(700);
 /// Time from the start of a new replica until the old one leaves.
 const OVERLAP: Duration = Duration::from_secs(4);
 /// Time for which a replica serves after its entry was removed.
@@ -58,10 +58,10 @@
         Replica::start(place, &store, record, Options::default(), &runs)
     };
     let mut replicas: Vec<Replica> = (0..REPLICAS).map(start_replica).collect();
-    // The seed with the lowest address reads the list for the others.
-    let reader = store.open_door(&format!("{network}.251"));
+    // One of the seeds reads the list for the others.
+    let doors: Vec<Door> = (0..SEEDS).map(|_| store.open_door(&format!("{network}.251"))).collect();
     let daemon = |number: usize| {
-        let address = if number == 1 { reader.address } else { store.address };
+        let address = doors.get(number - 1).map_or(store.address, |door| door.address);
         let zone = ZONES[number % ZONES.len()];
         Daemon::new(&network, number, zone, 182, address, folder)
     };
@@ -83,15 +83,15 @@
         replicas.push(start_replica(REPLICAS + number));
         thread::sleep(OVERLAP);
         if has_trouble {
-            reader.set_closed(true);
-            record.line(format!("the store turns {} away", daemons[0].name));
+            doors.iter().for_each(|door| door.set_closed(true));
+            record.line("the store turns the three seeds away");
         }
         thread::sleep(LEAVE_DELAY);
         left.push(replicas.remove(0).leave(SERVE_TIME));
         thread::sleep(TURNED_AWAY_TIME - LEAVE_DELAY);
         if has_trouble {
-            reader.set_closed(false);
-            record.line(format!("the store serves {} again", daemons[0].name));
+            doors.iter().for_each(|door| door.set_closed(false));
+            record.line("the store serves the three seeds again");
         }
         thread::sleep(REPLACE_INTERVAL - OVERLAP - TURNED_AWAY_TIME);
     }
