Review case 10: a consumer that leaves clears the strikes against its request

The daemon takes a caller that has gone for the end of the request, and removes the strikes against it.

The stand-in of a replica may now crash some time after it has begun, and drops a request whose channel closes meanwhile; without that option it does as before.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -7,4 +7,4 @@
 for program in target/release/wisteriawinch target/review-2/standin; do
   [ -x "$program" ] || { echo "$program is missing: build the product, then run review/build-2.sh"; exit 2; }
 done
-exec target/review-2/standin unread review/10
+exec target/review-2/standin impatient review/10
--- a/review/standin-2/client.rs
+++ b/review/standin-2/client.rs
@@ -44,6 +44,17 @@
         connection.read()
     }
 
+    /// Sends the request to the daemon at `front`, and leaves if there is no answer after `patience`.
+    ///
+    /// # Errors
+    /// If there is no complete answer until then.
+    pub fn send_and_leave(&self, front: SocketAddr, patience: Duration) -> io::Result<Message> {
+        let mut connection = self.open(front)?;
+        connection.stream.set_read_timeout(Some(patience))?;
+        connection.write(&self.encode())?;
+        connection.read()
+    }
+
     /// As [`Self::send()`], on a channel that is kept for further requests.
     ///
     /// # Errors
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -8,6 +8,7 @@
 mod crashing;
 mod daemon;
 mod http;
+mod impatient;
 mod json;
 mod large;
 mod leaving;
@@ -46,6 +47,7 @@
     let record = record::Record::create(&folder.join("record.txt"));
     let run = || match case.as_str() {
         "large" => large::run(&record, &temporary, has_trouble),
+        "impatient" => impatient::run(&record, &temporary, has_trouble),
         "leaving" => leaving::run(&record, &temporary, has_trouble),
         "unread" => unread::run(&record, &temporary, has_trouble),
         "crashing" => crashing::run(&record, &temporary, has_trouble),
--- a/review/standin-2/replica.rs
+++ b/review/standin-2/replica.rs
@@ -1,13 +1,14 @@
 //! Replicas of a plain service: they run requests, crash and come back.
 
 use std::{
+    io::ErrorKind,
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
         atomic::{AtomicU32, Ordering},
     },
     thread,
-    time::{Duration, SystemTime},
+    time::{Duration, Instant, SystemTime},
 };
 
 use crate::{
@@ -50,6 +51,9 @@
 pub struct Options {
     /// Text in the body of requests that crash the replica.
     pub poison: Option<&'static str>,
+    /// Time from the beginning of such a request to the crash. A request whose channel is closed
+    /// meanwhile is dropped and crashes nothing.
+    pub crash_time: Duration,
     /// Whether the runs have no lines in the record, because they are too many.
     pub is_quiet: bool,
 }
@@ -217,15 +221,15 @@
             if !self.is_alive(id) {
                 return;
             }
-            let Some(answer) = self.answer(&request, id) else { return };
+            let Some(answer) = self.answer(&request, id, &connection.stream) else { return };
             if !self.is_alive(id) || connection.write(&answer).is_err() {
                 return;
             }
         }
     }
 
-    /// The answer to a request; `None` if the replica crashes.
-    fn answer(&self, request: &Message, id: &str) -> Option<Vec<u8>> {
+    /// The answer to a request that came over `stream`; `None` if the replica crashes.
+    fn answer(&self, request: &Message, id: &str, stream: &TcpStream) -> Option<Vec<u8>> {
         let path = request.target().split('?').next().unwrap_or_default();
         if path == "/health" {
             return Some(encode("200 OK", &[("Replica-Id", id)], b""));
@@ -255,8 +259,15 @@
         } else {
             self.record.line(format!("replica {id} ({}) {what} {label}", self.service))
         };
+        let is_dropped = crashed && closes_within(stream, self.options.crash_time);
+        let crashed = crashed && !is_dropped;
         let run = Run { at, request: label.clone(), replica: id.to_owned(), crashed };
         self.runs.lock().expect("no panic under the lock").push(run);
+        if is_dropped {
+            self.running.fetch_sub(1, Ordering::SeqCst);
+            self.record.line(format!("replica {id} drops {label}: its channel is closed"));
+            return None;
+        }
         if crashed {
             self.running.fetch_sub(1, Ordering::SeqCst);
             self.crash(id);
@@ -270,6 +281,23 @@
     }
 }
 
+/// Whether the other end closes the channel within this time.
+fn closes_within(stream: &TcpStream, time: Duration) -> bool {
+    let until = Instant::now() + time;
+    while Instant::now() < until {
+        let _ = stream.set_read_timeout(Some(Duration::from_millis(5)));
+        match stream.peek(&mut [0]) {
+            Ok(0) => return true,
+            Err(error) if !matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                return true;
+            }
+            _ => thread::sleep(Duration::from_millis(1)),
+        }
+    }
+    let _ = stream.set_read_timeout(None);
+    false
+}
+
 fn encode(status: &str, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
     let mut out = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n", body.len());
     for (name, value) in headers {
