--- a/crates/winch-event/src/lib.rs
+++ b/crates/winch-event/src/lib.rs
@@ -84,6 +84,9 @@
     /// A stopping daemon accepts no more connections of callers; `queued` of them were
     /// waiting for that.
     ListenerClosed = 1021, Info, "listener for callers closed";
+    /// The list of replicas is up to date again after an outage of the store, or after this daemon
+    /// was refused.
+    OutageEnded = 1022, Info, "list of replicas up to date again";
     /// An attempt on an engine failed or was given up as stalled.
     AttemptFailed = 1101, Warn, "attempt failed";
     /// A hedged attempt was started beside one that may have stalled.
--- a/crates/winch-relay/src/catalog.rs
+++ b/crates/winch-relay/src/catalog.rs
@@ -10,6 +10,7 @@
 mod health;
 mod latencies;
 mod limits;
+mod recovery;
 mod speeds;
 mod transition;
 mod typical;
@@ -25,8 +26,12 @@
     throttle::{Demand, Throttle},
 };
 
-use self::{departed::Departed, health::Full, latencies::Latencies};
-pub use self::{drain::Drain, transition::Transition};
+use self::{departed::Departed, health::Full, latencies::Latencies, recovery::Gap};
+pub use self::{
+    drain::Drain,
+    recovery::{Recovery, Verdict},
+    transition::Transition,
+};
 use crate::{prelude::*, store::Change};
 
 /// Time after an outage of the store within which removed entries of the list may be written
@@ -133,6 +138,10 @@
     first_read_pending: bool,
     /// End of the grace period of the last outage.
     grace_until: Option<Instant>,
+    /// The last outage of the store that has ended, as far as this daemon has seen it.
+    last_outage: Option<Gap>,
+    /// See [`Self::steady_since()`].
+    steady_since: Option<Instant>,
     /// Era of the store in which the list was last read; `None` before the first read.
     era: Option<u64>,
     departed: Departed,
@@ -151,16 +160,6 @@
         self.in_outage = true;
     }
 
-    /// Marks the store as reachable; after an outage this starts the grace period for
-    /// removed entries.
-    pub fn mark_store_reachable(&mut self, now: Instant) {
-        if self.in_outage {
-            self.in_outage = false;
-            self.first_read_pending = true;
-            self.grace_until = Some(now + REMOVAL_GRACE);
-        }
-    }
-
     /// Records the era of the store in which a listing was read, before the listing is applied.
     ///
     /// A new era begins with an older copy of the list. Entries that it lacks may be written again,
@@ -170,6 +169,7 @@
             self.first_read_pending = true;
             self.grace_until = Some(now + REMOVAL_GRACE);
             self.returns_at = Some(now + RETURN_DELAY);
+            self.steady_since = Some(now);
         }
         self.era = self.era.max(Some(era));
     }
@@ -205,9 +205,8 @@
                 None
             }
             Change::Put(replica) => self.put(replica),
-            // Replicas cannot renew their entries during an outage, so entries of live
-            // replicas expire and are written again soon after it. A removal takes effect
-            // immediately unless an outage can have caused it.
+            // Entries of live replicas that expired in an outage are written again soon after it.
+            // A removal takes effect immediately unless an outage can have caused it.
             Change::Removed(id) if !self.in_outage && !self.first_read_pending => self.depart(&id),
             Change::Removed(id) => {
                 let entry = &mut self.entries[*self.by_id.get(&id)?];
--- a/crates/winch-relay/src/counter.rs
+++ b/crates/winch-relay/src/counter.rs
@@ -2,7 +2,7 @@
 
 use metrics::{counter, gauge, histogram};
 
-use crate::{controller::State, prelude::*, trace::Phase};
+use crate::{catalog::Verdict, controller::State, prelude::*, trace::Phase};
 
 /// Counts a request that ended and records its duration. The kind is `lookup`, `order` or
 /// `stream`, the outcome `served` or `failed`.
@@ -154,6 +154,12 @@
     histogram!("winch_store_call_seconds", "kind" => kind).record(duration.as_secs_f64());
 }
 
+/// Counts an outage of the store that has ended, by whether entries of live replicas can have
+/// expired in it.
+pub fn outage_ended(verdict: Verdict) {
+    counter!("winch_outages_ended_total", "verdict" => verdict.name()).increment(1);
+}
+
 /// Sets the time since the store last confirmed the state of one kind: the list or the
 /// configuration.
 pub fn state_age(kind: &'static str, age: Duration) {
--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -31,6 +31,7 @@
 use winch_roster::roster::Roster;
 use winch_route::overload::Gate;
 
+pub use self::listing::Reading;
 use self::{budgets::Budgets, stopping::Stage};
 use crate::{
     catalog::{Catalog, Key},
--- a/crates/winch-relay/src/node/listing.rs
+++ b/crates/winch-relay/src/node/listing.rs
@@ -4,13 +4,46 @@
 
 use super::{Node, lock};
 use crate::{
-    catalog::Transition,
+    catalog::{Recovery, Transition},
+    counter,
     prelude::*,
     store::{Change, Listing},
     watch::Topic,
 };
 
+/// When a state of the list was read, and by whom.
+#[derive(Clone, Copy, Debug)]
+pub struct Reading {
+    /// As of when the state is known.
+    pub read_at: Instant,
+    /// See [`Recovery::steady_since`].
+    pub steady_since: Option<Instant>,
+}
+
+impl Reading {
+    /// A read of the store that began at `read_at`.
+    pub fn of_store(read_at: Instant) -> Self {
+        Self { read_at, steady_since: Some(read_at) }
+    }
+}
+
 impl<P: Protocol> Node<P> {
+    /// Marks the store as reachable, as shown by a state of the list that is yet to be applied and
+    /// confirmed.
+    pub fn mark_store_reachable(&self, reading: Reading) {
+        let Reading { read_at, steady_since } = reading;
+        let confirmed_at = lock(&self.confirmed)[Topic::Replicas as usize];
+        let renewal_interval = self.tuning().renewal_interval;
+        let recovery = Recovery { read_at, confirmed_at, steady_since, renewal_interval };
+        let verdict = self.catalog().mark_store_reachable(&recovery, Instant::now());
+        if let Some(verdict) = verdict {
+            let gap = confirmed_at.map(|at| read_at.saturating_duration_since(at).as_millis());
+            let gap_ms = gap.map_or("-".to_owned(), |gap| gap.to_string());
+            emit!(Event::OutageEnded, verdict = verdict.name(), gap_ms = gap_ms);
+            counter::outage_ended(verdict);
+        }
+    }
+
     /// Applies a listing, which replaces the known replicas if it is complete; see
     /// [`Catalog::replace`](crate::catalog::Catalog::replace). `is_whole` tells whether this daemon then knows all replicas, and
     /// not only a subset.
@@ -95,6 +128,13 @@
         }
     }
 
+    /// Time for which the list has been known without a gap in which entries of live replicas can have
+    /// expired, in milliseconds; `None` if that is not known.
+    pub fn steady_ms(&self) -> Option<u64> {
+        let steady_since = self.catalog().steady_since()?;
+        u64::try_from(steady_since.elapsed().as_millis()).ok()
+    }
+
     /// Time since the store last confirmed the topic whose confirmation is oldest, in
     /// milliseconds; `None` if any topic was never confirmed.
     pub fn state_age_ms(&self) -> Option<u64> {
--- a/crates/winch-relay/src/peer/follow.rs
+++ b/crates/winch-relay/src/peer/follow.rs
@@ -16,7 +16,7 @@
 };
 use crate::{
     edition::Edition,
-    node::Node,
+    node::{Node, Reading},
     prelude::*,
     running_time::{Budget, timeout},
     speed::Told,
@@ -212,9 +212,7 @@
         store: &mut S,
         mut update: Update,
     ) -> Result<(), Error> {
-        for topic in Topic::ALL {
-            node.confirm(topic, Some(self.confirmed_at));
-        }
+        node.confirm(Topic::Config, Some(self.confirmed_at));
         let services = std::mem::take(&mut update.services).into_iter();
         let sizes = services.map(|size| (size.service.into(), size.replicas));
         node.fleet().apply(update.daemons, sizes);
@@ -244,12 +242,16 @@
             let fetched = fetch(node, self.seed).await?;
             install_config(node, fetched.config, fetched.config_era);
         }
-        if self.confirmed_at + self.limits.max_age >= self.received_at {
-            node.catalog().mark_store_reachable(Instant::now());
-        }
         let era = node.roster().position().era;
         let (listing, is_whole) = update.take_listing(era)?;
+        if self.confirmed_at + self.limits.max_age >= self.received_at {
+            let steady = update.steady_ms.map(Duration::from_millis);
+            let steady_since = steady.and_then(|steady| self.received_at.checked_sub(steady));
+            let reading = Reading { read_at: self.confirmed_at, steady_since };
+            node.mark_store_reachable(reading);
+        }
         node.apply_listing(listing, is_whole);
+        node.confirm(Topic::Replicas, Some(self.confirmed_at));
         if let Some(speeds) = speeds {
             node.speeds().apply(&speeds.into());
             node.update_speeds();
--- a/crates/winch-relay/src/peer/message.rs
+++ b/crates/winch-relay/src/peer/message.rs
@@ -173,6 +173,10 @@
     /// Crashes that were retracted since the last update on the connection.
     #[prost(message, repeated, tag = "22")]
     pub retracted: Vec<RetractedCrash>,
+    /// Time for which the sender has known the list without a gap in which entries of live replicas
+    /// can have expired, in milliseconds; unset by earlier releases, and if that is not known.
+    #[prost(uint64, optional, tag = "23")]
+    pub steady_ms: Option<u64>,
 }
 
 /// The number of replicas of a service.
--- a/crates/winch-relay/src/peer/serve.rs
+++ b/crates/winch-relay/src/peer/serve.rs
@@ -92,6 +92,7 @@
             reads_store: node.reads_store(),
             daemons: node.daemons(),
             strikes_synced: Some(node.strikes().is_synced()),
+            steady_ms: node.steady_ms(),
             ..Update::default()
         };
         if let Some(published) = node.published() {
--- a/crates/winch-relay/src/settings.rs
+++ b/crates/winch-relay/src/settings.rs
@@ -42,4 +42,6 @@
     pub list_interval: Duration,
     /// Age above which the state of a seed is stale.
     pub max_age: Duration,
+    /// Interval at which replicas renew their entries in the list; `None` if it is not known.
+    pub renewal_interval: Option<Duration>,
 }
--- a/crates/winch-relay/src/watch.rs
+++ b/crates/winch-relay/src/watch.rs
@@ -16,7 +16,7 @@
 use crate::{
     counter,
     edition::Edition,
-    node::Node,
+    node::{Node, Reading},
     peer,
     prelude::*,
     store::{Access, Error, Publication},
@@ -298,7 +298,7 @@
         monitor.record(&read, started_at);
         match read {
             Ok(listing) => {
-                node.catalog().mark_store_reachable(Instant::now());
+                node.mark_store_reachable(Reading::of_store(started_at));
                 position = Some(listing.position);
                 node.apply_listing(listing, true);
                 node.confirm(Topic::Replicas, Some(started_at));
--- a/crates/winch-relay/tests/catalog_outage.rs
+++ b/crates/winch-relay/tests/catalog_outage.rs
@@ -4,11 +4,14 @@
 
 use tokio::time::Instant;
 use winch_relay::{
-    catalog::{Catalog, REMOVAL_GRACE, RETURN_DELAY, Transition},
+    catalog::{Catalog, REMOVAL_GRACE, RETURN_DELAY, Recovery, Transition, Verdict},
     replica::Replica,
     store::Change,
 };
 
+/// Interval at which the replicas renew their entries.
+const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_200);
+
 fn replica(id: &str, port: u16, started_at_ms: u64) -> Replica {
     Replica {
         id: id.into(),
@@ -32,6 +35,18 @@
     catalog.apply(Change::Put(replica))
 }
 
+/// A state of the list that the store had at `read_at`, after one at `confirmed_at`.
+fn recovery(confirmed_at: Option<Instant>, read_at: Instant) -> Recovery {
+    let (steady_since, renewal_interval) = (Some(read_at), Some(RENEWAL_INTERVAL));
+    Recovery { read_at, confirmed_at, steady_since, renewal_interval }
+}
+
+/// A read that finds the store reachable after an outage of unknown length.
+fn end_outage(catalog: &mut Catalog, now: Instant) {
+    let verdict = catalog.mark_store_reachable(&recovery(None, now), now);
+    assert_eq!(verdict, Some(Verdict::Doubtful));
+}
+
 #[test]
 fn removal_outside_outage() {
     let mut catalog = Catalog::default();
@@ -47,7 +62,7 @@
     put(&mut catalog, replica("i-1", 1, 5));
     put(&mut catalog, replica("i-2", 2, 5));
     catalog.mark_store_unreachable();
-    catalog.mark_store_reachable(start);
+    end_outage(&mut catalog, start);
     for id in ["i-1", "i-2"] {
         let transition = catalog.apply(Change::Removed(id.into()));
         assert!(matches!(transition, Some(Transition::Held(held)) if &*held.id == id));
@@ -81,13 +96,77 @@
     let (mut catalog, now) = (Catalog::default(), Instant::now());
     put(&mut catalog, replica("i-1", 1, 5));
     catalog.mark_store_unreachable();
-    catalog.mark_store_reachable(now);
+    end_outage(&mut catalog, now);
     catalog.finish_read();
     // A read was applied since the outage, so the outage cannot have caused this removal.
     let transition = catalog.apply(Change::Removed("i-1".into()));
     assert!(matches!(transition, Some(Transition::Removed(_))));
 }
 
+// Guards against a refusal of this daemon alone that is taken for an outage of the store: the removal
+// of a replica that has left was then held back.
+#[test]
+fn short_gap_believed() {
+    let cases = [
+        (1_000, Verdict::Steady),
+        (2_000, Verdict::Steady),
+        // The last renewals may have been more than an interval before the gap.
+        (2_200, Verdict::Doubtful),
+        (6_000, Verdict::Doubtful),
+    ];
+    let start = Instant::now();
+    for (gap_ms, expected) in cases {
+        let mut catalog = Catalog::default();
+        put(&mut catalog, replica("i-1", 1, 5));
+        catalog.mark_store_unreachable();
+        let read_at = start + Duration::from_millis(gap_ms);
+        let found = catalog.mark_store_reachable(&recovery(Some(start), read_at), read_at);
+        assert_eq!(found, Some(expected), "a gap of {gap_ms} ms");
+        catalog.apply(Change::Removed("i-1".into()));
+        assert_eq!(catalog.is_empty(), expected == Verdict::Steady, "a gap of {gap_ms} ms");
+    }
+}
+
+// Guards against a list that two short outages empty, since few replicas wrote between them.
+#[test]
+fn outages_in_a_row_joined() {
+    let start = Instant::now();
+    // The time between two outages of 1.5 s.
+    for (pause_ms, expected) in [(300, Verdict::Doubtful), (1_600, Verdict::Steady)] {
+        let mut catalog = Catalog::default();
+        let (length, pause) = (Duration::from_millis(1_500), Duration::from_millis(pause_ms));
+        let mut verdicts = Vec::new();
+        for begun_at in [start, start + length + pause] {
+            catalog.mark_store_unreachable();
+            let read_at = begun_at + length;
+            let recovery = recovery(Some(begun_at), read_at);
+            verdicts.extend(catalog.mark_store_reachable(&recovery, read_at));
+        }
+        assert_eq!(verdicts, [Verdict::Steady, expected], "{pause_ms} ms between them");
+    }
+}
+
+// Guards against a follower that doubts what a source has seen without a gap.
+#[test]
+fn steady_source_believed() {
+    let start = Instant::now();
+    let read_at = start + Duration::from_secs(6);
+    let cases = [
+        (Some(start - Duration::from_secs(1)), Verdict::Steady),
+        (Some(start + Duration::from_secs(1)), Verdict::Doubtful),
+        (None, Verdict::Doubtful),
+    ];
+    for (steady_since, expected) in cases {
+        let mut catalog = Catalog::default();
+        put(&mut catalog, replica("i-1", 1, 5));
+        catalog.mark_store_unreachable();
+        let recovery = Recovery { steady_since, ..recovery(Some(start), read_at) };
+        assert_eq!(catalog.mark_store_reachable(&recovery, read_at), Some(expected));
+        let known = catalog.steady_since();
+        assert_eq!(known, steady_since, "what it tells its own followers");
+    }
+}
+
 #[test]
 fn draining_is_final() {
     let mut catalog = Catalog::default();
