--- a/crates/winch-relay/src/peer/follow.rs
+++ b/crates/winch-relay/src/peer/follow.rs
@@ -175,9 +175,8 @@
         if let Some(first) = self.pending.first_mut() {
             first.speeds.get_or_insert_with(|| Told::nothing_known().into());
         }
-        for update in std::mem::take(&mut self.pending) {
-            self.apply(node, store, update).await?;
-        }
+        let pending = std::mem::take(&mut self.pending);
+        self.apply(node, store, pending).await?;
         let mut report_ticks = interval(REPORT_INTERVAL);
         report_ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut budget = Budget::new(SEED_TIMEOUT);
@@ -202,17 +201,60 @@
             budget = Budget::new(SEED_TIMEOUT);
             let age = self.limits.check(&update)?;
             self.confirmed_at = self.received_at.checked_sub(age).unwrap_or(self.received_at);
-            self.apply(node, store, update).await?;
+            self.apply(node, store, vec![update]).await?;
         }
     }
 
+    /// Applies updates, of which only the last one need be as new as this daemon's state: a replica
+    /// that an earlier one lists may have left since.
     async fn apply<P: Protocol, S: Store>(
         &self,
         node: &Node<P>,
         store: &mut S,
-        mut update: Update,
+        mut updates: Vec<Update>,
     ) -> Result<(), Error> {
+        let era = node.roster().position().era;
+        let mut state: Option<(Listing, bool)> = None;
+        for update in &mut updates {
+            let (listing, is_whole) = update.take_listing(era)?;
+            let earlier = state.take().map(|(earlier, _)| earlier);
+            let listing = earlier.unwrap_or_default().followed_by(listing);
+            state = Some((listing, is_whole));
+        }
+        let steady = updates.last().and_then(|update| update.steady_ms);
+        if let Some((listing, is_whole)) = state {
+            self.apply_listing(node, listing, is_whole, steady.map(Duration::from_millis));
+        }
+        for update in updates {
+            self.apply_rest(node, store, update).await?;
+        }
         node.confirm(Topic::Config, Some(self.confirmed_at));
+        Ok(())
+    }
+
+    /// Applies the list of replicas, which the seed has known for `steady` without a gap.
+    fn apply_listing<P: Protocol>(
+        &self,
+        node: &Node<P>,
+        listing: Listing,
+        is_whole: bool,
+        steady: Option<Duration>,
+    ) {
+        if self.confirmed_at + self.limits.max_age >= self.received_at {
+            let steady_since = steady.and_then(|steady| self.received_at.checked_sub(steady));
+            node.mark_store_reachable(Reading { read_at: self.confirmed_at, steady_since });
+        }
+        node.apply_listing(listing, is_whole);
+        node.confirm(Topic::Replicas, Some(self.confirmed_at));
+    }
+
+    /// Applies everything but the list of replicas.
+    async fn apply_rest<P: Protocol, S: Store>(
+        &self,
+        node: &Node<P>,
+        store: &mut S,
+        mut update: Update,
+    ) -> Result<(), Error> {
         let services = std::mem::take(&mut update.services).into_iter();
         let sizes = services.map(|size| (size.service.into(), size.replicas));
         node.fleet().apply(update.daemons, sizes);
@@ -229,7 +271,10 @@
         for moving in std::mem::take(&mut update.moving) {
             node.apply_progress(moving.decode_at(self.received_at));
         }
-        let speeds = update.speeds.take();
+        if let Some(speeds) = update.speeds.take() {
+            node.speeds().apply(&speeds.into());
+            node.update_speeds();
+        }
         let edition = update.edition();
         install_config(node, std::mem::take(&mut update.config), edition.era);
         if node.edition().is_replaced_by(&edition) {
@@ -242,20 +287,6 @@
             let fetched = fetch(node, self.seed).await?;
             install_config(node, fetched.config, fetched.config_era);
         }
-        let era = node.roster().position().era;
-        let (listing, is_whole) = update.take_listing(era)?;
-        if self.confirmed_at + self.limits.max_age >= self.received_at {
-            let steady = update.steady_ms.map(Duration::from_millis);
-            let steady_since = steady.and_then(|steady| self.received_at.checked_sub(steady));
-            let reading = Reading { read_at: self.confirmed_at, steady_since };
-            node.mark_store_reachable(reading);
-        }
-        node.apply_listing(listing, is_whole);
-        node.confirm(Topic::Replicas, Some(self.confirmed_at));
-        if let Some(speeds) = speeds {
-            node.speeds().apply(&speeds.into());
-            node.update_speeds();
-        }
         Ok(())
     }
 }
--- a/crates/winch-relay/src/store.rs
+++ b/crates/winch-relay/src/store.rs
@@ -1,6 +1,6 @@
 //! Read access to the platform's store, as an adapter to a platform implements it.
 
-use std::future::Future;
+use std::{collections::HashSet, future::Future};
 
 use bytes::Bytes;
 use snafu::Snafu;
@@ -56,6 +56,20 @@
     pub is_complete: bool,
 }
 
+impl Listing {
+    /// The changes of this listing and of a `later` one, of each replica only the last.
+    pub fn followed_by(mut self, later: Self) -> Self {
+        if later.is_complete {
+            return later;
+        }
+        let changed: HashSet<&Name> = later.changes.iter().map(Change::id).collect();
+        self.changes.retain(|change| !changed.contains(change.id()));
+        drop(changed);
+        self.changes.extend(later.changes);
+        Self { position: later.position, ..self }
+    }
+}
+
 /// What the operator has published, up to one version of the store.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Publication {
