--- a/crates/winch-relay/src/edge/request.rs
+++ b/crates/winch-relay/src/edge/request.rs
@@ -19,7 +19,7 @@
     node::Node,
     prelude::*,
     respond::{Begun, Progress, Responder},
-    stream,
+    stream, strikes,
     trace::{Phase, Trace},
     unary,
 };
@@ -205,8 +205,8 @@
     }
     let failed = outcome.is_failed();
     log_ended(job, &outcome, trace);
-    if !failed && !node.strikes().is_empty() {
-        node.strikes().record_completion(job.fingerprint());
+    if outcome.shows_completion() {
+        strikes::record_completion(node, job);
     }
     let kind = match job.route.semantics {
         Semantics::Idempotent => "lookup",
--- a/crates/winch-relay/src/job.rs
+++ b/crates/winch-relay/src/job.rs
@@ -165,7 +165,18 @@
         }
     }
 
-    /// Whether the caller gets no answer of a replica that is a success.
+    /// Whether a replica has run the request to its end with a success, which shows that the request
+    /// crashes none.
+    pub fn shows_completion(&self) -> bool {
+        match self {
+            Self::Answer { reply, .. } => reply.status.is_success(),
+            Self::Streamed => true,
+            Self::Error(_) | Self::Shed { .. } | Self::Aborted(_) | Self::CallerGone => false,
+        }
+    }
+
+    /// Whether the request counts as failed in the log and the metrics. One whose caller has left does
+    /// not, although nothing is known of its end.
     pub fn is_failed(&self) -> bool {
         match self {
             Self::Answer { reply, .. } => !reply.status.is_success(),
--- a/crates/winch-relay/src/strikes.rs
+++ b/crates/winch-relay/src/strikes.rs
@@ -15,7 +15,9 @@
     suspect::{self, Crash, Disposition, Fingerprint, Options, Tracker},
 };
 
-pub use self::attribution::{attribute_crash, attribute_crash_later, record_survival};
+pub use self::attribution::{
+    attribute_crash, attribute_crash_later, record_completion, record_survival,
+};
 use crate::{counter, prelude::*};
 
 /// Number of recent notices that are kept for sending to other daemons.
--- a/crates/winch-relay/src/strikes/attribution.rs
+++ b/crates/winch-relay/src/strikes/attribution.rs
@@ -33,6 +33,14 @@
     node.tasks.spawn(async move { peer::report_cleared(&reporter, &cleared).await });
 }
 
+/// Records that a replica has run the request to its end, which removes its strikes.
+pub fn record_completion<P: Protocol>(node: &Arc<Node<P>>, job: &Job) {
+    // Most daemons have no strikes at most times, and the fingerprint takes time.
+    if !node.strikes().is_empty() {
+        node.strikes().record_completion(job.fingerprint());
+    }
+}
+
 /// Attributes the crash of `replica` to a request, if a probe finds the replica dead.
 ///
 /// Called when an attempt failed before the replica sent a complete usable reply or, for a
