--- a/crates/winch-event/src/lib.rs
+++ b/crates/winch-event/src/lib.rs
@@ -148,6 +148,8 @@
     FirstEventLate = 1127, Info, "first event of a stream is late";
     /// A caller's connection was closed although its caller could not expect that.
     ConnectionClosed = 1128, Info, "connection of a caller closed";
+    /// A request with strikes ran to its end, so that the strikes are removed.
+    RequestCleared = 1129, Info, "request cleared, it ran to its end";
     /// An order was sent, but its response was lost or did not arrive in time; the order
     /// may have taken effect.
     OrderOutcomeUnknown = 1201, Error, "outcome of an order is unknown";
--- a/crates/winch-relay/src/peer.rs
+++ b/crates/winch-relay/src/peer.rs
@@ -27,7 +27,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 use winch_http::client::Connection;
 use winch_roster::interest::Interest;
-use winch_route::quarantine::Part;
+use winch_route::{quarantine::Part, suspect::Fingerprint};
 
 pub use self::{
     follow::{Error, Limits, Subscription, fetch_from_seeds},
@@ -35,10 +35,9 @@
 };
 use self::{
     message::{Forwarding, Request},
-    notice::{ClearedPart, CrashStrike, RetractedCrash},
+    notice::{ClearedPart, CompletedRequest, CrashStrike, RetractedCrash},
 };
 use crate::{
-    counter,
     job::Sends,
     node::Node,
     prelude::*,
@@ -108,33 +107,6 @@
     }
 }
 
-/// Applies what a peer has told about crashes.
-fn apply_notices<P: Protocol>(
-    node: &Node<P>,
-    cleared: Vec<ClearedPart>,
-    strikes: Vec<CrashStrike>,
-    retracted: Vec<RetractedCrash>,
-) {
-    if cleared.is_empty() && strikes.is_empty() && retracted.is_empty() {
-        return;
-    }
-    let now = Instant::now();
-    for cleared in cleared {
-        let (part, at) = cleared.decode_at(now);
-        node.strikes().clear(&[part], at);
-    }
-    for strike in strikes {
-        if node.strikes().apply(strike.decode_at(now)) {
-            counter::strike_added("peer");
-        }
-    }
-    for retracted in retracted {
-        let (crash, at) = retracted.decode_at(now);
-        node.strikes().retract(crash, at);
-    }
-    node.announce_strike();
-}
-
 /// Reports a strike to all seeds, which forward it to their followers.
 ///
 /// The report is not repeated for an unreachable seed, which then lacks this strike.
@@ -159,6 +131,12 @@
     report(node, Request { cleared, ..Request::default() }).await;
 }
 
+/// Reports that a request with strikes ran to its end at `at`, as [`report_strike`] does.
+pub async fn report_completed<P: Protocol>(node: &Node<P>, request: Fingerprint, at: Instant) {
+    let completed = vec![CompletedRequest::encode_at(request, at, Instant::now())];
+    report(node, Request { completed, ..Request::default() }).await;
+}
+
 /// Tells a seed for which strikes requests are refused; it may have been restarted and know none.
 ///
 /// # Errors
--- a/crates/winch-relay/src/peer/follow.rs
+++ b/crates/winch-relay/src/peer/follow.rs
@@ -9,7 +9,7 @@
 use winch_roster::{frame, source::End};
 
 use super::{
-    FramedStream, SEED_TIMEOUT, apply_notices, connect, interest,
+    FramedStream, SEED_TIMEOUT, connect, interest,
     message::{Report, Request, Update},
     receive, report_decisive, send,
     speeds::encode_samples,
@@ -261,9 +261,7 @@
         if let Some(relays) = update.relays.take() {
             node.fleet().set_relays(relays.decode());
         }
-        let cleared = std::mem::take(&mut update.cleared);
-        let retracted = std::mem::take(&mut update.retracted);
-        apply_notices(node, cleared, std::mem::take(&mut update.strikes), retracted);
+        update.take_notices().apply(node);
         if update.strikes_synced.unwrap_or(true) && !node.strikes().is_synced() {
             node.strikes().mark_synced();
             node.announce_strike();
--- a/crates/winch-relay/src/peer/message.rs
+++ b/crates/winch-relay/src/peer/message.rs
@@ -13,7 +13,7 @@
 };
 
 use super::{
-    notice::{ClearedPart, CrashStrike, RetractedCrash},
+    notice::{ClearedPart, CompletedRequest, CrashStrike, Notices, RetractedCrash},
     progress::{MoveCounts, MoveProgress},
     speeds::Speeds,
 };
@@ -56,6 +56,22 @@
     /// an update in reply to a request without strikes.
     #[prost(message, repeated, tag = "8")]
     pub retracted: Vec<RetractedCrash>,
+    /// Requests with strikes that ran to their ends, as for `strikes`. Earlier releases skip them and
+    /// send an update.
+    #[prost(message, repeated, tag = "9")]
+    pub completed: Vec<CompletedRequest>,
+}
+
+impl Request {
+    /// Takes what the request tells about crashes.
+    pub(super) fn take_notices(&mut self) -> Notices {
+        Notices {
+            strikes: std::mem::take(&mut self.strikes),
+            cleared: std::mem::take(&mut self.cleared),
+            retracted: std::mem::take(&mut self.retracted),
+            completed: std::mem::take(&mut self.completed),
+        }
+    }
 }
 
 /// What a daemon tells of a request that it passes on.
@@ -177,6 +193,10 @@
     /// can have expired, in milliseconds; unset by earlier releases, and if that is not known.
     #[prost(uint64, optional, tag = "23")]
     pub steady_ms: Option<u64>,
+    /// Requests with strikes that ran to their ends since the last update on the connection; skipped
+    /// by earlier releases.
+    #[prost(message, repeated, tag = "24")]
+    pub completed: Vec<CompletedRequest>,
 }
 
 /// The number of replicas of a service.
@@ -198,6 +218,16 @@
 }
 
 impl Update {
+    /// Takes what the update tells about crashes.
+    pub(super) fn take_notices(&mut self) -> Notices {
+        Notices {
+            strikes: std::mem::take(&mut self.strikes),
+            cleared: std::mem::take(&mut self.cleared),
+            retracted: std::mem::take(&mut self.retracted),
+            completed: std::mem::take(&mut self.completed),
+        }
+    }
+
     /// Position of the store up to which the receiver has its part of the list after the update.
     /// An earlier release does not state the era, which is then assumed to be `era`.
     pub(super) fn list_position(&self, era: u64) -> Position {
--- a/crates/winch-relay/src/peer/notice.rs
+++ b/crates/winch-relay/src/peer/notice.rs
@@ -6,7 +6,7 @@
     suspect::{Crash, Fingerprint},
 };
 
-use crate::{prelude::*, strikes::Strike};
+use crate::{counter, prelude::*, strikes::Strike};
 
 /// A [`Strike`] on the wire.
 #[derive(Clone, PartialEq, Message)]
@@ -93,6 +93,72 @@
     }
 }
 
+/// A request with strikes that ran to its end.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub(super) struct CompletedRequest {
+    /// The request.
+    #[prost(fixed64, tag = "1")]
+    pub request: u64,
+    /// Time since it ran to its end, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
+}
+
+impl CompletedRequest {
+    /// Encodes the completion of `request` at `at`, with its age at `now`.
+    pub(super) fn encode_at(request: Fingerprint, at: Instant, now: Instant) -> Self {
+        Self { request: request.0, age_ms: millis(now.saturating_duration_since(at)) }
+    }
+
+    /// Decodes a completion that was received at `now`.
+    pub(super) fn decode_at(self, now: Instant) -> (Fingerprint, Instant) {
+        (Fingerprint(self.request), time_before(now, self.age_ms))
+    }
+}
+
+/// What one message tells about crashes.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Notices {
+    pub(super) strikes: Vec<CrashStrike>,
+    pub(super) cleared: Vec<ClearedPart>,
+    pub(super) retracted: Vec<RetractedCrash>,
+    pub(super) completed: Vec<CompletedRequest>,
+}
+
+impl Notices {
+    /// Whether the message tells nothing about crashes.
+    pub(super) fn is_empty(&self) -> bool {
+        let Self { strikes, cleared, retracted, completed } = self;
+        strikes.is_empty() && cleared.is_empty() && retracted.is_empty() && completed.is_empty()
+    }
+
+    /// Applies what a peer has told.
+    pub(super) fn apply<P: Protocol>(self, node: &Node<P>) {
+        if self.is_empty() {
+            return;
+        }
+        let now = Instant::now();
+        for cleared in self.cleared {
+            let (part, at) = cleared.decode_at(now);
+            node.strikes().clear(&[part], at);
+        }
+        for completed in self.completed {
+            let (request, at) = completed.decode_at(now);
+            node.strikes().apply_completion(request, at);
+        }
+        for strike in self.strikes {
+            if node.strikes().apply(strike.decode_at(now)) {
+                counter::strike_added("peer");
+            }
+        }
+        for retracted in self.retracted {
+            let (crash, at) = retracted.decode_at(now);
+            node.strikes().retract(crash, at);
+        }
+        node.announce_strike();
+    }
+}
+
 /// A duration in whole milliseconds.
 pub(super) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
--- a/crates/winch-relay/src/peer/serve.rs
+++ b/crates/winch-relay/src/peer/serve.rs
@@ -15,9 +15,9 @@
 use winch_roster::{cursor::Cursor, frame, interest::Interest, pace::Pace};
 
 use super::{
-    FramedStream, REQUEST_TIMEOUT, SEED_TIMEOUT, apply_notices, frame_stream,
+    FramedStream, REQUEST_TIMEOUT, SEED_TIMEOUT, frame_stream,
     message::{Relays, Report, Request, ServiceSize, Update},
-    notice::{ClearedPart, CrashStrike, RetractedCrash},
+    notice::{ClearedPart, CompletedRequest, CrashStrike, RetractedCrash},
     progress::MoveProgress,
     send,
     speeds::decode_samples,
@@ -152,6 +152,9 @@
                 Notice::Retracted(crash, at) => {
                     update.retracted.push(RetractedCrash::encode_at(crash, at, now));
                 }
+                Notice::Completed(request, at) => {
+                    update.completed.push(CompletedRequest::encode_at(request, at, now));
+                }
             }
         }
         update.strikes = struck.iter().map(|strike| CrashStrike::encode_at(strike, now)).collect();
@@ -214,9 +217,9 @@
     let received = timeout(REQUEST_TIMEOUT, framed.next()).await?.transpose()?;
     let Some(request) = received else { return Ok(()) };
     let mut request = Request::decode(request).map_err(io::Error::other)?;
-    if !request.strikes.is_empty() || !request.cleared.is_empty() {
-        let cleared = std::mem::take(&mut request.cleared);
-        apply_notices(node, cleared, std::mem::take(&mut request.strikes), request.retracted);
+    let notices = request.take_notices();
+    if !notices.is_empty() {
+        notices.apply(node);
         return Ok(());
     }
     if let Some(forwarding) = request.forwarding {
--- a/crates/winch-relay/src/quarantine.rs
+++ b/crates/winch-relay/src/quarantine.rs
@@ -56,6 +56,11 @@
 }
 
 impl QuarantineRow {
+    /// Whether the request of the row ran to its end since its newest strike.
+    fn is_completed(&self, request: Fingerprint, strikes: &Strikes, now_ms: u64) -> bool {
+        strikes.is_completed(request, self.struck_at(now_ms))
+    }
+
     /// Whether a strike of the row was retracted, so that the others were not enough.
     fn is_retracted(&self, strikes: &Strikes, now_ms: u64) -> bool {
         let struck_at = self.struck_at(now_ms);
@@ -256,7 +261,9 @@
         let row: QuarantineRow = serde_json::from_str(&row.value).unwrap_or_default();
         let is_outdated = match subject {
             Subject::Part(part) => strikes.is_cleared(part, now),
-            Subject::Request(_) => row.age(now_ms) >= strikes.lifetime(),
+            Subject::Request(request) => {
+                row.age(now_ms) >= strikes.lifetime() || row.is_completed(request, &strikes, now_ms)
+            }
         };
         is_outdated || (!is_settled(&strikes, subject, now) && row.is_retracted(&strikes, now_ms))
     };
--- a/crates/winch-relay/src/strikes.rs
+++ b/crates/winch-relay/src/strikes.rs
@@ -24,6 +24,8 @@
 const MAX_RECENT_NOTICES: usize = 256;
 /// Number of retracted crashes that are remembered, so that late strikes for them do not count.
 const MAX_RETRACTED: usize = 256;
+/// Number of completed requests that are remembered, for the same reason.
+const MAX_COMPLETED: usize = 256;
 /// Strikes of other daemons that are older count as of this age.
 const MAX_AGE: Duration = Duration::from_secs(600);
 /// Time from the first event of an attempt after which it has survived: a crash that follows is
@@ -53,6 +55,8 @@
     Cleared(Part, Instant),
     /// The replica of this crash was found alive at this time, which removes the strikes for it.
     Retracted(Crash, Instant),
+    /// This request ran to its end at this time, which removes the strikes against it from before.
+    Completed(Fingerprint, Instant),
 }
 
 /// All strikes known to this daemon.
@@ -70,6 +74,8 @@
     is_synced: bool,
     /// Crashes that were retracted, and when, the oldest first.
     retracted: VecDeque<(Crash, Instant)>,
+    /// Requests with strikes that ran to their ends, and when, the oldest first.
+    completed: VecDeque<(Fingerprint, Instant)>,
 }
 
 impl Strikes {
@@ -77,8 +83,9 @@
     pub fn new(origin: Instant) -> Self {
         let tracker = Tracker::new(Options::default());
         let parts = Ledger::new(quarantine::Options::default());
-        let (recent, retracted) = Default::default();
-        Self { tracker, parts, origin, recent, dropped: 0, is_synced: false, retracted }
+        let (recent, retracted, completed) = Default::default();
+        let (dropped, is_synced) = (0, false);
+        Self { tracker, parts, origin, recent, dropped, is_synced, retracted, completed }
     }
 
     /// Whether what was refused before this daemon's start has been read or told.
@@ -126,7 +133,10 @@
             let Notice::Struck(known) = notice else { return false };
             known.request == strike.request && known.crash == strike.crash
         };
-        if self.recent.iter().any(is_same) || self.is_retracted(strike.crash, strike.at) {
+        if self.recent.iter().any(is_same)
+            || self.is_retracted(strike.crash, strike.at)
+            || self.is_completed(strike.request, strike.at)
+        {
             return false;
         }
         self.record_parts(&strike, at);
@@ -242,9 +252,36 @@
         self.parts.start_trial(part, at)
     }
 
-    /// Records that a request ran to its end, which removes its strikes.
-    pub fn record_completion(&mut self, request: Fingerprint) {
-        self.tracker.record_completion(request);
+    /// Records that a request ran to its end at `at`, here, which removes its strikes from before.
+    /// Returns whether there were any, so that other daemons have to know.
+    pub fn record_completion(&mut self, request: Fingerprint, at: Instant) -> bool {
+        let had_strikes = self.tracker.record_completion_at(request, self.since_origin(at));
+        if had_strikes {
+            self.push_completed(request, at);
+        }
+        had_strikes
+    }
+
+    /// Applies a completion that another daemon has told.
+    pub fn apply_completion(&mut self, request: Fingerprint, at: Instant) {
+        if !self.is_completed(request, at) {
+            self.tracker.record_completion_at(request, self.since_origin(at));
+            self.push_completed(request, at);
+        }
+    }
+
+    fn push_completed(&mut self, request: Fingerprint, at: Instant) {
+        self.completed.push_back((request, at));
+        if self.completed.len() > MAX_COMPLETED {
+            self.completed.pop_front();
+        }
+        self.push_recent(Notice::Completed(request, at));
+    }
+
+    /// Whether a strike of time `at` against this request no longer counts, because the request ran
+    /// to its end afterwards.
+    pub fn is_completed(&self, request: Fingerprint, at: Instant) -> bool {
+        self.completed.iter().any(|(known, since)| *known == request && at <= *since)
     }
 
     /// The strikes for which requests and parts are refused at `now`.
--- a/crates/winch-relay/src/strikes/attribution.rs
+++ b/crates/winch-relay/src/strikes/attribution.rs
@@ -33,12 +33,21 @@
     node.tasks.spawn(async move { peer::report_cleared(&reporter, &cleared).await });
 }
 
-/// Records that a replica has run the request to its end, which removes its strikes.
+/// Records that a replica has run the request to its end, and tells the other daemons if the request
+/// had strikes.
 pub fn record_completion<P: Protocol>(node: &Arc<Node<P>>, job: &Job) {
     // Most daemons have no strikes at most times, and the fingerprint takes time.
-    if !node.strikes().is_empty() {
-        node.strikes().record_completion(job.fingerprint());
+    if node.strikes().is_empty() {
+        return;
+    }
+    let (request, at) = (job.fingerprint(), Instant::now());
+    if !node.strikes().record_completion(request, at) {
+        return;
     }
+    emit!(Event::RequestCleared, request = job.call.label());
+    node.announce_strike();
+    let reporter = node.clone();
+    node.tasks.spawn(async move { peer::report_completed(&reporter, request, at).await });
 }
 
 /// Attributes the crash of `replica` to a request, if a probe finds the replica dead.
--- a/crates/winch-route/src/suspect.rs
+++ b/crates/winch-route/src/suspect.rs
@@ -165,7 +165,20 @@
 
     /// Removes all strikes of a request, because it ran to its end.
     pub fn record_completion(&mut self, request: Fingerprint) {
-        self.strikes.remove(&request);
+        self.record_completion_at(request, Duration::MAX);
+    }
+
+    /// Removes the strikes of a request that ran to its end at `at`, except later ones; returns whether
+    /// there were any.
+    pub fn record_completion_at(&mut self, request: Fingerprint, at: Duration) -> bool {
+        let Some(strikes) = self.strikes.get_mut(&request) else { return false };
+        let count = strikes.len();
+        strikes.retain(|(_, struck_at)| *struck_at > at);
+        let has_removed = strikes.len() < count;
+        if strikes.is_empty() {
+            self.strikes.remove(&request);
+        }
+        has_removed
     }
 
     /// How a request may run at `now`.
--- a/crates/wisteriawinch/tests/driver_steps.rs
+++ b/crates/wisteriawinch/tests/driver_steps.rs
@@ -23,7 +23,10 @@
     cursor::{Cursor, Key},
     digest::Digest,
 };
-use winch_route::{pace::Pacer, suspect::Crash};
+use winch_route::{
+    pace::Pacer,
+    suspect::{Crash, Disposition},
+};
 use wisteriawinch::{
     code::Code,
     fleet::Fleet,
@@ -243,6 +246,35 @@
     assert!(waiters.into_iter().all(|waiter| pacer.try_start(waiter, 1)));
 }
 
+// Guards against a request whose strikes are removed by an end that shows nothing.
+#[tokio::test]
+async fn only_complete_answers_clear() {
+    for (caller_leaves, expected) in [(false, Disposition::Clear), (true, Disposition::Struck)] {
+        let pause = Duration::from_millis(100);
+        let script = Script::paced([vec![
+            (Duration::ZERO, tokens(0, 2, 4).remove(0)),
+            (pause, tokens(2, 4, 4).remove(0)),
+        ]]);
+        let (fleet, job) = (fleet(), job(4, None));
+        let request = job.fingerprint;
+        fleet.suspects().record_strike(request, Crash(1), fleet.now());
+        let (output, _head, chunks) = Output::new(job.request, false);
+        let assignment = Assignment { version: "v1".into(), move_subset: None, fallback: None };
+        let driver = Driver::new(fleet.clone(), script, job, output, assignment);
+        let caller = async {
+            if caller_leaves {
+                sleep(pause / 2).await;
+                drop(chunks);
+            } else {
+                text(chunks).await;
+            }
+        };
+        tokio::join!(driver.run(), caller);
+        let disposition = fleet.suspects().disposition(request, fleet.now());
+        assert_eq!(disposition, expected, "the caller leaves: {caller_leaves}");
+    }
+}
+
 /// Drives a job whose first attempt breaks, with the daemon's state `fleet`; returns the code with
 /// which the answer fails. The test fails if it does not end.
 async fn failure_after_break(fleet: Arc<Fleet>, job: Job) -> Code {
