--- a/crates/winch-http/src/client.rs
+++ b/crates/winch-http/src/client.rs
@@ -98,6 +98,9 @@
     /// Whether the connection is reset if it is dropped meanwhile.
     resets_pending: bool,
     reusable: bool,
+    /// Whether a write has failed. The operating system reports a reset once, so that a read after it
+    /// may find an orderly end: from then on, the end of the connection ends no body.
+    write_failed: bool,
     /// When input was last read.
     read_at: Instant,
     /// A time after which the last input has arrived, for the start of the idle time.
@@ -138,6 +141,7 @@
             is_pending: false,
             resets_pending: false,
             reusable: true,
+            write_failed: false,
             read_at: now,
             arrived_after: now,
             idle_until: now,
@@ -234,7 +238,7 @@
                 self.decoder = Decoder::new(Framing::of_reply(method, &reply)?);
                 if matcher.matches(&reply, is_first) {
                     // After an early reply the server still expects the rest of the request.
-                    self.reusable = written && reply.keeps_alive();
+                    self.reusable = written && !self.write_failed && reply.keeps_alive();
                     self.is_pending = !self.decoder.is_done();
                     self.idle_limit = reply.idle_limit_s().map_or(DEFAULT_IDLE_LIMIT, |limit| {
                         Duration::from_secs(limit).saturating_sub(IDLE_MARGIN).min(MAX_IDLE_LIMIT)
@@ -245,8 +249,11 @@
             }
             self.input.reserve(READ_BYTES);
             tokio::select! {
-                // A write error is ignored, because a reply may have been received before it.
-                _ = &mut write, if !written => written = true,
+                // A write error does not end the exchange: a reply may have been received before it.
+                result = &mut write, if !written => {
+                    written = true;
+                    self.write_failed |= result.is_err();
+                }
                 read = reader.read_buf(&mut self.input) => match read {
                     Ok(0) => return Err(broken(io::ErrorKind::UnexpectedEof)),
                     Ok(_) => {
@@ -277,7 +284,7 @@
                 Step::More => {}
             }
             match self.fill().await {
-                Ok(0) if self.decoder.ends_with_connection() => {
+                Ok(0) if self.decoder.ends_with_connection() && !self.write_failed => {
                     self.decoder = Decoder::new(Framing::Length(0));
                     self.reusable = false;
                 }
