--- a/crates/winch-http/src/body.rs
+++ b/crates/winch-http/src/body.rs
@@ -3,7 +3,10 @@
 use bytes::{Buf, Bytes, BytesMut};
 use http::{HeaderMap, Method, StatusCode, header};
 
-use crate::{Fault, head};
+use crate::{
+    Fault,
+    head::{self, is_field},
+};
 
 /// Longest chunk-size line or trailer line, in bytes.
 const MAX_LINE_BYTES: usize = 1_024;
@@ -153,7 +156,10 @@
                 }
                 State::ChunkSize => match httparse::parse_chunk_size(input) {
                     Ok(httparse::Status::Complete((length, size))) => {
-                        input.advance(length);
+                        let line = input.split_to(length);
+                        if has_control_byte(line.trim_ascii_end()) {
+                            return Err(Fault::Malformed);
+                        }
                         self.0 = if size == 0 { State::Trailer(0) } else { State::ChunkData(size) };
                     }
                     Ok(httparse::Status::Partial) if input.len() < MAX_LINE_BYTES => {
@@ -173,7 +179,7 @@
                         input.advance(2);
                         self.0 = State::Done;
                     }
-                    Some(length) if length < MAX_LINE_BYTES => {
+                    Some(length) if length < MAX_LINE_BYTES && is_field(&input[..length]) => {
                         input.advance(length + 2);
                         self.0 = State::Trailer(read + length + 2);
                     }
@@ -185,6 +191,11 @@
     }
 }
 
+/// Whether a line has a byte that no visible text or white space has.
+fn has_control_byte(line: &[u8]) -> bool {
+    line.iter().any(|byte| byte.is_ascii_control() && *byte != b'\t')
+}
+
 /// Removes up to `left` bytes from `input`; returns them and the number still missing.
 fn split(input: &mut BytesMut, left: u64) -> (Bytes, u64) {
     let length = usize::try_from(left).unwrap_or(usize::MAX).min(input.len());
--- a/crates/winch-http/src/client.rs
+++ b/crates/winch-http/src/client.rs
@@ -3,7 +3,7 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use http::Method;
+use http::{Method, StatusCode};
 use snafu::Snafu;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -232,6 +232,10 @@
                 if skipped_replies > MAX_SKIPPED_REPLIES {
                     return Err(Fault::TooManyReplies.into());
                 }
+                if reply.status == StatusCode::SWITCHING_PROTOCOLS {
+                    // No request asks for it, and what follows is no reply.
+                    return Err(Fault::Malformed.into());
+                }
                 if reply.status.is_informational() {
                     continue;
                 }
--- a/crates/winch-http/src/head.rs
+++ b/crates/winch-http/src/head.rs
@@ -1,5 +1,7 @@
 //! Parsing and writing of request and reply heads.
 
+use std::ops::RangeInclusive;
+
 use bytes::{Buf, BytesMut};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 
@@ -8,6 +10,9 @@
 /// Largest number of header fields in one head.
 const MAX_FIELDS: usize = 96;
 
+/// Statuses that a reply can have.
+const STATUSES: RangeInclusive<u16> = 100..=599;
+
 /// Headers that apply to a single connection and are never forwarded.
 const HOP_BY_HOP: [HeaderName; 8] = [
     header::CONNECTION,
@@ -118,7 +123,8 @@
         Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(Fault::HeadTooLarge),
         Err(_) => return Err(Fault::Malformed),
     };
-    let status = parsed.code.and_then(|code| StatusCode::from_u16(code).ok());
+    let status = parsed.code.filter(|code| STATUSES.contains(code));
+    let status = status.and_then(|code| StatusCode::from_u16(code).ok());
     let reply = Reply {
         status: status.ok_or(Fault::Malformed)?,
         minor: parsed.version.ok_or(Fault::Malformed)?,
@@ -138,6 +144,13 @@
     Ok(headers)
 }
 
+/// Whether a line, without its end, is a header field.
+pub(crate) fn is_field(line: &[u8]) -> bool {
+    let Some(colon) = line.iter().position(|byte| *byte == b':') else { return false };
+    HeaderName::from_bytes(&line[..colon]).is_ok()
+        && HeaderValue::from_bytes(line[colon + 1..].trim_ascii()).is_ok()
+}
+
 /// Removes the headers that apply to a single connection.
 ///
 /// Fields named by the `Connection` header are removed too, except those in `keep`.
