--- a/crates/winch-relay/src/daemon.rs
+++ b/crates/winch-relay/src/daemon.rs
@@ -108,7 +108,7 @@
     background_tasks.spawn(reach::run(node.clone()));
     background_tasks.spawn(pulse::run(node.clone()));
     if let Some(listener) = sockets.metrics {
-        background_tasks.spawn(serve_metrics(listener));
+        background_tasks.spawn(exposition::run(listener));
     }
     let mut connections = JoinSet::new();
     let accepting = accept(&node, &sockets.callers, &mut connections);
@@ -231,22 +231,6 @@
     }
 }
 
-async fn serve_metrics(listener: TcpListener) {
-    let Some(handle) = exposition::install_recorder() else { return };
-    let mut connections = JoinSet::new();
-    loop {
-        let stream = listen::accept(&listener).await;
-        while connections.try_join_next().is_some() {}
-        let (read, write) = stream.into_split();
-        let handle = handle.clone();
-        connections.spawn(async move {
-            let answer =
-                |_: &winch_http::head::Request| (StatusCode::OK, exposition::render(&handle));
-            exposition::serve(read, write, answer).await;
-        });
-    }
-}
-
 async fn sweep<P: Protocol>(node: Arc<Node<P>>) {
     loop {
         sleep(SWEEP_INTERVAL).await;
--- a/crates/wisteriawinch/src/control/config.rs
+++ b/crates/wisteriawinch/src/control/config.rs
@@ -111,13 +111,18 @@
         const TICK: Duration = Duration::from_millis(20);
         /// A longer gap between two ticks means that the process was paused.
         const PAUSE_THRESHOLD: Duration = Duration::from_secs(2);
+        const METRICS_UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut last = self.0.now();
-        let mut was_isolated = false;
+        let (mut was_isolated, mut kept_up_at) = (false, last);
         loop {
             ticks.tick().await;
             let now = self.0.now();
+            if now - kept_up_at >= METRICS_UPKEEP_INTERVAL {
+                kept_up_at = now;
+                self.0.keep_up_metrics();
+            }
             if now - last > PAUSE_THRESHOLD {
                 emit!(Event::ProcessPaused, gap_ms = (now - last).as_millis());
                 self.0.recover_from_pause(now);
--- a/crates/wisteriawinch/src/fleet.rs
+++ b/crates/wisteriawinch/src/fleet.rs
@@ -175,6 +175,12 @@
         self.started_at.elapsed() + Duration::from_secs(1)
     }
 
+    /// Sums up the samples of the histograms, of which the recorder else keeps each until the metrics
+    /// are fetched.
+    pub fn keep_up_metrics(&self) {
+        self.metrics.run_upkeep();
+    }
+
     /// All metrics in the Prometheus text format.
     pub fn metrics(&self) -> String {
         self.metrics.render()
