--- a/crates/winch-relay/src/peer.rs
+++ b/crates/winch-relay/src/peer.rs
@@ -52,7 +52,7 @@
 /// Time without an update after which a seed is no longer followed. Also the timeout for
 /// sending an update to a follower or a report to a seed, and for receiving the state of a seed
 /// that is not followed.
-const SEED_TIMEOUT: Duration = Duration::from_millis(800);
+pub const SEED_TIMEOUT: Duration = Duration::from_millis(800);
 
 type FramedStream = Framed<TcpStream, LengthDelimitedCodec>;
 
--- a/crates/winch-relay/src/peer/follow.rs
+++ b/crates/winch-relay/src/peer/follow.rs
@@ -80,8 +80,10 @@
     /// Until when a stale state is accepted; `None` if it is not.
     pub stale_until: Option<Instant>,
     /// Whether this daemon serves others. It then needs the whole list from a daemon that reads
-    /// the store, and ends the subscription as soon as its own state is stale.
+    /// the store.
     pub serves: bool,
+    /// Longest time until it has sent a state that is acceptable.
+    pub open_time: Duration,
 }
 
 impl Limits {
@@ -131,9 +133,10 @@
             address: node.settings.peers.to_string(),
             ..Request::default()
         };
-        let connected = timeout(CONNECT_TIMEOUT, connect(seed, request)).await;
+        let connect_time = CONNECT_TIMEOUT.min(limits.open_time);
+        let connected = timeout(connect_time, connect(seed, request)).await;
         let mut framed = connected.map_err(io::Error::from)??;
-        let mut budget = Budget::new(SEED_TIMEOUT);
+        let mut budget = Budget::new(limits.open_time);
         let mut pending: Vec<Update> = Vec::new();
         loop {
             let received = receive::<Update>(&mut framed, &mut budget).await;
@@ -156,7 +159,14 @@
         self.seed
     }
 
-    /// Applies the updates of the seed for as long as its state is acceptable.
+    /// When the last state of the seed is no longer acceptable.
+    fn stale_at(&self) -> Instant {
+        let stale_at = self.confirmed_at + self.limits.max_age;
+        self.limits.stale_until.map_or(stale_at, |until| stale_at.max(until))
+    }
+
+    /// Applies the updates of the seed for as long as its state is acceptable, and ends as soon as the
+    /// last one is not, whether the seed is silent or tells so.
     ///
     /// Configurations that are too large for an update are read from `store`, or requested from
     /// the seed if that fails.
@@ -181,8 +191,10 @@
         report_ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut budget = Budget::new(SEED_TIMEOUT);
         loop {
-            let stale_at = self.confirmed_at + self.limits.max_age;
+            let stale_at = self.stale_at();
             let update = tokio::select! {
+                biased;
+                // First, so that updates which have arrived during a pause of this process count.
                 update = receive::<Update>(&mut self.framed, &mut budget) => update?,
                 _ = report_ticks.tick() => {
                     let report = build_report(node);
@@ -195,7 +207,7 @@
                     }
                     continue;
                 }
-                () = sleep_until(stale_at), if self.limits.serves => return StaleSnafu.fail(),
+                () = sleep_until(stale_at) => return StaleSnafu.fail(),
             };
             self.received_at = Instant::now();
             budget = Budget::new(SEED_TIMEOUT);
--- a/crates/winch-relay/src/watch/seeds.rs
+++ b/crates/winch-relay/src/watch/seeds.rs
@@ -13,20 +13,34 @@
 use super::{BACKOFF_MIN, DIRECT_READ_TIME, election::Election, jittered};
 use crate::{
     node::Node,
-    peer::{Error, Limits, Subscription},
+    peer::{Error, Limits, SEED_TIMEOUT, Subscription},
     prelude::*,
     store::Store,
 };
 
+/// Time for which a daemon whose state is stale searches for a seed before it reads the store, as a
+/// share of the age above which state is stale.
+const SEARCH_SHARE: f64 = 0.25;
+
 /// What a seed must fulfil for a daemon with this role.
 fn limits<P: Protocol>(node: &Node<P>, role: &Role, stale_until: Option<Instant>) -> Limits {
     let pace = Pace::new(node.tuning().max_age);
     let serves = role.serves();
     let max_age = if serves { pace.takeover_age } else { pace.max_age };
-    Limits { max_age, stale_until, serves }
+    Limits { max_age, stale_until, serves, open_time: SEED_TIMEOUT }
+}
+
+/// When a search for a seed that begins now ends, so that the state of this daemon does not become
+/// much older than the state of a seed may be; `None` if it has no state yet.
+fn search_deadline<P: Protocol>(node: &Node<P>) -> Option<Instant> {
+    let max_age = node.tuning().max_age;
+    let age = Duration::from_millis(node.state_age_ms()?);
+    let fresh_time = max_age.saturating_sub(age);
+    node.is_initialized().then(|| Instant::now() + fresh_time + max_age.mul_f64(SEARCH_SHARE))
 }
 
-/// Follows a seed while it is up to date, then another one; returns when the store has to be read.
+/// Follows a seed while it is up to date, then another one; returns when the store has to be read,
+/// because no seed is left or the search for one has taken too long.
 ///
 /// A stale seed is followed until `stale_until`.
 pub(super) async fn follow<P: Protocol, S: Store>(
@@ -37,7 +51,9 @@
 ) {
     let mut rotation = Rotation::default();
     let sources = role.sources(true);
+    let mut deadline = search_deadline(node);
     loop {
+        let untried = rotation.untried(&sources);
         let step = rotation.next(&sources, &mut node.rng());
         let (seed, stale_until) = match step {
             Step::Follow(seed) => (seed, stale_until),
@@ -54,7 +70,24 @@
             Step::Read => return,
         };
         let started_at = Instant::now();
-        let error = follow_one(node, store, seed, limits(node, role, stale_until)).await;
+        let mut limits = limits(node, role, stale_until);
+        if let Some(deadline) = deadline {
+            let left = deadline.saturating_duration_since(started_at);
+            if left.is_zero() {
+                return;
+            }
+            // A silent seed must not take the time of the others.
+            let share = u32::try_from(untried).unwrap_or(1).max(1);
+            limits.open_time = limits.open_time.min(left / share);
+        }
+        let error = match Subscription::open(node, seed, limits).await {
+            Ok(subscription) => {
+                let error = run(node, store, subscription).await;
+                deadline = search_deadline(node);
+                error
+            }
+            Err(error) => error,
+        };
         let starting = (!node.is_initialized()).then(|| node.uptime());
         if rotation.ended(seed, error.end(), started_at.elapsed(), starting) {
             emit!(Event::SeedLost, seed = seed, reason = error);
@@ -62,19 +95,6 @@
     }
 }
 
-/// Follows one seed and returns why it is no longer followed.
-async fn follow_one<P: Protocol, S: Store>(
-    node: &Node<P>,
-    store: &mut S,
-    seed: SocketAddr,
-    limits: Limits,
-) -> Error {
-    match Subscription::open(node, seed, limits).await {
-        Ok(subscription) => run(node, store, subscription).await,
-        Err(error) => error,
-    }
-}
-
 /// Runs a subscription and returns why it has ended.
 async fn run<P: Protocol, S: Store>(
     node: &Node<P>,
--- a/crates/winch-roster/src/source.rs
+++ b/crates/winch-roster/src/source.rs
@@ -125,6 +125,11 @@
         }
     }
 
+    /// Number of `sources` that were not tried yet.
+    pub fn untried(&self, sources: &[SocketAddr]) -> usize {
+        sources.iter().filter(|source| !self.tried.contains(source)).count()
+    }
+
     /// Records why `source` is not followed any more after it was for `followed`. `starting` is
     /// the time since the start of a daemon that has no list yet, and `None` for any other.
     ///
