--- a/crates/winch-relay/src/fleet.rs
+++ b/crates/winch-relay/src/fleet.rs
@@ -46,6 +46,8 @@
     revision: u64,
     /// Daemons to which requests may be passed on, as the followed daemon told it.
     relays: Vec<SocketAddr>,
+    /// Daemons that read the store for others because no seed does.
+    readers: Vec<SocketAddr>,
     /// Number of daemons as the followed daemon told it.
     told: Option<u32>,
     /// The highest recent count, and when it was found.
@@ -91,6 +93,16 @@
         self.relays.iter().copied().chain(followers).collect()
     }
 
+    /// Records the daemons that read the store for others because no seed does; none once a seed does.
+    pub fn set_readers(&mut self, readers: Vec<SocketAddr>) {
+        self.readers = readers;
+    }
+
+    /// Daemons that read the store for others because no seed does, as far as this one was told.
+    pub fn readers(&self) -> &[SocketAddr] {
+        &self.readers
+    }
+
     /// Records the number of followers that a follower reported.
     pub fn report(&mut self, follower: FollowerKey, followers: u32) {
         if let Some(follower) = self.followers.get_mut(follower) {
--- a/crates/winch-relay/src/peer.rs
+++ b/crates/winch-relay/src/peer.rs
@@ -107,9 +107,11 @@
     }
 }
 
-/// Reports a strike to all seeds, which forward it to their followers.
+/// Reports a strike to all seeds, which forward it to their followers, and to those that read the store
+/// in their place.
 ///
-/// The report is not repeated for an unreachable seed, which then lacks this strike.
+/// The report is not repeated for an unreachable daemon. It is told of the strike when the daemon that has
+/// observed it follows it.
 pub async fn report_strike<P: Protocol>(node: &Node<P>, strike: &Strike) {
     let strikes = vec![CrashStrike::encode_at(strike, Instant::now())];
     report(node, Request { strikes, ..Request::default() }).await;
@@ -137,24 +139,28 @@
     report(node, Request { completed, ..Request::default() }).await;
 }
 
-/// Tells a seed for which strikes requests are refused; it may have been restarted and know none.
+/// Tells a daemon that this one is about to follow for which strikes requests are refused, and which it
+/// has observed itself: the daemon may have been restarted, or chosen after they were told.
 ///
 /// # Errors
-/// The system's error if the seed is unreachable.
-async fn report_decisive<P: Protocol>(node: &Node<P>, seed: SocketAddr) -> io::Result<()> {
+/// The system's error if the daemon is unreachable.
+async fn report_known<P: Protocol>(node: &Node<P>, source: SocketAddr) -> io::Result<()> {
     let now = Instant::now();
-    let strikes = node.strikes().decisive(now);
+    let strikes = node.strikes().known(now);
     if strikes.is_empty() {
         return Ok(());
     }
     let strikes = strikes.iter().map(|strike| CrashStrike::encode_at(strike, now)).collect();
-    connect(seed, Request { strikes, ..Request::default() }).await.map(drop)
+    connect(source, Request { strikes, ..Request::default() }).await.map(drop)
 }
 
+/// Sends a request to the seeds, and to the daemons that read the store in their place.
 async fn report<P: Protocol>(node: &Node<P>, request: Request) {
-    let tuning = node.tuning();
-    let seeds = tuning.seeds.iter().filter(|seed| **seed != node.settings.peers);
-    let reports = seeds.map(|seed| connect(*seed, request.clone()));
+    let mut targets = node.tuning().seeds.clone();
+    let readers = node.fleet().readers().to_vec();
+    targets.extend(readers.iter().filter(|reader| !node.tuning().seeds.contains(reader)));
+    targets.retain(|target| *target != node.settings.peers);
+    let reports = targets.into_iter().map(|target| connect(target, request.clone()));
     for reported in futures_util::future::join_all(reports).await {
         if let Err(error) = reported {
             emit!(Event::SeedLost, seed = "while reporting a strike", reason = error);
--- a/crates/winch-relay/src/peer/follow.rs
+++ b/crates/winch-relay/src/peer/follow.rs
@@ -11,7 +11,7 @@
 use super::{
     FramedStream, SEED_TIMEOUT, connect, interest,
     message::{Report, Request, Update},
-    receive, report_decisive, send,
+    receive, report_known, send,
     speeds::encode_samples,
 };
 use crate::{
@@ -180,7 +180,7 @@
     ) -> Result<Infallible, Error> {
         let version = self.pending.last().map_or(0, |update| update.config_version);
         emit!(Event::SeedFollowed, seed = self.seed, version = version);
-        report_decisive(node, self.seed).await?;
+        report_known(node, self.seed).await?;
         // A daemon of an earlier release tells no speeds.
         if let Some(first) = self.pending.first_mut() {
             first.speeds.get_or_insert_with(|| Told::nothing_known().into());
@@ -273,6 +273,9 @@
         if let Some(relays) = update.relays.take() {
             node.fleet().set_relays(relays.decode());
         }
+        // What is not an address names no reader.
+        let readers = update.readers.iter().filter_map(|reader| reader.parse().ok()).collect();
+        node.fleet().set_readers(readers);
         update.take_notices().apply(node);
         if update.strikes_synced.unwrap_or(true) && !node.strikes().is_synced() {
             node.strikes().mark_synced();
--- a/crates/winch-relay/src/peer/message.rs
+++ b/crates/winch-relay/src/peer/message.rs
@@ -197,6 +197,10 @@
     /// by earlier releases.
     #[prost(message, repeated, tag = "24")]
     pub completed: Vec<CompletedRequest>,
+    /// Addresses of the daemons that read the store for others because no seed does; skipped by earlier
+    /// releases.
+    #[prost(string, repeated, tag = "25")]
+    pub readers: Vec<String>,
 }
 
 /// The number of replicas of a service.
--- a/crates/winch-relay/src/peer/serve.rs
+++ b/crates/winch-relay/src/peer/serve.rs
@@ -93,6 +93,7 @@
             daemons: node.daemons(),
             strikes_synced: Some(node.strikes().is_synced()),
             steady_ms: node.steady_ms(),
+            readers: node.fleet().readers().iter().map(ToString::to_string).collect(),
             ..Update::default()
         };
         if let Some(published) = node.published() {
--- a/crates/winch-relay/src/strikes.rs
+++ b/crates/winch-relay/src/strikes.rs
@@ -22,6 +22,8 @@
 
 /// Number of recent notices that are kept for sending to other daemons.
 const MAX_RECENT_NOTICES: usize = 256;
+/// Number of strikes of this daemon's own that are kept for telling them again.
+const MAX_OBSERVED: usize = 64;
 /// Number of retracted crashes that are remembered, so that late strikes for them do not count.
 const MAX_RETRACTED: usize = 256;
 /// Number of completed requests that are remembered, for the same reason.
@@ -68,6 +70,8 @@
     origin: Instant,
     /// The newest notices, oldest first. Their strikes name no part that was cleared.
     recent: VecDeque<Notice>,
+    /// The newest strikes that this daemon has observed itself, the oldest first.
+    observed: VecDeque<Strike>,
     /// Number of notices that were removed from `recent`.
     dropped: usize,
     /// Whether what was refused before this daemon's start has been read or told.
@@ -83,9 +87,17 @@
     pub fn new(origin: Instant) -> Self {
         let tracker = Tracker::new(Options::default());
         let parts = Ledger::new(quarantine::Options::default());
-        let (recent, retracted, completed) = Default::default();
-        let (dropped, is_synced) = (0, false);
-        Self { tracker, parts, origin, recent, dropped, is_synced, retracted, completed }
+        Self {
+            tracker,
+            parts,
+            origin,
+            recent: VecDeque::new(),
+            observed: VecDeque::new(),
+            dropped: 0,
+            is_synced: false,
+            retracted: VecDeque::new(),
+            completed: VecDeque::new(),
+        }
     }
 
     /// Whether what was refused before this daemon's start has been read or told.
@@ -121,6 +133,7 @@
         let is_new = self.parts.explains(crash)
             || !self.tracker.record_crash(crash, &[request], at).is_empty();
         if is_new {
+            self.push_observed(strike.clone());
             self.push_strike(strike, at);
         }
         self.disposition(request, &parts, now)
@@ -169,6 +182,13 @@
         self.push_recent(Notice::Struck(strike));
     }
 
+    fn push_observed(&mut self, strike: Strike) {
+        self.observed.push_back(strike);
+        if self.observed.len() > MAX_OBSERVED {
+            self.observed.pop_front();
+        }
+    }
+
     fn push_recent(&mut self, notice: Notice) {
         self.recent.push_back(notice);
         if self.recent.len() > MAX_RECENT_NOTICES {
@@ -304,6 +324,27 @@
         decisive
     }
 
+    /// The strikes that a daemon is told which may know none: those for which requests and parts are
+    /// refused at `now`, and those that this daemon has observed and that still count.
+    pub fn known(&self, now: Instant) -> Vec<Strike> {
+        let since_origin = self.since_origin(now);
+        let counts = |strike: &&Strike| {
+            now.saturating_duration_since(strike.at) < self.lifetime()
+                && !self.is_retracted(strike.crash, strike.at)
+                && !self.is_completed(strike.request, strike.at)
+        };
+        let is_suspect = |part: &Part| !self.parts.is_cleared(*part, since_origin);
+        let without_cleared = |strike: &Strike| Strike {
+            parts: strike.parts.iter().copied().filter(is_suspect).collect(),
+            ..strike.clone()
+        };
+        // First those with all their parts: the receiver skips a strike that it has.
+        let mut known: Vec<Strike> =
+            self.observed.iter().filter(counts).map(without_cleared).collect();
+        known.extend(self.decisive(now));
+        known
+    }
+
     /// Number of requests and parts that are refused at `now`.
     pub fn refused_count(&self, now: Instant) -> usize {
         let at = self.since_origin(now);
--- a/crates/winch-relay/src/watch.rs
+++ b/crates/winch-relay/src/watch.rs
@@ -202,7 +202,7 @@
     let (started_at, elected_role) = (Instant::now(), role.elected());
     tokio::select! {
         () = read(node, access, true) => {}
-        () = election.hold() => {}
+        () = election.hold(node) => {}
         () = seeds::wait_fresh(node, &elected_role) => {}
     }
     // Followers would take the removal of what this daemon no longer needs for that of replicas
--- a/crates/winch-relay/src/watch/election.rs
+++ b/crates/winch-relay/src/watch/election.rs
@@ -69,9 +69,14 @@
         Ok(self.lease.acquire(&self.table).await?.is_some())
     }
 
-    /// Renews the lease until it is lost, or until the table fails for longer than its term.
-    pub(super) async fn hold(&mut self) {
+    /// Renews the lease until it is lost, or until the table fails for longer than its term, and tells
+    /// `node` of the other readers and itself.
+    pub(super) async fn hold<P: Protocol>(&mut self, node: &Node<P>) {
         loop {
+            if let Ok(mut readers) = self.readers().await {
+                readers.push(self.own);
+                node.fleet().set_readers(readers);
+            }
             sleep(jittered(RENEW_INTERVAL)).await;
             match self.contend().await {
                 Ok(true) => {}
--- a/crates/winch-relay/src/watch/seeds.rs
+++ b/crates/winch-relay/src/watch/seeds.rs
@@ -141,6 +141,7 @@
         }
         // The reads of this daemon log that the store is unreachable.
         let Ok(mut readers) = election.readers().await else { continue };
+        node.fleet().set_readers(readers.clone());
         readers.shuffle(&mut node.rng());
         if let Some(subscription) = open_any(node, &readers, limits(node, role, None)).await {
             return Found::Source(subscription.into());
