--- a/crates/winch-http/src/server.rs
+++ b/crates/winch-http/src/server.rs
@@ -93,14 +93,26 @@
         }
         let mut decoder = Decoder::new(framing);
         let mut body = BytesMut::new();
+        while let Some(data) = self.chunk(&mut decoder).await? {
+            if body.len() + data.len() > limit {
+                return Err(Fault::BodyTooLarge.into());
+            }
+            body.extend_from_slice(&data);
+        }
+        Ok(body.freeze())
+    }
+
+    /// Reads the next part of the body that `decoder` decodes; `None` at its end.
+    ///
+    /// # Errors
+    /// [`Error::Broken`] if the connection ends before the body, [`Error::Unacceptable`] if the body
+    /// is malformed.
+    pub async fn chunk(&mut self, decoder: &mut Decoder) -> Result<Option<Bytes>, Error> {
         loop {
             match decoder.step(&mut self.input)? {
-                Step::Done => return Ok(body.freeze()),
+                Step::Done => return Ok(None),
                 Step::More => self.fill_some().await?,
-                Step::Data(data) if body.len() + data.len() > limit => {
-                    return Err(Fault::BodyTooLarge.into());
-                }
-                Step::Data(data) => body.extend_from_slice(&data),
+                Step::Data(data) => return Ok(Some(data)),
             }
         }
     }
--- a/crates/winch-relay/src/code.rs
+++ b/crates/winch-relay/src/code.rs
@@ -79,6 +79,8 @@
     SlowRequest = 617, "slow_request", REQUEST_TIMEOUT, false;
     /// The request crossed the close of its idle connection.
     ClosedIdle = 618, "closed_idle", REQUEST_TIMEOUT, false;
+    /// The daemon has no memory left for the body of the request.
+    NoRoom = 619, "no_room", SERVICE_UNAVAILABLE, false;
     /// The connection to the replica broke; the request may have run.
     Broken = 620, "broken", BAD_GATEWAY, true;
     /// The reply of the replica is invalid, or its status says that a request has not run which may
--- a/crates/winch-relay/src/edge.rs
+++ b/crates/winch-relay/src/edge.rs
@@ -28,11 +28,12 @@
 use crate::{
     call::reply_time,
     config::Limits,
-    counter,
+    counter, intake,
     job::Sends,
     node::Node,
     prelude::*,
     respond::{Progress, Responder},
+    unary,
 };
 
 /// Time within which the body of a request must arrive after its head.
@@ -50,9 +51,15 @@
     let mut reader = Reader::new(read);
     let mut out = Responder::for_daemon(write);
     let origin = Origin::Daemon { sends };
-    let Ok(request) = read_request(node, &mut reader, &mut out, origin).await else {
+    let request = match read_request(node, &mut reader, &mut out, origin).await {
+        Ok(request) => request,
+        Err(Unread::NoRoom) => {
+            counter::taken("busy");
+            reject(&mut reader, &mut out, Code::Busy).await;
+            return;
+        }
         // The daemon has checked the request; it treats the close as a broken connection.
-        return;
+        Err(_) => return,
     };
     out.close_after();
     if node.is_stopping() {
@@ -132,6 +139,10 @@
                 return Close::SlowRequest;
             }
             Err(Unread::Incomplete) => return Close::Incomplete,
+            Err(Unread::NoRoom) => {
+                reject(reader, out, Code::NoRoom).await;
+                return Close::NoRoom;
+            }
             Err(Unread::Unacceptable(fault)) => {
                 reject_unacceptable(reader, out, fault).await;
                 return Close::Unreadable;
@@ -158,6 +169,17 @@
     Incomplete,
     /// The bytes are not an acceptable request.
     Unacceptable(Fault),
+    /// No memory is left for its body.
+    NoRoom,
+}
+
+impl From<intake::Error> for Unread {
+    fn from(error: intake::Error) -> Self {
+        match error {
+            intake::Error::Unread { source } => source.into(),
+            intake::Error::NoRoom => Self::NoRoom,
+        }
+    }
 }
 
 impl From<Error> for Unread {
@@ -203,8 +225,8 @@
         reply_time(timeout, tuning.passing_time)
     });
     let body_time = reply_time.map_or(BODY_TIMEOUT, |time| time.min(BODY_TIMEOUT));
-    let body = timeout_at(received_at + body_time, reader.body(framing, limits.body_bytes)).await;
-    let body = body.map_err(|_| Unread::Slow)??;
+    let body = intake::read_body(reader, &node.request_blocks, framing, limits.body_bytes);
+    let body = timeout_at(received_at + body_time, body).await.map_err(|_| Unread::Slow)??;
     Ok(Received { request, body, received_at, origin })
 }
 
@@ -232,7 +254,7 @@
 {
     counter::refused(code);
     out.close_after();
-    if out.send_error(code, None).await.is_ok() {
+    if out.send_error(code, unary::retry_after(code)).await.is_ok() {
         let _ = timeout(LINGER_TIMEOUT, reader.drain()).await;
     }
 }
--- a/crates/winch-relay/src/edge/close.rs
+++ b/crates/winch-relay/src/edge/close.rs
@@ -19,6 +19,8 @@
     Incomplete,
     /// The bytes that arrived are not an acceptable request.
     Unreadable,
+    /// No memory was left for the body of a request.
+    NoRoom,
     /// A request ended without a complete reply, or its caller left.
     Unanswered,
 }
@@ -34,6 +36,7 @@
             Self::SlowRequest => "slow_request",
             Self::Incomplete => "incomplete",
             Self::Unreadable => "unreadable",
+            Self::NoRoom => "no_room",
             Self::Unanswered => "unanswered",
         }
     }
--- a/crates/winch-relay/src/lib.rs
+++ b/crates/winch-relay/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod exposition;
 pub mod fleet;
 pub mod forward;
+pub mod intake;
 pub mod job;
 pub mod kv_snapshot;
 pub mod lint;
--- a/crates/winch-relay/src/memory.rs
+++ b/crates/winch-relay/src/memory.rs
@@ -1,4 +1,4 @@
-//! Memory for long replies, which all requests of the daemon reservation.
+//! Memory for long replies, which all requests of the daemon share; see [`intake`](crate::intake) for that of requests.
 //!
 //! So replicas that send without end cannot take the daemon's memory from the others: what finds no
 //! room is broken off.
@@ -12,14 +12,14 @@
     client::{Connection, Error},
 };
 
-/// Blocks that all replies may hold at the same time.
+/// Blocks that all replies may hold at the same time, and as many that all requests may hold.
 pub const MAX_BLOCKS: usize = 96;
 /// Size of a block.
 const BLOCK_BYTES: usize = 256 * 1024;
-/// Bytes of each reply that are not counted.
+/// Bytes of each body that are not counted.
 const FREE_BYTES: usize = 32 * 1024;
 
-/// The part of the shared memory that one reply holds.
+/// The part of the shared memory that one body holds.
 #[derive(Debug)]
 pub struct Reservation {
     blocks: Arc<Semaphore>,
@@ -32,7 +32,7 @@
         Self { blocks: blocks.clone(), held: None }
     }
 
-    /// Makes room for a reply of this length.
+    /// Makes room for a body of this length.
     ///
     /// # Errors
     /// [`Fault::BodyTooLarge`] if no memory is left.
@@ -57,6 +57,14 @@
         self.held = None;
     }
 
+    /// Ties the reservation to a body, which holds it until the body is dropped.
+    pub fn hold(self, bytes: Bytes) -> Bytes {
+        match self.held() {
+            0 => bytes,
+            _ => Bytes::from_owner(Body { bytes, _reservation: self }),
+        }
+    }
+
     fn held(&self) -> usize {
         self.held.as_ref().map_or(0, OwnedSemaphorePermit::num_permits)
     }
@@ -92,9 +100,5 @@
         reservation.grow_to(length)?;
         body.extend_from_slice(&data);
     }
-    let bytes = body.freeze();
-    if reservation.held() == 0 {
-        return Ok(bytes);
-    }
-    Ok(Bytes::from_owner(Body { bytes, _reservation: reservation }))
+    Ok(reservation.hold(body.freeze()))
 }
--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -83,6 +83,8 @@
     pub pool: Pool,
     /// Memory for long replies.
     pub body_blocks: Arc<Semaphore>,
+    /// Memory for long requests.
+    pub request_blocks: Arc<Semaphore>,
     /// Short tasks of the request path; the daemon joins them when it stops.
     pub tasks: TaskTracker,
     catalog: Mutex<Catalog>,
@@ -128,6 +130,7 @@
             protocol,
             pool: Pool::default(),
             body_blocks: Arc::new(Semaphore::new(MAX_BLOCKS)),
+            request_blocks: Arc::new(Semaphore::new(MAX_BLOCKS)),
             tasks: TaskTracker::new(),
             catalog: Mutex::default(),
             config: Mutex::default(),
--- a/crates/winch-relay/src/unary.rs
+++ b/crates/winch-relay/src/unary.rs
@@ -344,7 +344,7 @@
     match code {
         Code::NoConfig | Code::NoReplica | Code::Overloaded => Some(Duration::from_secs(1)),
         Code::Stopping => Some(Duration::from_millis(20)),
-        Code::Refused | Code::NoBudget | Code::Limited | Code::Busy => {
+        Code::Refused | Code::NoBudget | Code::Limited | Code::Busy | Code::NoRoom => {
             Some(Duration::from_millis(200))
         }
         _ => None,
