--- a/crates/winch-relay/src/catalog/drain.rs
+++ b/crates/winch-relay/src/catalog/drain.rs
@@ -53,12 +53,14 @@
         draining.map(|entry| Drain::from(&*entry.replica))
     }
 
-    /// Sends nothing to a replica before `until`, unless another incarnation is known.
+    /// Sends nothing to a replica before `until`, or until a later time that it has named before, unless
+    /// another incarnation is known.
     pub fn pause(&mut self, replica: &Replica, until: Instant) {
         if self.is_listed(replica)
             && let Some(key) = self.key(&replica.id)
         {
-            self.entries[key].paused_until = Some(until);
+            let entry = &mut self.entries[key];
+            entry.paused_until = entry.paused_until.max(Some(until));
         }
     }
 
--- a/crates/winch-relay/tests/catalog_outage.rs
+++ b/crates/winch-relay/tests/catalog_outage.rs
@@ -227,6 +227,19 @@
     assert_eq!(catalog.usable("model", now + first).count(), 1);
 }
 
+// Guards against requests to a replica that still wants none, because a later refusal named a shorter time.
+#[test]
+fn longer_pause_kept() {
+    let (mut catalog, now) = (Catalog::default(), Instant::now());
+    put(&mut catalog, replica("i-1", 1, 5));
+    let after = |seconds| now + Duration::from_secs(seconds);
+    for until in [after(3), after(1)] {
+        catalog.pause(&replica("i-1", 1, 5), until);
+    }
+    assert_eq!(catalog.usable("model", after(2)).count(), 0);
+    assert_eq!(catalog.usable("model", after(3)).count(), 1);
+}
+
 /// A catalog that reads the list in its first era.
 fn first_era(start: Instant) -> Catalog {
     let mut catalog = Catalog::default();
