--- a/crates/winch-relay/src/forward.rs
+++ b/crates/winch-relay/src/forward.rs
@@ -4,15 +4,9 @@
 //! carries the caller's request with the time that is left and the number of sends, so that deadline
 //! and attempts hold across both daemons. A daemon takes no more than it has room for.
 
-use std::{
-    collections::HashMap,
-    net::SocketAddr,
-    num::NonZeroU32,
-    sync::{
-        Mutex, PoisonError,
-        atomic::{AtomicUsize, Ordering},
-    },
-};
+mod running;
+
+use std::{net::SocketAddr, num::NonZeroU32};
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use http::{HeaderName, HeaderValue};
@@ -20,6 +14,7 @@
 use tokio::time::{sleep_until, timeout, timeout_at};
 use winch_http::{client::Connection, head::Reply};
 
+pub use self::running::{Running, RunningGuard};
 use crate::{
     counter,
     delivery::Deliveries,
@@ -46,12 +41,6 @@
 const MAX_DAEMONS: usize = 4;
 /// Timeout for opening a connection to another daemon.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-/// Time for which a daemon that did not take a request is not asked again.
-const AVOID_TIME: Duration = Duration::from_secs(1);
-/// Number of forwarded requests for which a daemon has room whatever it serves itself.
-const MIN_ROOM: usize = 64;
-/// Forwarded requests for which a daemon has room for each request of its own callers.
-const ROOM_PER_OWN: usize = 3;
 /// Share of the time left after which another daemon is asked for a lookup.
 const MAX_ATTEMPT_SHARE: f64 = 0.5;
 /// Result of a daemon whose connection broke.
@@ -59,58 +48,6 @@
 /// Largest body of a reply.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 
-/// Counts the requests that run in this daemon.
-#[derive(Debug, Default)]
-pub struct Running {
-    own: AtomicUsize,
-    forwarded: AtomicUsize,
-    /// Until when daemons that did not take a request are not asked.
-    avoided: Mutex<HashMap<SocketAddr, Instant>>,
-}
-
-/// Guard of one running request.
-#[derive(Debug)]
-pub struct RunningGuard<'a>(&'a AtomicUsize);
-
-impl Drop for RunningGuard<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-impl Running {
-    /// Counts a request of an own caller until the guard is dropped.
-    pub fn enter_own(&self) -> RunningGuard<'_> {
-        self.own.fetch_add(1, Ordering::Relaxed);
-        RunningGuard(&self.own)
-    }
-
-    /// Counts a forwarded request until the guard is dropped; `None` if there is no room for it.
-    pub fn enter_forwarded(&self) -> Option<RunningGuard<'_>> {
-        let room = MIN_ROOM.max(ROOM_PER_OWN * self.own.load(Ordering::Relaxed));
-        let running = self.forwarded.fetch_add(1, Ordering::Relaxed);
-        let guard = RunningGuard(&self.forwarded);
-        (running < room).then_some(guard)
-    }
-
-    /// Whether no request of another daemon runs here.
-    pub fn serves_no_daemon(&self) -> bool {
-        self.forwarded.load(Ordering::Relaxed) == 0
-    }
-
-    fn avoid(&self, daemon: SocketAddr) {
-        let now = Instant::now();
-        let mut avoided = self.avoided.lock().unwrap_or_else(PoisonError::into_inner);
-        avoided.retain(|_, until| now < *until);
-        avoided.insert(daemon, now + AVOID_TIME);
-    }
-
-    fn is_avoided(&self, daemon: SocketAddr) -> bool {
-        let avoided = self.avoided.lock().unwrap_or_else(PoisonError::into_inner);
-        avoided.get(&daemon).is_some_and(|until| Instant::now() < *until)
-    }
-}
-
 impl Job {
     /// Whether the request is to be forwarded: this daemon reaches no replica of its service, and
     /// no daemon has refused or forwarded it yet.
--- a/crates/winch-relay/src/peer/message.rs
+++ b/crates/winch-relay/src/peer/message.rs
@@ -65,12 +65,8 @@
 impl Request {
     /// Takes what the request tells about crashes.
     pub(super) fn take_notices(&mut self) -> Notices {
-        Notices {
-            strikes: std::mem::take(&mut self.strikes),
-            cleared: std::mem::take(&mut self.cleared),
-            retracted: std::mem::take(&mut self.retracted),
-            completed: std::mem::take(&mut self.completed),
-        }
+        let Self { strikes, cleared, retracted, completed, .. } = self;
+        Notices::take(strikes, cleared, retracted, completed)
     }
 }
 
@@ -224,12 +220,8 @@
 impl Update {
     /// Takes what the update tells about crashes.
     pub(super) fn take_notices(&mut self) -> Notices {
-        Notices {
-            strikes: std::mem::take(&mut self.strikes),
-            cleared: std::mem::take(&mut self.cleared),
-            retracted: std::mem::take(&mut self.retracted),
-            completed: std::mem::take(&mut self.completed),
-        }
+        let Self { strikes, cleared, retracted, completed, .. } = self;
+        Notices::take(strikes, cleared, retracted, completed)
     }
 
     /// Position of the store up to which the receiver has its part of the list after the update.
--- a/crates/winch-relay/src/peer/notice.rs
+++ b/crates/winch-relay/src/peer/notice.rs
@@ -1,5 +1,7 @@
 //! What daemons tell each other about crashes of replicas, as messages.
 
+use std::mem::take;
+
 use prost::Message;
 use winch_route::{
     quarantine::Part,
@@ -126,6 +128,21 @@
 }
 
 impl Notices {
+    /// Takes the notices out of the fields of a message.
+    pub(super) fn take(
+        strikes: &mut Vec<CrashStrike>,
+        cleared: &mut Vec<ClearedPart>,
+        retracted: &mut Vec<RetractedCrash>,
+        completed: &mut Vec<CompletedRequest>,
+    ) -> Self {
+        Self {
+            strikes: take(strikes),
+            cleared: take(cleared),
+            retracted: take(retracted),
+            completed: take(completed),
+        }
+    }
+
     /// Whether the message tells nothing about crashes.
     pub(super) fn is_empty(&self) -> bool {
         let Self { strikes, cleared, retracted, completed } = self;
