--- a/crates/winch-relay/src/catalog/recovery.rs
+++ b/crates/winch-relay/src/catalog/recovery.rs
@@ -85,7 +85,7 @@
     /// Removals are held back for a while if entries can have expired in the outage.
     pub fn mark_store_reachable(&mut self, recovery: &Recovery, now: Instant) -> Option<Verdict> {
         let had_outage = std::mem::take(&mut self.in_outage);
-        let gap = recovery.gap(self.last_outage);
+        let gap = recovery.gap(self.last_outage.filter(|_| had_outage));
         if had_outage {
             self.last_outage = gap;
         }
--- a/crates/winch-relay/src/intake.rs
+++ b/crates/winch-relay/src/intake.rs
@@ -67,8 +67,8 @@
 }
 
 fn check_length(length: usize, limit: usize) -> Result<(), Error> {
-    match length <= limit {
-        true => Ok(()),
-        false => Err(server::Error::from(Fault::BodyTooLarge).into()),
+    if length > limit {
+        return Err(server::Error::from(Fault::BodyTooLarge).into());
     }
+    Ok(())
 }
--- a/crates/winch-relay/src/peer.rs
+++ b/crates/winch-relay/src/peer.rs
@@ -156,11 +156,11 @@
 
 /// Sends a request to the seeds, and to the daemons that read the store in their place.
 async fn report<P: Protocol>(node: &Node<P>, request: Request) {
-    let mut targets = node.tuning().seeds.clone();
+    let seeds = &node.tuning().seeds;
     let readers = node.fleet().readers().to_vec();
-    targets.extend(readers.iter().filter(|reader| !node.tuning().seeds.contains(reader)));
-    targets.retain(|target| *target != node.settings.peers);
-    let reports = targets.into_iter().map(|target| connect(target, request.clone()));
+    let others = readers.iter().filter(|reader| !seeds.contains(reader));
+    let targets = seeds.iter().chain(others).filter(|target| **target != node.settings.peers);
+    let reports = targets.map(|target| connect(*target, request.clone()));
     for reported in futures_util::future::join_all(reports).await {
         if let Err(error) = reported {
             emit!(Event::SeedLost, seed = "while reporting a strike", reason = error);
--- a/crates/winch-relay/tests/catalog_outage.rs
+++ b/crates/winch-relay/tests/catalog_outage.rs
@@ -146,6 +146,20 @@
     }
 }
 
+// Guards against a source that no longer vouches for its list after a short outage, because the reads after
+// it count as part of the outage.
+#[test]
+fn short_outage_stays_steady() {
+    let (mut catalog, start) = (Catalog::default(), Instant::now());
+    let at = |ms| start + Duration::from_millis(ms);
+    catalog.mark_store_reachable(&recovery(None, start), start);
+    catalog.mark_store_unreachable();
+    for (confirmed_ms, read_ms) in [(0, 1_500), (1_500, 1_800), (1_800, 2_500), (2_500, 3_000)] {
+        catalog.mark_store_reachable(&recovery(Some(at(confirmed_ms)), at(read_ms)), at(read_ms));
+    }
+    assert_eq!(catalog.steady_since(), Some(start));
+}
+
 // Guards against a follower that doubts what a source has seen without a gap.
 #[test]
 fn steady_source_believed() {
