--- a/crates/winch-relay/src/watch.rs
+++ b/crates/winch-relay/src/watch.rs
@@ -244,6 +244,10 @@
             }
             Err(Error::Compacted | Error::Restored) => position = None,
             Err(Error::Unavailable { .. }) => {
+                // Whichever topic finds the outage first ends the reads of both.
+                if monitor.is_outage(started_at) {
+                    node.catalog().mark_store_unreachable();
+                }
                 if !node.is_initialized() {
                     peer::fetch_from_seeds(node).await;
                 } else if !serves && monitor.is_outage(started_at) {
--- a/crates/wisteriawinch/tests/entry/mod.rs
+++ b/crates/wisteriawinch/tests/entry/mod.rs
@@ -63,6 +63,7 @@
     let seeds = seeds.join(", ");
     format!(
         "node-name = \"daemon-{number}\"\nzone = \"{dc}\"\nseed-nodes = [{seeds}]\n\
+         heartbeat-ms = 1200\n\
          [listen-addrs]\nfront = \"{callers}\"\nready = \"{ready}\"\ncontrol = \"{control}\"\n\
          [bounds]\npass-ms = 300\ndrain-ms = 2000\ngrace-s = 8\nretry-budget-ratio = 0.8\n\
          [platform-config]\naddress = \"{store}\"\n"
--- a/crates/wisteriawinch/tests/fault_soak.rs
+++ b/crates/wisteriawinch/tests/fault_soak.rs
@@ -127,6 +127,7 @@
     violations.extend(planned::run(&fleet, &mut planned_rng, &mut pause_rng).await);
     violations.extend(silence::run(&fleet, &mut series_rng, &mut pause_rng).await);
     violations.extend(fault::clear(&fleet).await);
+    violations.extend(fault::refused_removal(&fleet).await);
     violations.extend(fleet.run_violations());
     fleet.wait_serving().await;
     eprintln!("seed {seed}: {} guarantees violated", violations.len());
--- a/crates/wisteriawinch/tests/soak/fault.rs
+++ b/crates/wisteriawinch/tests/soak/fault.rs
@@ -19,6 +19,15 @@
 const MAX_CRASHING_RETRIES: usize = 3;
 /// Body of a request that crashes the replicas that run it.
 const CRASHING_BODY: &str = "a brief that crashes engines";
+/// Time for which the store turns the daemons away while a replica leaves; less than an entry takes to
+/// expire.
+const TURNED_AWAY_TIME: Duration = Duration::from_millis(1_000);
+/// Time after the removal of its entry in which requests may still reach a replica.
+const DRAIN_TIME: Duration = Duration::from_millis(2_000);
+/// Lookups that each daemon gets after that.
+const LATE_LOOKUPS: u32 = 12;
+/// Patience of callers that leave before there is an answer.
+const PATIENCE: Duration = Duration::from_millis(50);
 /// Longest time between two faults; shorter than most faults last.
 const MAX_INTERVAL_MS: u64 = 400;
 
@@ -169,6 +178,34 @@
     is_late.then_some(text).into_iter().collect()
 }
 
+/// Lets a replica leave while the store turns all daemons away for a moment, which is no outage in which
+/// its entry could have expired. It comes back with another incarnation.
+pub(crate) async fn refused_removal(fleet: &Fleet) -> Vec<String> {
+    fleet.clear_faults();
+    fleet.wait_serving().await;
+    let target = fleet.replicas.last().expect("some replicas");
+    fleet.store_proxy.set_mode(Mode::Refuse);
+    fleet.store_proxy.reset();
+    sleep(TURNED_AWAY_TIME / 2).await;
+    fleet.store.remove("servers", &target.replica.id());
+    sleep(TURNED_AWAY_TIME / 2).await;
+    fleet.store_proxy.set_mode(Mode::Open);
+    sleep(DRAIN_TIME - TURNED_AWAY_TIME / 2).await;
+    let known = target.replica.received().len();
+    for daemon in 0..fleet.size.daemons {
+        let Some(mut caller) = fleet.caller(daemon).await else { continue };
+        for number in 0..LATE_LOOKUPS {
+            let request = Request::lookup(&format!("late-{daemon}-{number}"));
+            // What becomes of it is not checked.
+            let _ = timeout(LEARNING_TIME, caller.send(request)).await;
+        }
+    }
+    let late = target.replica.received().len() - known;
+    fleet.renew(target);
+    let text = format!("{late} requests reached {} after it had left", target.replica.id());
+    (late > 0).then_some(text).into_iter().collect()
+}
+
 /// Sends a request that crashes replicas, and kills all daemons twice meanwhile.
 async fn crashing_request(fleet: &Fleet, rng: &mut SmallRng) -> Vec<String> {
     let _turns = fleet.all_turns().await;
@@ -179,8 +216,10 @@
         let Some(mut caller) = fleet.caller(daemon).await else { return };
         let id = format!("crash-{number:x}-{round}-{daemon}");
         let request = Request::stream(&id).body(CRASHING_BODY);
-        // What becomes of it is not checked.
-        let _ = timeout(LEARNING_TIME, caller.send(request)).await;
+        // What becomes of it is not checked. Some callers leave before there is an answer.
+        let leaves = number.rotate_right(round * 8 + daemon as u32).is_multiple_of(4);
+        let patience = if leaves { PATIENCE } else { LEARNING_TIME };
+        let _ = timeout(patience, caller.send(request)).await;
     };
     for daemon in 0..fleet.size.daemons {
         send(daemon, 0).await;
