--- a/crates/wisteriawinch/tests/soak/fault.rs
+++ b/crates/wisteriawinch/tests/soak/fault.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use rand::{Rng, rngs::SmallRng};
 use tokio::time::{sleep, timeout};
 
@@ -25,7 +26,7 @@
 /// Time after the removal of its entry in which requests may still reach a replica.
 const DRAIN_TIME: Duration = Duration::from_millis(2_000);
 /// Lookups that each daemon gets after that.
-const LATE_LOOKUPS: u32 = 12;
+const LATE_LOOKUPS: usize = 12;
 /// Patience of callers that leave before there is an answer.
 const PATIENCE: Duration = Duration::from_millis(50);
 /// Longest time between two faults; shorter than most faults last.
@@ -192,14 +193,14 @@
     fleet.store_proxy.set_mode(Mode::Open);
     sleep(DRAIN_TIME - TURNED_AWAY_TIME / 2).await;
     let known = target.replica.received().len();
-    for daemon in 0..fleet.size.daemons {
-        let Some(mut caller) = fleet.caller(daemon).await else { continue };
-        for number in 0..LATE_LOOKUPS {
-            let request = Request::lookup(&format!("late-{daemon}-{number}"));
-            // What becomes of it is not checked.
-            let _ = timeout(LEARNING_TIME, caller.send(request)).await;
-        }
-    }
+    // At the same time, so that each replica in use gets some.
+    let lookups = (0..fleet.size.daemons * LATE_LOOKUPS).map(async |number| {
+        let Some(mut caller) = fleet.caller(number % fleet.size.daemons).await else { return };
+        // What becomes of it is not checked.
+        let request = Request::lookup(&format!("late-{number}"));
+        let _ = timeout(LEARNING_TIME, caller.send(request)).await;
+    });
+    join_all(lookups).await;
     let late = target.replica.received().len() - known;
     fleet.renew(target);
     let text = format!("{late} requests reached {} after it had left", target.replica.id());
