--- a/crates/winch-relay/src/catalog/recovery.rs
+++ b/crates/winch-relay/src/catalog/recovery.rs
@@ -55,7 +55,12 @@
         let is_short = self
             .renewal_interval
             .is_some_and(|interval| length < interval.mul_f64(EXPIRY_INTERVALS));
-        is_short || self.steady_since.is_some_and(|since| since <= gap.since)
+        is_short || self.vouches_for(gap)
+    }
+
+    /// Whether the source has known the list all through `gap`.
+    fn vouches_for(&self, gap: Gap) -> bool {
+        self.steady_since.is_some_and(|since| since <= gap.since)
     }
 }
 
@@ -85,6 +90,10 @@
     /// Removals are held back for a while if entries can have expired in the outage.
     pub fn mark_store_reachable(&mut self, recovery: &Recovery, now: Instant) -> Option<Verdict> {
         let had_outage = std::mem::take(&mut self.in_outage);
+        if self.last_outage.is_some_and(|outage| recovery.vouches_for(outage)) {
+            // The doubt of this daemon has turned out to be unfounded.
+            self.grace_until = None;
+        }
         let gap = recovery.gap(self.last_outage.filter(|_| had_outage));
         if had_outage {
             self.last_outage = gap;
--- a/crates/winch-relay/src/watch.rs
+++ b/crates/winch-relay/src/watch.rs
@@ -130,6 +130,12 @@
     Pace::new(node.tuning().max_age)
 }
 
+/// Longest backoff of a daemon that `serves` others or does not. One that does looks again as soon as it
+/// reads else: how long it was refused decides whether it doubts the list, and its followers with it.
+fn longest_backoff<P: Protocol>(node: &Node<P>, serves: bool) -> Duration {
+    if serves { pace(node).read_interval } else { BACKOFF_MAX }
+}
+
 fn jittered(delay: Duration) -> Duration {
     delay.mul_f64(rand::rng().random_range(1.0 - JITTER..1.0 + JITTER))
 }
@@ -253,7 +259,7 @@
                 } else if !serves && monitor.is_outage(started_at) {
                     return;
                 }
-                sleep(monitor.backoff()).await;
+                sleep(monitor.backoff().min(longest_backoff(node, serves))).await;
             }
         }
     }
@@ -316,7 +322,7 @@
                 if !serves && node.is_initialized() && monitor.is_outage(started_at) {
                     return;
                 }
-                sleep(monitor.backoff()).await;
+                sleep(monitor.backoff().min(longest_backoff(node, serves))).await;
             }
         }
     }
--- a/crates/winch-relay/tests/catalog_outage.rs
+++ b/crates/winch-relay/tests/catalog_outage.rs
@@ -146,6 +146,26 @@
     }
 }
 
+// Guards against a doubt that outlasts the word of a source which has seen no gap.
+#[test]
+fn vouched_removal_takes_effect() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    for (steady_since, is_gone) in [(start, true), (at(2_000), false)] {
+        let mut catalog = Catalog::default();
+        put(&mut catalog, replica("i-1", 1, 5));
+        catalog.mark_store_unreachable();
+        catalog.mark_store_reachable(&recovery(Some(start), at(3_000)), at(3_000));
+        let held = catalog.apply(Change::Removed("i-1".into()));
+        assert!(matches!(held, Some(Transition::Held(_))));
+        let steady_since = Some(steady_since);
+        let told = Recovery { steady_since, ..recovery(Some(at(3_000)), at(3_300)) };
+        assert_eq!(catalog.mark_store_reachable(&told, at(3_300)), None);
+        catalog.expire(at(3_300));
+        assert_eq!(catalog.is_empty(), is_gone);
+    }
+}
+
 // Guards against a source that no longer vouches for its list after a short outage, because the reads after
 // it count as part of the outage.
 #[test]
