--- a/crates/winch-relay/src/peer/follow.rs
+++ b/crates/winch-relay/src/peer/follow.rs
@@ -165,6 +165,11 @@
         self.limits.stale_until.map_or(stale_at, |until| stale_at.max(until))
     }
 
+    /// Running time of this process until then.
+    fn fresh_time(&self) -> Budget {
+        Budget::new(self.stale_at().saturating_duration_since(Instant::now()))
+    }
+
     /// Applies the updates of the seed for as long as its state is acceptable, and ends as soon as the
     /// last one is not, whether the seed is silent or tells so.
     ///
@@ -189,12 +194,10 @@
         self.apply(node, store, pending).await?;
         let mut report_ticks = interval(REPORT_INTERVAL);
         report_ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut budget = Budget::new(SEED_TIMEOUT);
+        let (mut budget, mut fresh) = (Budget::new(SEED_TIMEOUT), self.fresh_time());
         loop {
             let stale_at = self.stale_at();
             let update = tokio::select! {
-                biased;
-                // First, so that updates which have arrived during a pause of this process count.
                 update = receive::<Update>(&mut self.framed, &mut budget) => update?,
                 _ = report_ticks.tick() => {
                     let report = build_report(node);
@@ -207,12 +210,15 @@
                     }
                     continue;
                 }
-                () = sleep_until(stale_at) => return StaleSnafu.fail(),
+                () = sleep_until(stale_at), if self.limits.serves => return StaleSnafu.fail(),
+                // What has arrived during a pause of this process is yet to be read.
+                () = fresh.used_up(), if !self.limits.serves => return StaleSnafu.fail(),
             };
             self.received_at = Instant::now();
             budget = Budget::new(SEED_TIMEOUT);
             let age = self.limits.check(&update)?;
             self.confirmed_at = self.received_at.checked_sub(age).unwrap_or(self.received_at);
+            fresh = self.fresh_time();
             self.apply(node, store, vec![update]).await?;
         }
     }
--- a/crates/winch-relay/src/running_time.rs
+++ b/crates/winch-relay/src/running_time.rs
@@ -6,7 +6,11 @@
 //! that ends late does not count. Deadlines of callers are not affected by this: their clocks go on
 //! while this process does not run.
 
-use std::{future::Future, pin::pin};
+use std::{
+    convert::Infallible,
+    future::{Future, pending},
+    pin::pin,
+};
 
 use tokio::time::error::Elapsed;
 
@@ -51,6 +55,11 @@
         }
     }
 
+    /// Completes when the budget is used up.
+    pub async fn used_up(&mut self) {
+        let Err(_) = self.timeout(pending::<Infallible>()).await;
+    }
+
     /// Completes with `future` if it does so before the budget is used up. What is left can be used
     /// for a further call, also if this one is cancelled.
     ///
