--- a/crates/winch-relay/src/catalog/recovery.rs
+++ b/crates/winch-relay/src/catalog/recovery.rs
@@ -91,7 +91,7 @@
     pub fn mark_store_reachable(&mut self, recovery: &Recovery, now: Instant) -> Option<Verdict> {
         let had_outage = std::mem::take(&mut self.in_outage);
         if self.last_outage.is_some_and(|outage| recovery.vouches_for(outage)) {
-            // The doubt of this daemon has turned out to be unfounded.
+            // The doubt of this daemon was unfounded.
             self.grace_until = None;
         }
         let gap = recovery.gap(self.last_outage.filter(|_| had_outage));
--- a/crates/wisteriawinch/src/control/config.rs
+++ b/crates/wisteriawinch/src/control/config.rs
@@ -121,7 +121,8 @@
             let now = self.0.now();
             if now - kept_up_at >= METRICS_UPKEEP_INTERVAL {
                 kept_up_at = now;
-                self.0.keep_up_metrics();
+                // The recorder else keeps each sample until the metrics are fetched.
+                self.0.metrics.run_upkeep();
             }
             if now - last > PAUSE_THRESHOLD {
                 emit!(Event::ProcessPaused, gap_ms = (now - last).as_millis());
--- a/crates/wisteriawinch/src/fleet.rs
+++ b/crates/wisteriawinch/src/fleet.rs
@@ -90,7 +90,7 @@
     pub prefill_ended: Notify,
     /// True once a configuration is in force; false again when a graceful stop begins.
     pub ready: AtomicBool,
-    metrics: PrometheusHandle,
+    pub(crate) metrics: PrometheusHandle,
     updater: Mutex<Option<Address<Updater>>>,
     link: Mutex<Option<Address<Link>>>,
     rollouts: Mutex<Rollouts>,
@@ -175,12 +175,6 @@
         self.started_at.elapsed() + Duration::from_secs(1)
     }
 
-    /// Sums up the samples of the histograms, of which the recorder else keeps each until the metrics
-    /// are fetched.
-    pub fn keep_up_metrics(&self) {
-        self.metrics.run_upkeep();
-    }
-
     /// All metrics in the Prometheus text format.
     pub fn metrics(&self) -> String {
         self.metrics.render()
