--- a/crates/winch-event/src/lib.rs
+++ b/crates/winch-event/src/lib.rs
@@ -87,6 +87,8 @@
     /// The list of replicas is up to date again after an outage of the store, or after this daemon
     /// was refused.
     OutageEnded = 1022, Info, "list of replicas up to date again";
+    /// All pages of a table of the store were read.
+    TableRead = 1023, Info, "table of the store read";
     /// An attempt on an engine failed or was given up as stalled.
     AttemptFailed = 1101, Warn, "attempt failed";
     /// A hedged attempt was started beside one that may have stalled.
--- a/crates/winch-relay/src/counter.rs
+++ b/crates/winch-relay/src/counter.rs
@@ -154,6 +154,11 @@
     histogram!("winch_store_call_seconds", "kind" => kind).record(duration.as_secs_f64());
 }
 
+/// Counts a page of a table that was read from the platform's store.
+pub fn page_read(table: &'static str) {
+    counter!("winch_store_pages_total", "table" => table).increment(1);
+}
+
 /// Counts an outage of the store that has ended, by whether entries of live replicas can have
 /// expired in it.
 pub fn outage_ended(verdict: Verdict) {
