--- a/crates/winch-http/src/head.rs
+++ b/crates/winch-http/src/head.rs
@@ -5,7 +5,7 @@
 use bytes::{Buf, BytesMut};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 
-use crate::Fault;
+use crate::{Fault, target::Target};
 
 /// Largest number of header fields in one head.
 const MAX_FIELDS: usize = 96;
@@ -31,7 +31,7 @@
     /// The method.
     pub method: Method,
     /// The request target as received, including the query.
-    pub target: String,
+    pub target: Target,
     /// Minor version of HTTP/1.x.
     pub minor: u8,
     /// All header fields.
@@ -101,7 +101,7 @@
     let method = parsed.method.and_then(|text| Method::from_bytes(text.as_bytes()).ok());
     let request = Request {
         method: method.ok_or(Fault::Malformed)?,
-        target: parsed.path.ok_or(Fault::Malformed)?.to_owned(),
+        target: parsed.path.and_then(Target::parse).ok_or(Fault::Malformed)?,
         minor: parsed.version.ok_or(Fault::Malformed)?,
         headers: header_map(parsed.headers)?,
     };
@@ -168,8 +168,8 @@
 }
 
 /// Appends the head of a request to `out`.
-pub fn put_request(out: &mut BytesMut, method: &Method, target: &str, headers: &HeaderMap) {
-    for part in [method.as_str(), " ", target, " HTTP/1.1\r\n"] {
+pub fn put_request(out: &mut BytesMut, method: &Method, target: &Target, headers: &HeaderMap) {
+    for part in [method.as_str(), " ", &**target, " HTTP/1.1\r\n"] {
         out.extend_from_slice(part.as_bytes());
     }
     put_fields(out, headers);
--- a/crates/winch-http/src/lib.rs
+++ b/crates/winch-http/src/lib.rs
@@ -2,13 +2,14 @@
 //!
 //! A relay has to know what common client libraries hide: whether a byte was
 //! sent, whether a reply was framed or ended with its connection, and whether
-//! bytes follow a complete reply. [`head`] and [`body`] decode messages without
+//! bytes follow a complete reply. [`head`], [`target`] and [`body`] decode messages without
 //! sockets; [`server`] and [`client`] read and write them on connections.
 
 pub mod body;
 pub mod client;
 pub mod head;
 pub mod server;
+pub mod target;
 
 /// Why received bytes are not an acceptable message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, snafu::Snafu)]
--- a/crates/winch-relay/src/call.rs
+++ b/crates/winch-relay/src/call.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method};
+use winch_http::target::Target;
 
 use crate::prelude::*;
 
@@ -71,7 +72,7 @@
     /// HTTP method.
     pub method: Method,
     /// Request target as received: path and query.
-    pub target: Name,
+    pub target: Target,
     /// Value of the `Host` header; empty if there is none.
     pub host: Name,
     /// How long the caller waits, counted from `received_at`; `None` if the caller sets no
