--- a/crates/winch-relay/src/counter.rs
+++ b/crates/winch-relay/src/counter.rs
@@ -155,8 +155,8 @@
 }
 
 /// Counts a page of a table that was read from the platform's store.
-pub fn page_read(table: &'static str) {
-    counter!("winch_store_pages_total", "table" => table).increment(1);
+pub fn page_read(table: &str) {
+    counter!("winch_store_pages_total", "table" => table.to_owned()).increment(1);
 }
 
 /// Counts an outage of the store that has ended, by whether entries of live replicas can have
