--- a/crates/winch-event/src/lib.rs
+++ b/crates/winch-event/src/lib.rs
@@ -89,6 +89,8 @@
     OutageEnded = 1022, Info, "list of replicas up to date again";
     /// All pages of a table of the store were read.
     TableRead = 1023, Info, "table of the store read";
+    /// A row of the store cannot be decoded and is left out, or counts as empty.
+    RowUnreadable = 1024, Warn, "row of the store cannot be decoded";
     /// An attempt on an engine failed or was given up as stalled.
     AttemptFailed = 1101, Warn, "attempt failed";
     /// A hedged attempt was started beside one that may have stalled.
