--- a/crates/winch-relay/src/node/listing.rs
+++ b/crates/winch-relay/src/node/listing.rs
@@ -27,6 +27,15 @@
     }
 }
 
+/// Logs the entries that name no replica.
+fn log_unreadable(changes: &[Change]) {
+    for change in changes {
+        if let Change::Unreadable { id, fault } = change {
+            emit!(Event::ReplicaEntryInvalid, replica = id, fault = fault);
+        }
+    }
+}
+
 impl<P: Protocol> Node<P> {
     /// Marks the store as reachable, as shown by a state of the list that is yet to be applied and
     /// confirmed.
@@ -49,11 +58,7 @@
     /// not only a subset.
     pub fn apply_listing(&self, listing: Listing, is_whole: bool) {
         let Listing { mut changes, position, is_complete } = listing;
-        for change in &changes {
-            if let Change::Unreadable { id, fault } = change {
-                emit!(Event::ReplicaEntryInvalid, replica = id, fault = fault);
-            }
-        }
+        log_unreadable(&changes);
         let now = Instant::now();
         let mut catalog = self.catalog();
         if position.version > 0 {
@@ -76,6 +81,19 @@
         }
     }
 
+    /// Applies the part of a list that could be read. The list does not count as read: nobody is
+    /// removed, and it is read again from its beginning.
+    pub fn apply_part(&self, part: Listing) {
+        let Listing { changes, position, .. } = part;
+        log_unreadable(&changes);
+        let mut catalog = self.catalog();
+        catalog.enter_era(position.era, Instant::now());
+        let present = changes.into_iter().filter(|change| !matches!(change, Change::Removed(_)));
+        let transitions = present.filter_map(|change| catalog.apply(change)).collect();
+        drop(catalog);
+        self.record(transitions);
+    }
+
     /// Removes replicas that are no longer listed; see [`Catalog::expire`](crate::catalog::Catalog::expire).
     pub fn expire(&self) {
         let transitions = self.catalog().expire(Instant::now());
--- a/crates/winch-relay/src/peer/follow.rs
+++ b/crates/winch-relay/src/peer/follow.rs
@@ -20,7 +20,7 @@
     prelude::*,
     running_time::{Budget, timeout},
     speed::Told,
-    store::{Listing, Store},
+    store::{Listing, Read, Store},
     watch::Topic,
 };
 
@@ -298,8 +298,8 @@
         install_config(node, std::mem::take(&mut update.config), edition.era);
         if node.edition().is_replaced_by(&edition) {
             // The store may be reachable for the seed although not for this daemon.
-            if let Ok(read) = store.config().await {
-                install_config(node, read.document.unwrap_or_default(), read.position.era);
+            if let Ok(Read { found, .. }) = store.config().await {
+                install_config(node, found.document.unwrap_or_default(), found.position.era);
             }
         }
         if node.edition().is_replaced_by(&edition) {
--- a/crates/winch-relay/src/store.rs
+++ b/crates/winch-relay/src/store.rs
@@ -81,6 +81,31 @@
     pub position: Position,
 }
 
+/// What a read of several pages has found.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Read<T> {
+    /// What the pages that could be read hold.
+    pub found: T,
+    /// Why the other pages could not be read; `None` if all were.
+    pub cut: Option<Error>,
+}
+
+impl<T> Read<T> {
+    /// A read of all pages.
+    pub fn whole(found: T) -> Self {
+        Self { found, cut: None }
+    }
+
+    /// Tells what a read has found in part from what it has found as a whole.
+    pub fn split(read: Result<Self, Error>) -> (Option<T>, Result<T, Error>) {
+        match read {
+            Ok(Self { found, cut: None }) => (None, Ok(found)),
+            Ok(Self { found, cut: Some(error) }) => (Some(found), Err(error)),
+            Err(error) => (None, Err(error)),
+        }
+    }
+}
+
 /// Access of one daemon to the store; each field uses its own connection.
 #[derive(Debug)]
 pub struct Access<S, T> {
@@ -98,7 +123,7 @@
 /// unreachable.
 pub trait Store: Send + 'static {
     /// Reads the current configuration.
-    fn config(&mut self) -> impl Future<Output = Result<Publication, Error>> + Send;
+    fn config(&mut self) -> impl Future<Output = Result<Read<Publication>, Error>> + Send;
 
     /// Waits up to `wait` for a configuration that is newer than `position`.
     ///
@@ -111,7 +136,7 @@
     ) -> impl Future<Output = Result<Publication, Error>> + Send;
 
     /// Reads the complete list of replicas.
-    fn replicas(&mut self) -> impl Future<Output = Result<Listing, Error>> + Send;
+    fn replicas(&mut self) -> impl Future<Output = Result<Read<Listing>, Error>> + Send;
 
     /// Reads the changes of the list of replicas after `position`.
     ///
--- a/crates/winch-relay/src/watch.rs
+++ b/crates/winch-relay/src/watch.rs
@@ -19,7 +19,7 @@
     node::{Node, Reading},
     peer,
     prelude::*,
-    store::{Access, Error, Publication},
+    store::{Access, Error, Publication, Read},
 };
 
 /// Longest time for which one call of a daemon without followers waits for a new configuration.
@@ -235,9 +235,13 @@
         let started_at = Instant::now();
         let read = match position {
             None => store.config().await,
-            Some(position) => store.next_config(position, wait).await,
+            Some(position) => store.next_config(position, wait).await.map(Read::whole),
         };
+        let (part, read) = Read::split(read);
         monitor.record(&read, started_at);
+        if let Some(part) = part {
+            apply_publication(node, part);
+        }
         match read {
             Ok(publication) => {
                 let none_published = position.is_none() && publication.document.is_none();
@@ -303,9 +307,17 @@
         let started_at = Instant::now();
         let read = match position {
             None => store.replicas().await,
-            Some(position) => store.replica_changes(position).await,
+            Some(position) => store.replica_changes(position).await.map(Read::whole),
         };
+        let (part, read) = Read::split(read);
         monitor.record(&read, started_at);
+        if let Some(part) = part {
+            if !node.is_initialized() {
+                // A seed may know the whole list.
+                peer::fetch_from_seeds(node).await;
+            }
+            node.apply_part(part);
+        }
         match read {
             Ok(listing) => {
                 node.mark_store_reachable(Reading::of_store(started_at));
