--- a/crates/winch-http/src/target.rs
+++ b/crates/winch-http/src/target.rs
@@ -21,12 +21,12 @@
     /// The target with this path, which may have a query. What cannot stand in a target is
     /// percent-encoded; everything else stays, also what is encoded already.
     pub fn new(path: &str) -> Self {
-        Self(encode(path, |byte| byte.is_ascii_graphic() && byte != b'#').into())
+        Self(percent_encode(path, |byte| byte.is_ascii_graphic() && byte != b'#').into())
     }
 
     /// Appends `text` to the path as one segment. A target with a query gets no further segment.
     pub fn with_segment(self, text: impl Display) -> Self {
-        let text = encode(&text.to_string(), |byte| {
+        let text = percent_encode(&text.to_string(), |byte| {
             is_unreserved(byte) || b"!$&'()*+,;=:@".contains(&byte)
         });
         Self(format!("{self}/{text}").into())
@@ -35,7 +35,7 @@
     /// Appends a parameter to the query.
     pub fn with_parameter(self, name: &str, value: impl Display) -> Self {
         let separator = if self.contains('?') { '&' } else { '?' };
-        let value = encode(&value.to_string(), |byte| is_unreserved(byte) || byte == b'/');
+        let value = percent_encode(&value.to_string(), |byte| is_unreserved(byte) || byte == b'/');
         Self(format!("{self}{separator}{name}={value}").into())
     }
 }
@@ -50,7 +50,7 @@
 }
 
 /// Percent-encodes the bytes of `text` that are not `kept`.
-fn encode(text: &str, kept: impl Fn(u8) -> bool) -> String {
+pub fn percent_encode(text: &str, kept: impl Fn(u8) -> bool) -> String {
     let mut out = String::with_capacity(text.len());
     for byte in text.bytes() {
         if kept(byte) && byte.is_ascii() {
--- a/crates/winch-relay/src/catalog/transition.rs
+++ b/crates/winch-relay/src/catalog/transition.rs
@@ -1,6 +1,6 @@
 //! Changes of the catalog, and the changes of the list from which they follow.
 
-use crate::{prelude::*, store::Change};
+use crate::{prelude::*, replica, store::Change};
 
 /// A change of the catalog.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -40,6 +40,19 @@
         }
     }
 
+    /// The change as it can be used: a replica whose id no request can name is none to use.
+    pub(crate) fn checked(self) -> Self {
+        match self {
+            Self::Put(replica) | Self::Held(replica)
+                if replica::encode_id(&replica.id).is_none() =>
+            {
+                let fault = "the id cannot be sent in a header".to_owned();
+                Self::Unreadable { id: replica.id, fault }
+            }
+            change => change,
+        }
+    }
+
     /// Id of the replica that has changed.
     pub fn id(&self) -> &Name {
         match self {
--- a/crates/winch-relay/src/forward.rs
+++ b/crates/winch-relay/src/forward.rs
@@ -9,7 +9,7 @@
 use std::{net::SocketAddr, num::NonZeroU32};
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
-use http::{HeaderName, HeaderValue};
+use http::HeaderName;
 use rand::seq::SliceRandom;
 use tokio::time::{sleep_until, timeout, timeout_at};
 use winch_http::{client::Connection, head::Reply};
@@ -24,6 +24,7 @@
     node::Node,
     peer,
     prelude::*,
+    replica,
     trace::Trace,
 };
 
@@ -192,17 +193,17 @@
 
 /// States in a reply which replica made it, for the daemon that has passed the request on.
 pub fn name_replica(reply: &mut Reply, replica: &Replica) {
-    match HeaderValue::from_str(&replica.id) {
-        Ok(id) => drop(reply.headers.insert(REPLICA, id)),
+    match replica::encode_id(&replica.id) {
+        Some(id) => drop(reply.headers.insert(REPLICA, id)),
         // Not a name that the replica may have set itself.
-        Err(_) => drop(reply.headers.remove(REPLICA)),
+        None => drop(reply.headers.remove(REPLICA)),
     }
 }
 
 /// Id of the replica that has made a forwarded reply; `None` if a daemon of an earlier release
 /// has passed it on.
 pub fn decode_replica(reply: &Reply) -> Option<&str> {
-    reply.headers.get(REPLICA)?.to_str().ok()
+    str::from_utf8(reply.headers.get(REPLICA)?.as_bytes()).ok()
 }
 
 /// Passes a lookup or an order on to other daemons; `None` if none takes it.
--- a/crates/winch-relay/src/node/listing.rs
+++ b/crates/winch-relay/src/node/listing.rs
@@ -7,6 +7,7 @@
     catalog::{Recovery, Transition},
     counter,
     prelude::*,
+    replica,
     store::{Change, Listing},
     watch::Topic,
 };
@@ -27,13 +28,15 @@
     }
 }
 
-/// Logs the entries that name no replica.
-fn log_unreadable(changes: &[Change]) {
-    for change in changes {
+/// Checks the entries, and logs those that name no replica to use.
+fn check(changes: Vec<Change>) -> Vec<Change> {
+    let changes: Vec<Change> = changes.into_iter().map(Change::checked).collect();
+    for change in &changes {
         if let Change::Unreadable { id, fault } = change {
             emit!(Event::ReplicaEntryInvalid, replica = id, fault = fault);
         }
     }
+    changes
 }
 
 impl<P: Protocol> Node<P> {
@@ -57,8 +60,8 @@
     /// [`Catalog::replace`](crate::catalog::Catalog::replace). `is_whole` tells whether this daemon then knows all replicas, and
     /// not only a subset.
     pub fn apply_listing(&self, listing: Listing, is_whole: bool) {
-        let Listing { mut changes, position, is_complete } = listing;
-        log_unreadable(&changes);
+        let Listing { changes, position, is_complete } = listing;
+        let mut changes = check(changes);
         let now = Instant::now();
         let mut catalog = self.catalog();
         if position.version > 0 {
@@ -85,7 +88,7 @@
     /// removed, and it is read again from its beginning.
     pub fn apply_part(&self, part: Listing) {
         let Listing { changes, position, .. } = part;
-        log_unreadable(&changes);
+        let changes = check(changes);
         let mut catalog = self.catalog();
         catalog.enter_era(position.era, Instant::now());
         let present = changes.into_iter().filter(|change| !matches!(change, Change::Removed(_)));
@@ -102,6 +105,9 @@
 
     /// Inserts a replica that is not listed yet; see [`Catalog::insert_unlisted`](crate::catalog::Catalog::insert_unlisted).
     pub fn insert_unlisted(&self, replica: Replica) {
+        if replica::encode_id(&replica.id).is_none() {
+            return;
+        }
         let transition = self.catalog().insert_unlisted(replica, Instant::now());
         self.record(transition.into_iter().collect());
     }
--- a/crates/winch-relay/src/replica.rs
+++ b/crates/winch-relay/src/replica.rs
@@ -1,11 +1,19 @@
 //! Descriptions of replicas: entries of the platform's list, and the replicas' load reports.
 
+use http::HeaderValue;
 pub use winch_roster::replica::Replica;
 use winch_route::{
     engine::{Load, Run},
     hash,
 };
 
+/// The id of a replica as the value of a header; `None` if it cannot be sent whole, so that requests
+/// could not be kept from another replica at its address.
+pub fn encode_id(id: &str) -> Option<HeaderValue> {
+    let is_whole = !id.is_empty() && id.trim_matches([' ', '\t']).len() == id.len();
+    HeaderValue::from_bytes(id.as_bytes()).ok().filter(|_| is_whole)
+}
+
 /// Load report of a replica; its figures can be some hundred milliseconds old.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Report {
