--- a/crates/winch-relay/src/quarantine.rs
+++ b/crates/winch-relay/src/quarantine.rs
@@ -30,8 +30,10 @@
 const SYNC_INTERVAL: Duration = Duration::from_secs(1);
 /// Age of this daemon's state above which the rows are not read: the store is slow or unreachable.
 const MAX_AGE_MS: u64 = 2_000;
-/// Largest number of rows that are read.
+/// Largest number of rows that one scan reads.
 const MAX_ROWS: usize = 500;
+/// Largest number of scans, should rows of other writers lie between those of daemons.
+const MAX_SCANS: usize = 10;
 /// Largest number of requests that have a row. Their rows come last, so that these leave the other
 /// rows in sight.
 const MAX_REQUESTS: usize = 200;
@@ -114,7 +116,7 @@
 }
 
 /// The rows that were read, by what they refuse.
-type Found<'a> = HashMap<Subject, &'a Row>;
+type Found = HashMap<Subject, Row>;
 
 /// The parts that had a row when the rows were last read.
 #[derive(Debug, Default)]
@@ -177,12 +179,9 @@
     table: &T,
     stored: &mut Stored,
 ) -> Result<(), Error> {
-    let rows = table.scan(PREFIX, "", MAX_ROWS).await?;
-    let found: Found<'_> =
-        rows.iter().filter_map(|row| Some((Subject::decode_key(&row.key)?, row))).collect();
-    // With more rows than are read, a missing one may only have moved out of sight.
-    let sees_all = rows.len() < MAX_ROWS;
+    let (found, sees_all) = read_rows(table).await?;
     let mut gone = stored.replace(found.keys().filter_map(|key| key.part()).collect(), table.era());
+    // A missing row may only have moved out of sight.
     gone.retain(|_| sees_all);
     let is_first = !node.strikes().is_synced();
     if apply_rows(node, &found, &gone) || is_first {
@@ -195,9 +194,26 @@
     Ok(())
 }
 
+/// Reads the rows, and whether these are all; passes over those of other writers.
+async fn read_rows<T: Table>(table: &T) -> Result<(Found, bool), Error> {
+    let (mut found, mut after) = (Found::new(), Name::from(""));
+    for _ in 0..MAX_SCANS {
+        let rows = table.scan(PREFIX, &after, MAX_ROWS).await?;
+        let sees_all = rows.len() < MAX_ROWS;
+        after = rows.last().map_or(after, |row| row.key.clone());
+        let subjects =
+            rows.into_iter().filter_map(|row| Some((Subject::decode_key(&row.key)?, row)));
+        found.extend(subjects);
+        if sees_all || found.len() >= MAX_ROWS {
+            return Ok((found, sees_all));
+        }
+    }
+    Ok((found, false))
+}
+
 /// Applies the rows that are new to this daemon, and clears the parts whose rows another daemon has
 /// deleted; returns whether anything has changed.
-fn apply_rows<P: Protocol>(node: &Node<P>, found: &Found<'_>, gone: &[Part]) -> bool {
+fn apply_rows<P: Protocol>(node: &Node<P>, found: &Found, gone: &[Part]) -> bool {
     let (now, now_ms, mut strikes) = (Instant::now(), now_ms(), node.strikes());
     let mut has_changed = !strikes.clear(gone, now).is_empty();
     for (subject, row) in found {
@@ -235,7 +251,7 @@
 /// The writes that bring the rows up to date: what is refused here gets one; parts that were
 /// cleared, requests whose strikes no longer count, and what is refused no longer because a strike
 /// was retracted lose it.
-fn missing_writes<P: Protocol>(node: &Node<P>, found: &Found<'_>) -> Transaction {
+fn missing_writes<P: Protocol>(node: &Node<P>, found: &Found) -> Transaction {
     let (now, now_ms, strikes) = (Instant::now(), now_ms(), node.strikes());
     let mut missing: HashMap<Subject, QuarantineRow> = HashMap::new();
     let is_request = |subject: &Subject| subject.part().is_none();
