--- a/crates/winch-relay/src/watch/election.rs
+++ b/crates/winch-relay/src/watch/election.rs
@@ -17,14 +17,21 @@
 use crate::{node::Node, prelude::*};
 
 /// Largest number of elected readers.
-const MAX_READERS: usize = 3;
+const MAX_READERS: u64 = 3;
 /// Term of a reader's lease.
 const TERM: Duration = Duration::from_secs(4);
 /// Interval at which a reader renews its lease.
 const RENEW_INTERVAL: Duration = Duration::from_millis(1_300);
+/// Largest number of rows that are read, those of other writers included.
+const MAX_ROWS: usize = 500;
 /// Prefix of the keys of the leases.
 const PREFIX: &str = "readers/";
 
+/// Key of the lease with this number, which is below [`MAX_READERS`].
+fn lease_key(number: u64) -> String {
+    format!("{PREFIX}{number}")
+}
+
 /// This daemon's view of the election.
 #[derive(Debug)]
 pub(super) struct Election<T> {
@@ -36,10 +43,10 @@
 impl<T: Table> Election<T> {
     /// Prepares to contend for the lease that falls to this daemon by its name.
     pub(super) fn new<P>(node: &Node<P>, table: T) -> Self {
-        let slot = winch_route::hash::name(&node.settings.name) % MAX_READERS as u64;
+        let number = winch_route::hash::name(&node.settings.name) % MAX_READERS;
         let own = node.settings.peers;
         let lease = Lease::new(lease::Options {
-            key: format!("{PREFIX}{slot}").into(),
+            key: lease_key(number).into(),
             holder: own.to_string().into(),
             term: TERM,
         });
@@ -52,8 +59,10 @@
     /// # Errors
     /// The error of the table.
     pub(super) async fn readers(&self) -> Result<Vec<SocketAddr>, Error> {
-        let rows = self.table.scan(PREFIX, "", MAX_READERS).await?;
-        let records = rows.iter().filter_map(|row| {
+        let rows = self.table.scan(PREFIX, "", MAX_ROWS).await?;
+        let is_lease = |key: &str| (0..MAX_READERS).any(|number| key == lease_key(number));
+        let leases = rows.iter().filter(|row| is_lease(&row.key));
+        let records = leases.filter_map(|row| {
             // Another release may write other records; they name no reader to use.
             serde_json::from_str::<lease::Record>(&row.value).ok()
         });
