--- a/crates/winch-relay/src/controller.rs
+++ b/crates/winch-relay/src/controller.rs
@@ -24,7 +24,9 @@
 
 use winch_roster::position::Position;
 
-use self::rows::{CountsRow, RecordRow, counts_key, decode, encode, prefix, record_key};
+use self::rows::{
+    CountsRow, RecordRow, counts_key, counts_prefix, decode, encode, prefix, record_key,
+};
 use crate::{
     moves::{Counts, Progress, Spec},
     node::Node,
@@ -179,7 +181,7 @@
     /// Reads the record of a move, writes this daemon's counts, and decides and writes the
     /// next step.
     async fn advance(&mut self, spec: Spec) -> Result<(), Error> {
-        let rows = self.table.scan(&prefix(&spec.service), "", MAX_ROWS).await?;
+        let rows = self.read_rows(&spec.service).await?;
         let key = record_key(&spec.service);
         let row = rows.iter().find(|row| *row.key == *key);
         let stored: RecordRow = row.and_then(decode).unwrap_or_default();
@@ -218,6 +220,18 @@
         self.write_record(&spec, &stored.record, next, &rows).await
     }
 
+    /// Reads the record and the counts of a move. Rows of other writers may sort before them, and
+    /// fill a scan of all its rows.
+    async fn read_rows(&self, service: &str) -> Result<Vec<Row>, Error> {
+        let rows = self.table.scan(&prefix(service), "", MAX_ROWS).await?;
+        if rows.len() < MAX_ROWS {
+            return Ok(rows);
+        }
+        let mut rows = self.table.scan(&counts_prefix(service), "", MAX_ROWS).await?;
+        rows.extend(self.table.read(&record_key(service)).await?);
+        Ok(rows)
+    }
+
     /// The sum of the counts in the current stage that other daemons have written recently.
     fn counts_of_others(&mut self, spec: &Spec, record: &Record, rows: &[Row]) -> Counts {
         let own_key = counts_key(&spec.service, &self.node.settings.name);
