--- a/crates/winch-event/src/lib.rs
+++ b/crates/winch-event/src/lib.rs
@@ -126,7 +126,7 @@
     ReplicaUpdated = 1115, Info, "replica added or changed";
     /// A replica is draining or was removed.
     ReplicaLeaving = 1116, Info, "replica draining or removed";
-    /// An entry of the list of replicas cannot be parsed.
+    /// An entry of the list of replicas cannot be parsed, or has an id that cannot be sent.
     ReplicaEntryInvalid = 1117, Warn, "replica entry cannot be parsed";
     /// A request was refused because of the configuration or the daemon's state.
     RequestRefused = 1118, Warn, "request refused before dispatch";
