--- a/crates/winch-relay/src/store.rs
+++ b/crates/winch-relay/src/store.rs
@@ -87,20 +87,20 @@
     /// What the pages that could be read hold.
     pub found: T,
     /// Why the other pages could not be read; `None` if all were.
-    pub cut: Option<Error>,
+    pub error: Option<Error>,
 }
 
 impl<T> Read<T> {
     /// A read of all pages.
     pub fn whole(found: T) -> Self {
-        Self { found, cut: None }
+        Self { found, error: None }
     }
 
     /// Tells what a read has found in part from what it has found as a whole.
     pub fn split(read: Result<Self, Error>) -> (Option<T>, Result<T, Error>) {
         match read {
-            Ok(Self { found, cut: None }) => (None, Ok(found)),
-            Ok(Self { found, cut: Some(error) }) => (Some(found), Err(error)),
+            Ok(Self { found, error: None }) => (None, Ok(found)),
+            Ok(Self { found, error: Some(error) }) => (Some(found), Err(error)),
             Err(error) => (None, Err(error)),
         }
     }
