--- a/crates/winch-platform/src/http.rs
+++ b/crates/winch-platform/src/http.rs
@@ -5,6 +5,8 @@
 use bytes::Bytes;
 use reqwest::{Client, Response, StatusCode};
 use serde::{Serialize, de::DeserializeOwned};
+use serde_json::Value;
+use winch_event::{Event, emit};
 
 use crate::{
     membership::{Membership, Vm},
@@ -78,6 +80,22 @@
     response.json().await.map_err(|e| Error::Lost { reason: e.to_string() })
 }
 
+/// Decodes the VMs of the list one by one. One that cannot be decoded, which another writer may have
+/// written, is logged and left out.
+async fn decode_members(response: Response) -> Result<Vec<Vm>, Error> {
+    let members: Vec<Value> = decode(response).await?;
+    let decode_member = |member: Value| {
+        let name = member["name"].as_str().unwrap_or("-").to_owned();
+        let decoded = serde_json::from_value(member);
+        decoded
+            .map_err(|fault| {
+                emit!(Event::RowUnreadable, table = "members", key = name, fault = fault)
+            })
+            .ok()
+    };
+    Ok(members.into_iter().filter_map(decode_member).collect())
+}
+
 impl Table for Platform {
     async fn commit(&self, txn: Transaction) -> Result<Commit, Error> {
         decode(self.post("/table/commit", &txn).await?).await
@@ -117,7 +135,7 @@
 
 impl Membership for Platform {
     async fn list(&self) -> Result<Vec<Vm>, Error> {
-        decode(self.fetch("/members", &[]).await?).await
+        decode_members(self.fetch("/members", &[]).await?).await
     }
 
     async fn register(&self, vm: Vm) -> Result<(), Error> {
