--- a/crates/winch-platform/src/http.rs
+++ b/crates/winch-platform/src/http.rs
@@ -86,12 +86,10 @@
     let members: Vec<Value> = decode(response).await?;
     let decode_member = |member: Value| {
         let name = member["name"].as_str().unwrap_or("-").to_owned();
-        let decoded = serde_json::from_value(member);
-        decoded
-            .map_err(|fault| {
-                emit!(Event::RowUnreadable, table = "members", key = name, fault = fault)
-            })
-            .ok()
+        let decoded = serde_json::from_value(member).inspect_err(|fault| {
+            emit!(Event::RowUnreadable, table = "members", key = name, fault = fault);
+        });
+        decoded.ok()
     };
     Ok(members.into_iter().filter_map(decode_member).collect())
 }
