--- a/crates/winch-relay/src/watch.rs
+++ b/crates/winch-relay/src/watch.rs
@@ -229,9 +229,11 @@
 /// Reads the configuration and its changes; returns under the same conditions as [`read`].
 async fn follow_config<P: Protocol, S: Store>(node: &Node<P>, store: &mut S, serves: bool) {
     let mut monitor = StoreMonitor::new(Topic::Config);
-    let wait = if serves { pace(node).read_interval } else { CONFIG_WAIT };
+    let longest_wait = if serves { pace(node).read_interval } else { CONFIG_WAIT };
     let mut position = None;
     loop {
+        // The first read after an outage confirms the state at once.
+        let wait = if monitor.failures > 0 { Duration::ZERO } else { longest_wait };
         let started_at = Instant::now();
         let read = match position {
             None => store.config().await,
