--- a/crates/winch-relay/src/code.rs
+++ b/crates/winch-relay/src/code.rs
@@ -67,7 +67,7 @@
     NoBudget = 611, "no_budget", SERVICE_UNAVAILABLE, false;
     /// The request has crashed several replicas and is quarantined.
     Suspect = 612, "suspect", SERVICE_UNAVAILABLE, false;
-    /// The prompt has a part on which several replicas crashed.
+    /// The prompt has all the parts that are suspect of crashing several replicas.
     SuspectPart = 613, "suspect_part", SERVICE_UNAVAILABLE, false;
     /// The replicas of the service name limits, and this daemon's shares of them are used up.
     Limited = 614, "limited", SERVICE_UNAVAILABLE, false;
--- a/crates/winch-relay/src/edge/admission.rs
+++ b/crates/winch-relay/src/edge/admission.rs
@@ -143,16 +143,16 @@
     is_refused
 }
 
-/// Checks that no part of a prompt is quarantined; true if one is, and the request is its trial.
-/// Only daemons that read the store for others try quarantined parts: these are few in any fleet.
+/// Checks that a prompt does not hold a quarantined group of parts; true if it does, and the request
+/// is its trial. Only daemons that read the store for others try them: these are few in any fleet.
 ///
 /// # Errors
 /// The code with which the request is refused.
 fn check_parts<P: Protocol>(node: &Node<P>, shared_parts: &[Part]) -> Result<bool, Code> {
     let now = Instant::now();
     let mut strikes = node.strikes();
-    let Some(part) = strikes.quarantined_part(shared_parts, now) else { return Ok(false) };
-    let is_trial = node.serves() && node.reads_store() && strikes.start_trial(part, now);
+    let Some(group) = strikes.find_quarantined(shared_parts, now) else { return Ok(false) };
+    let is_trial = node.serves() && node.reads_store() && strikes.start_trial(group, now);
     if is_trial { Ok(true) } else { Err(Code::SuspectPart) }
 }
 
--- a/crates/winch-relay/src/quarantine.rs
+++ b/crates/winch-relay/src/quarantine.rs
@@ -3,7 +3,7 @@
 //!
 //! So it outlasts the loss of all daemons at once, and reaches daemons that reach the store but no
 //! other daemon. Those that read the store write and read the rows; their followers are told as of
-//! any strike. The row of a part stays until a request with the part survives, that of a request
+//! any strike. The row of parts stays until a request with one of them survives, that of a request
 //! until its strikes no longer count.
 
 use std::{
@@ -15,6 +15,7 @@
 use tokio::time::timeout_at;
 use winch_platform::table::{Error, Row, Table, Transaction};
 use winch_route::{
+    hash,
     quarantine::Part,
     suspect::{Crash, Disposition, Fingerprint},
 };
@@ -44,6 +45,8 @@
 /// Text before the fingerprint in the keys of requests. No daemon of an earlier release takes such
 /// a key for that of a part, which is hexadecimal.
 const REQUEST_PREFIX: &str = "request-";
+/// Text before the hash in the keys of several parts, which earlier releases pass over, too.
+const GROUP_PREFIX: &str = "group-";
 /// Topic in the metrics of calls to the store.
 const TOPIC: &str = "quarantine";
 
@@ -55,6 +58,9 @@
     /// When the newest strike was observed, in Unix milliseconds; zero in rows of earlier releases.
     #[serde(default)]
     struck_at_ms: u64,
+    /// The parts, if the row is that of several.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    parts: Vec<u64>,
 }
 
 impl QuarantineRow {
@@ -86,6 +92,8 @@
 enum Subject {
     /// All requests whose prompts have this part.
     Part(Part),
+    /// All requests whose prompts have all the parts with this hash, which the row names.
+    Group(u64),
     /// One request.
     Request(Fingerprint),
 }
@@ -94,6 +102,7 @@
     fn encode_key(self) -> String {
         match self {
             Self::Part(part) => format!("{PREFIX}{:016x}", part.0),
+            Self::Group(hash) => format!("{PREFIX}{GROUP_PREFIX}{hash:016x}"),
             Self::Request(request) => format!("{PREFIX}{REQUEST_PREFIX}{:016x}", request.0),
         }
     }
@@ -101,16 +110,44 @@
     fn decode_key(key: &str) -> Option<Self> {
         let name = key.strip_prefix(PREFIX)?;
         let decode = |text| u64::from_str_radix(text, 16).ok();
-        match name.strip_prefix(REQUEST_PREFIX) {
-            Some(request) => decode(request).map(|hash| Self::Request(Fingerprint(hash))),
+        if let Some(request) = name.strip_prefix(REQUEST_PREFIX) {
+            return decode(request).map(|hash| Self::Request(Fingerprint(hash)));
+        }
+        match name.strip_prefix(GROUP_PREFIX) {
+            Some(group) => decode(group).map(Self::Group),
             None => decode(name).map(|hash| Self::Part(Part(hash))),
         }
     }
 
+    /// What is refused for a strike that names these sorted parts, or for one of the whole request.
+    fn of_strike(strike: &Strike) -> Self {
+        if strike.parts.is_empty() {
+            return Self::Request(strike.request);
+        }
+        Self::of_parts(&strike.parts)
+    }
+
+    /// The requests that hold all these sorted parts.
+    fn of_parts(parts: &[Part]) -> Self {
+        match parts {
+            [part] => Self::Part(*part),
+            parts => Self::Group(parts.iter().fold(0, |seed, part| hash::score(seed, part.0))),
+        }
+    }
+
     fn part(self) -> Option<Part> {
         match self {
             Self::Part(part) => Some(part),
-            Self::Request(_) => None,
+            Self::Group(_) | Self::Request(_) => None,
+        }
+    }
+
+    /// The parts that the row of this subject refuses together; none if it refuses a request.
+    fn parts(self, row: &QuarantineRow) -> Arc<[Part]> {
+        match self {
+            Self::Part(part) => [part].into(),
+            Self::Group(_) => row.parts.iter().copied().map(Part).collect(),
+            Self::Request(_) => Arc::default(),
         }
     }
 }
@@ -217,16 +254,14 @@
     let (now, now_ms, mut strikes) = (Instant::now(), now_ms(), node.strikes());
     let mut has_changed = !strikes.clear(gone, now).is_empty();
     for (subject, row) in found {
-        if is_settled(&strikes, *subject, now) {
-            continue;
-        }
         // A row of another writer refuses nothing.
         let row: QuarantineRow = serde_json::from_str(&row.value).unwrap_or_default();
+        if is_settled(&strikes, *subject, &row, now) {
+            continue;
+        }
         let struck_at = row.struck_at(now_ms);
-        let (parts, at): (Arc<[Part]>, _) = match subject {
-            Subject::Part(part) => ([*part].into(), now),
-            Subject::Request(_) => (Arc::default(), struck_at),
-        };
+        let parts = subject.parts(&row);
+        let at = if parts.is_empty() { struck_at } else { now };
         for (request, crash) in row.strikes {
             let (request, crash, parts) = (Fingerprint(request), Crash(crash), parts.clone());
             if !strikes.is_retracted(crash, struck_at) {
@@ -239,49 +274,67 @@
 }
 
 /// Whether the row of `subject` can add nothing to what this daemon knows.
-fn is_settled(strikes: &Strikes, subject: Subject, now: Instant) -> bool {
+fn is_settled(strikes: &Strikes, subject: Subject, row: &QuarantineRow, now: Instant) -> bool {
+    let parts = subject.parts(row);
     match subject {
-        Subject::Part(part) => {
-            strikes.is_cleared(part, now) || strikes.quarantined_part(&[part], now).is_some()
+        Subject::Part(_) | Subject::Group(_) => {
+            has_survivor(strikes, &parts, now) || strikes.find_quarantined(&parts, now).is_some()
         }
         Subject::Request(request) => strikes.disposition(request, &[], now) == Disposition::Refused,
     }
 }
 
+/// Whether a request with one of the parts has survived lately.
+fn has_survivor(strikes: &Strikes, parts: &[Part], now: Instant) -> bool {
+    parts.iter().any(|part| strikes.is_cleared(*part, now))
+}
+
 /// The writes that bring the rows up to date: what is refused here gets one; parts that were
 /// cleared, requests whose strikes no longer count, and what is refused no longer because a strike
 /// was retracted lose it.
 fn missing_writes<P: Protocol>(node: &Node<P>, found: &Found) -> Transaction {
     let (now, now_ms, strikes) = (Instant::now(), now_ms(), node.strikes());
     let mut missing: HashMap<Subject, QuarantineRow> = HashMap::new();
-    let is_request = |subject: &Subject| subject.part().is_none();
+    let is_request = |subject: &Subject| matches!(subject, Subject::Request(_));
     let mut requests = found.keys().filter(|subject| is_request(subject)).count();
     for strike in strikes.decisive(now) {
-        let whole = strike.parts.is_empty().then_some(Subject::Request(strike.request));
-        let subjects = strike.parts.iter().map(|part| Subject::Part(*part)).chain(whole);
-        for subject in subjects.filter(|subject| !found.contains_key(subject)) {
-            if is_request(&subject) && !missing.contains_key(&subject) {
-                requests += 1;
-                if requests > MAX_REQUESTS {
-                    continue;
-                }
+        let subject = Subject::of_strike(&strike);
+        if found.contains_key(&subject) {
+            continue;
+        }
+        if is_request(&subject) && !missing.contains_key(&subject) {
+            requests += 1;
+            if requests > MAX_REQUESTS {
+                continue;
             }
-            let row = missing.entry(subject).or_default();
-            row.strikes.push((strike.request.0, strike.crash.0));
-            let age = now.saturating_duration_since(strike.at);
-            let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
-            row.struck_at_ms = row.struck_at_ms.max(now_ms.saturating_sub(age_ms));
         }
+        let row = missing.entry(subject).or_default();
+        row.strikes.push((strike.request.0, strike.crash.0));
+        if matches!(subject, Subject::Group(_)) {
+            row.parts = strike.parts.iter().map(|part| part.0).collect();
+        }
+        let age = now.saturating_duration_since(strike.at);
+        let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        row.struck_at_ms = row.struck_at_ms.max(now_ms.saturating_sub(age_ms));
     }
+    // Fewer parts are refused by now, and have a row.
+    let is_narrowed = |parts: &[Part]| {
+        let group = strikes.quarantined_parts(parts, now);
+        !group.is_empty() && group != parts && found.contains_key(&Subject::of_parts(group))
+    };
     let is_over = |subject: Subject, row: &Row| {
         let row: QuarantineRow = serde_json::from_str(&row.value).unwrap_or_default();
         let is_outdated = match subject {
-            Subject::Part(part) => strikes.is_cleared(part, now),
+            Subject::Part(_) | Subject::Group(_) => {
+                let parts = subject.parts(&row);
+                has_survivor(&strikes, &parts, now) || is_narrowed(&parts)
+            }
             Subject::Request(request) => {
                 row.age(now_ms) >= strikes.lifetime() || row.is_completed(request, &strikes, now_ms)
             }
         };
-        is_outdated || (!is_settled(&strikes, subject, now) && row.is_retracted(&strikes, now_ms))
+        is_outdated
+            || (!is_settled(&strikes, subject, &row, now) && row.is_retracted(&strikes, now_ms))
     };
     let over = found.iter().filter(|(subject, row)| is_over(**subject, row));
     let deletes = over.map(|(_, row)| (row.key.clone(), None));
--- a/crates/winch-relay/src/stream.rs
+++ b/crates/winch-relay/src/stream.rs
@@ -343,11 +343,11 @@
         self.give_up(code)
     }
 
-    /// Whether a part of the prompt was quarantined since the request was admitted.
+    /// Whether parts of the prompt were quarantined since the request was admitted.
     fn is_quarantined(&self) -> bool {
         let is_trial = self.job.is_trial && self.trace.sends == 0;
         let parts = &self.job.shared_parts;
-        !is_trial && self.node.strikes().quarantined_part(parts, Instant::now()).is_some()
+        !is_trial && self.node.strikes().find_quarantined(parts, Instant::now()).is_some()
     }
 
     /// Attributes the crash of `replica` to the request if the replica is dead and this attempt
--- a/crates/winch-relay/src/strikes.rs
+++ b/crates/winch-relay/src/strikes.rs
@@ -11,7 +11,7 @@
 use std::collections::VecDeque;
 
 use winch_route::{
-    quarantine::{self, Ledger, Part},
+    quarantine::{self, GroupKey, Ledger, Part},
     suspect::{self, Crash, Disposition, Fingerprint, Options, Tracker},
 };
 
@@ -128,11 +128,12 @@
         let (now, at) = (strike.at, self.since_origin(strike.at));
         // The same replica may crash after it was found alive.
         self.retracted.retain(|(crash, _)| *crash != strike.crash);
-        self.record_parts(&strike, at);
+        let is_part_new = self.record_parts(&strike, at);
         let (request, crash, parts) = (strike.request, strike.crash, strike.parts.clone());
-        let is_new = self.parts.explains(crash)
-            || !self.tracker.record_crash(crash, &[request], at).is_empty();
-        if is_new {
+        let is_explained = self.parts.explains(crash);
+        let is_request_new =
+            !is_explained && !self.tracker.record_crash(crash, &[request], at).is_empty();
+        if is_part_new || is_explained || is_request_new {
             self.push_observed(strike.clone());
             self.push_strike(strike, at);
         }
@@ -161,19 +162,21 @@
         is_new
     }
 
-    /// Records a strike against the parts of its request. Crashes that a quarantined part
-    /// explains no longer count against whole requests.
-    fn record_parts(&mut self, strike: &Strike, at: Duration) {
+    /// Records a strike against the parts of its request; returns whether it is new to one of them.
+    /// Crashes that quarantined parts explain no longer count against whole requests.
+    fn record_parts(&mut self, strike: &Strike, at: Duration) -> bool {
         let Strike { request, crash, parts, .. } = strike;
         let finding = self.parts.record_strike(*request, *crash, parts, at);
         for crash in &finding.explained {
             self.tracker.retract(*crash);
         }
-        if let Some(part) = finding.quarantined {
+        if !finding.quarantined.is_empty() {
             let crashes = finding.explained.len();
-            emit!(Event::PartQuarantined, part = format!("{:016x}", part.0), crashes = crashes);
+            let parts = label_parts(&finding.quarantined);
+            emit!(Event::PartQuarantined, part = parts, crashes = crashes);
             counter::part_quarantined();
         }
+        finding.is_new
     }
 
     fn push_strike(&mut self, mut strike: Strike, at: Duration) {
@@ -249,7 +252,7 @@
 
     /// Whether and how a request whose prompt has these shared parts may run at `now`.
     pub fn disposition(&self, request: Fingerprint, parts: &[Part], now: Instant) -> Disposition {
-        if self.quarantined_part(parts, now).is_some() {
+        if self.find_quarantined(parts, now).is_some() {
             return Disposition::Refused;
         }
         self.tracker.disposition(request, self.since_origin(now))
@@ -260,16 +263,22 @@
         self.parts.is_cleared(part, self.since_origin(now))
     }
 
-    /// The first of these parts that is quarantined at `now`; `None` if none is.
-    pub fn quarantined_part(&self, parts: &[Part], now: Instant) -> Option<Part> {
-        let at = self.since_origin(now);
-        parts.iter().copied().find(|part| self.parts.is_quarantined(*part, at))
+    /// The quarantined group of which a request with these parts holds all; `None` if there is none.
+    pub fn find_quarantined(&self, parts: &[Part], now: Instant) -> Option<GroupKey> {
+        self.parts.find_quarantined(parts, self.since_origin(now))
     }
 
-    /// Takes the right to run one request with a quarantined part; false if no trial is due.
-    pub fn start_trial(&mut self, part: Part, now: Instant) -> bool {
+    /// The parts of the quarantined group of which a request with these parts holds all; empty if
+    /// there is none.
+    pub fn quarantined_parts(&self, parts: &[Part], now: Instant) -> &[Part] {
+        let group = self.find_quarantined(parts, now);
+        group.map_or(&[], |group| self.parts.group_parts(group))
+    }
+
+    /// Takes the right to run one request with a quarantined group; false if no trial is due.
+    pub fn start_trial(&mut self, group: GroupKey, now: Instant) -> bool {
         let at = self.since_origin(now);
-        self.parts.start_trial(part, at)
+        self.parts.start_trial(group, at)
     }
 
     /// Records that a request ran to its end at `at`, here, which removes its strikes from before.
@@ -317,9 +326,9 @@
                 strikes.iter().map(|(crash, at)| strike(request, *crash, Arc::default(), *at)),
             );
         }
-        for (part, strikes) in self.parts.quarantined(since_origin) {
-            decisive
-                .extend(strikes.iter().map(|s| strike(s.request, s.crash, [part].into(), s.at)));
+        for (group, strikes) in self.parts.quarantined(since_origin) {
+            let parts = || group.parts.clone();
+            decisive.extend(strikes.iter().map(|s| strike(s.request, s.crash, parts(), s.at)));
         }
         decisive
     }
@@ -338,14 +347,14 @@
             parts: strike.parts.iter().copied().filter(is_suspect).collect(),
             ..strike.clone()
         };
-        // First those with all their parts: the receiver skips a strike that it has.
+        // First those with all their parts: earlier releases skip a strike that they have.
         let mut known: Vec<Strike> =
             self.observed.iter().filter(counts).map(without_cleared).collect();
         known.extend(self.decisive(now));
         known
     }
 
-    /// Number of requests and parts that are refused at `now`.
+    /// Number of requests and groups of parts that are refused at `now`.
     pub fn refused_count(&self, now: Instant) -> usize {
         let at = self.since_origin(now);
         self.tracker.refused(at).count() + self.parts.quarantined(at).count()
@@ -372,3 +381,8 @@
     let body = String::from_utf8_lossy(&call.body);
     suspect::fingerprint(team.map_or("", |team| team), &call.target, &body)
 }
+
+/// The hashes of parts for the log.
+fn label_parts(parts: &[Part]) -> String {
+    parts.iter().map(|part| format!("{:016x}", part.0)).collect::<Vec<_>>().join(",")
+}
--- a/crates/winch-route/src/quarantine.rs
+++ b/crates/winch-route/src/quarantine.rs
@@ -1,23 +1,29 @@
 //! Attributes crashes of replicas to parts of prompts that requests share.
 //!
 //! A part on which replicas crash does so in every request that holds it, so that requests which
-//! are never repeated can crash one replica after the other. A part is quarantined once several
+//! are never repeated can crash one replica after the other. A part is suspect once several
 //! crashes have struck several requests that hold it, and no request that holds it has survived
-//! meanwhile. Parts that sound requests hold, too, are cleared by those that survive. A crash
-//! that a quarantined part explains counts against nothing else, unless the part is cleared.
+//! meanwhile. The suspect parts of a request are quarantined together: only requests that hold
+//! all of them are refused, so that those without the culprit run, and clear the other parts if
+//! they survive. Each crash of a request without one of the parts narrows the group down, too.
+//! A crash that a group explains counts against no other part.
 
-use std::{
-    collections::{HashMap, HashSet},
-    time::Duration,
-};
+mod case;
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
+use slotmap::{SlotMap, new_key_type};
+
+use self::case::Case;
 use crate::{
     hash,
     suspect::{Crash, Fingerprint},
 };
 
-/// Largest number of strikes that are kept for one part.
-const MAX_STRIKES: usize = 32;
+new_key_type! {
+    /// Identifies a quarantined group of parts.
+    pub struct GroupKey;
+}
 
 /// Identifies a part of the prompts of one service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -33,8 +39,11 @@
 /// Thresholds and limits of a ledger.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Options {
-    /// Number of crashes at which a part is quarantined.
+    /// Number of crashes at which a part is suspect.
     pub crash_threshold: usize,
+    /// Number of crashes at which the parts of several requests are refused, if each of these may
+    /// be the cause of the same crashes.
+    pub rival_threshold: usize,
     /// Number of crashes of one request that count, so that a request which crashes replicas by
     /// itself does not quarantine the parts that it shares with others.
     pub crashes_per_request: usize,
@@ -42,7 +51,7 @@
     pub lifetime: Duration,
     /// How long a part gets no strikes after a request that holds it has survived.
     pub clearance: Duration,
-    /// Time from the last crash of a quarantined part until a request may try it again; doubles
+    /// Time from the last crash of a quarantined group until a request may try it again; doubles
     /// with each trial.
     pub trial_interval: Duration,
     /// Number of parts at which old entries are dropped to make room.
@@ -53,6 +62,7 @@
     fn default() -> Self {
         Self {
             crash_threshold: 3,
+            rival_threshold: 5,
             crashes_per_request: 2,
             lifetime: Duration::from_secs(600),
             clearance: Duration::from_secs(30),
@@ -73,48 +83,53 @@
     pub at: Duration,
 }
 
-/// The strikes against one part.
-#[derive(Debug, Default)]
-struct Case {
-    strikes: Vec<Strike>,
-    /// When a quarantined part last crashed a replica; `None` if it is not quarantined.
-    last_crash_at: Option<Duration>,
+/// The suspect parts of the requests that some crashes struck.
+#[derive(Clone, Debug)]
+pub struct Group {
+    /// The parts, sorted.
+    pub parts: Arc<[Part]>,
+    /// The crash with which the parts became suspect. Of the requests that it struck any may be the
+    /// cause.
+    decided_by: Crash,
+    last_crash_at: Duration,
     /// Number of trials since the quarantine.
     trials: u32,
 }
 
-impl Case {
-    fn add(&mut self, strike: Strike) {
-        let Strike { request, crash, .. } = strike;
-        if self.strikes.iter().any(|known| known.request == request && known.crash == crash) {
-            return;
-        }
-        if self.strikes.len() == MAX_STRIKES {
-            self.strikes.remove(0);
-        }
-        self.strikes.push(strike);
-    }
-
-    /// Number of crashes that count: those for which `is_open` holds, each one once, and only some
-    /// of each request.
-    fn evidence(&self, is_open: impl Fn(Crash) -> bool, crashes_per_request: usize) -> usize {
-        let mut crashes = HashSet::new();
-        let mut requests = HashMap::<Fingerprint, usize>::new();
-        for strike in self.strikes.iter().filter(|strike| is_open(strike.crash)) {
-            let count = requests.entry(strike.request).or_default();
-            if *count < crashes_per_request && crashes.insert(strike.crash) {
-                *count += 1;
-            }
+impl Group {
+    /// Whether `parts` contain all parts of the group.
+    fn is_held_by(&self, parts: &[Part]) -> bool {
+        is_subset(&self.parts, parts)
+    }
+}
+
+/// Whether `parts` contain all of `subset`.
+fn is_subset(subset: &[Part], parts: &[Part]) -> bool {
+    subset.iter().all(|part| parts.contains(part))
+}
+
+/// The groups that explain a crash; several if it struck several requests, each of which may be
+/// the cause.
+#[derive(Clone, Debug)]
+struct Cause {
+    groups: Vec<GroupKey>,
+    at: Duration,
+}
+
+impl Cause {
+    fn add(&mut self, group: GroupKey) {
+        if !self.groups.contains(&group) {
+            self.groups.push(group);
         }
-        crashes.len()
     }
 }
 
-/// The quarantined part that explains a crash.
+/// The last survival of a request with a part.
 #[derive(Clone, Copy, Debug)]
-struct Cause {
-    part: Part,
+struct Clearance {
     at: Duration,
+    /// The last one that all daemons were told.
+    told: Option<Duration>,
 }
 
 /// The strikes against all parts.
@@ -122,33 +137,43 @@
 pub struct Ledger {
     options: Options,
     cases: HashMap<Part, Case>,
-    /// When a request that holds the part last survived.
-    cleared: HashMap<Part, Duration>,
-    /// Crashes that quarantined parts explain.
+    /// The parts with a strike of each request and crash, sorted.
+    held: HashMap<(Fingerprint, Crash), Vec<Part>>,
+    cleared: HashMap<Part, Clearance>,
+    groups: SlotMap<GroupKey, Group>,
+    /// Crashes that quarantined groups explain.
     explained: HashMap<Crash, Cause>,
 }
 
 /// What a strike changed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Finding {
-    /// The part that is quarantined because of the strike.
-    pub quarantined: Option<Part>,
-    /// Crashes that are now explained by a quarantined part.
+    /// Whether a part got a strike that it had not.
+    pub is_new: bool,
+    /// The parts that are quarantined together because of the strike; empty if none are.
+    pub quarantined: Vec<Part>,
+    /// Crashes that are now explained by a quarantined group.
     pub explained: Vec<Crash>,
 }
 
 impl Ledger {
     /// Creates a ledger without strikes.
     pub fn new(options: Options) -> Self {
-        let (cases, cleared, explained) = Default::default();
-        Self { options, cases, cleared, explained }
+        Self {
+            options,
+            cases: HashMap::new(),
+            held: HashMap::new(),
+            cleared: HashMap::new(),
+            groups: SlotMap::with_key(),
+            explained: HashMap::new(),
+        }
     }
 
-    /// Records that an upstream crashed before `request`, whose prompt has the shared `parts` in
-    /// this order, had survived there.
+    /// Records that an upstream crashed before `request`, whose prompt has the shared `parts`, had
+    /// survived there.
     ///
-    /// If several parts reach the threshold the last one is quarantined: requests that hold it
-    /// are the fewest.
+    /// The same strike may be recorded again with further parts: daemons tell each other the parts
+    /// that they know. What was found without these is then found anew.
     pub fn record_strike(
         &mut self,
         request: Fingerprint,
@@ -157,111 +182,370 @@
         now: Duration,
     ) -> Finding {
         self.expire(now);
-        let strike = Strike { request, crash, at: now };
-        let suspects: Vec<Part> =
-            parts.iter().copied().filter(|part| !self.is_cleared(*part, now)).collect();
-        for part in &suspects {
-            self.cases.entry(*part).or_default().add(strike);
+        let is_known = self.held.contains_key(&(request, crash));
+        let is_new = self.add(Strike { request, crash, at: now }, parts);
+        match (is_known, is_new) {
+            (true, false) => return Finding::default(),
+            (true, true) => self.reopen(crash),
+            (false, _) => {}
         }
-        if self.explained.contains_key(&crash) {
-            return Finding::default();
+        let known = self.held.get(&(request, crash));
+        let held: Arc<[Part]> = known.map(|held| held[..].into()).unwrap_or_default();
+        let (quarantined, explained) = self.blame(crash, parts, &held, now);
+        Finding { is_new, quarantined, explained }
+    }
+
+    /// Finds what explains a crash that struck a request with these parts, of which it has `held`
+    /// strikes. Returns the parts that are quarantined because of it, and the crashes that they
+    /// explain.
+    fn blame(
+        &mut self,
+        crash: Crash,
+        parts: &[Part],
+        held: &[Part],
+        now: Duration,
+    ) -> (Vec<Part>, Vec<Crash>) {
+        if let Some(cause) = self.explained.get(&crash) {
+            let mut groups = cause.groups.iter().copied();
+            return match groups.find(|group| self.groups[*group].decided_by == crash) {
+                Some(group) => self.blame_rival(group, held, now),
+                None => Default::default(),
+            };
         }
-        if let Some(part) = parts.iter().find(|part| self.is_quarantined(**part, now)).copied() {
-            let case = self.cases.entry(part).or_default();
-            case.last_crash_at = case.last_crash_at.max(Some(now));
-            return Finding { quarantined: None, explained: self.explain(part, vec![crash], now) };
+        if let Some(group) = self.find_quarantined(&[parts, held].concat(), now) {
+            let last_crash_at = &mut self.groups[group].last_crash_at;
+            *last_crash_at = now.max(*last_crash_at);
+            self.explain(group, &[crash], now);
+            return (Vec::new(), vec![crash]);
         }
-        let Options { crash_threshold, crashes_per_request, .. } = self.options;
-        let is_culprit = |part: &&Part| {
-            let is_open = |crash| !self.explained.contains_key(&crash);
-            self.cases[part].evidence(is_open, crashes_per_request) >= crash_threshold
+        let suspects = self.suspects(held);
+        if suspects.is_empty() {
+            return Default::default();
+        }
+        let crashes = self.crashes_of(&suspects);
+        let explained = self.quarantine(&suspects, crash, &crashes, now);
+        (suspects, explained)
+    }
+
+    /// Weighs the request with the `held` parts, that the crash has struck with which `group` was
+    /// found, against the request for which it was found. Either may be the cause, so only requests
+    /// with the suspect parts of both are refused, until many crashes speak against each.
+    fn blame_rival(
+        &mut self,
+        group: GroupKey,
+        held: &[Part],
+        now: Duration,
+    ) -> (Vec<Part>, Vec<Crash>) {
+        let crash = self.groups[group].decided_by;
+        let found = self.groups[group].parts.clone();
+        let mut crashes: Vec<Crash> = self.explained_by(group);
+        self.dissolve(group);
+        let suspects = self.suspects(held);
+        crashes.extend(self.crashes_of(&suspects));
+        crashes.sort_unstable();
+        crashes.dedup();
+        let mut both = [&found[..], &suspects].concat();
+        both.sort_unstable();
+        both.dedup();
+        let is_decided = crashes.len() >= self.options.rival_threshold;
+        if is_decided && both.len() > found.len().max(suspects.len()) {
+            self.quarantine(&found, crash, &crashes, now);
+            let explained = self.quarantine(&suspects, crash, &crashes, now);
+            return (suspects, explained);
+        }
+        let explained = self.quarantine(&both, crash, &crashes, now);
+        if both.len() > found.len() { (both, explained) } else { Default::default() }
+    }
+
+    /// Whether this strike is known, with all these parts but those that a survival pardons.
+    pub fn has_strike(
+        &self,
+        request: Fingerprint,
+        crash: Crash,
+        parts: &[Part],
+        now: Duration,
+    ) -> bool {
+        let held = self.held.get(&(request, crash));
+        let is_known = |part: &Part, held: &[Part]| {
+            held.binary_search(part).is_ok() || self.is_cleared(*part, now)
         };
-        let Some(culprit) = suspects.iter().rev().find(is_culprit).copied() else {
-            return Finding::default();
+        held.is_some_and(|held| parts.iter().all(|part| is_known(part, held)))
+    }
+
+    /// Adds a strike against those of the parts that no survival pardons; returns whether one of
+    /// them had it not.
+    fn add(&mut self, strike: Strike, parts: &[Part]) -> bool {
+        let key = (strike.request, strike.crash);
+        let mut is_new = false;
+        for part in parts.iter().copied() {
+            if self.is_cleared(part, strike.at) {
+                continue;
+            }
+            let held = self.held.entry(key).or_default();
+            let Err(index) = held.binary_search(&part) else { continue };
+            held.insert(index, part);
+            is_new = true;
+            let dropped = self.cases.entry(part).or_default().add(strike);
+            self.forget(part, dropped);
+        }
+        is_new
+    }
+
+    /// Records that strikes against `part` are no longer kept.
+    fn forget(&mut self, part: Part, strikes: impl IntoIterator<Item = Strike>) {
+        for Strike { request, crash, .. } in strikes {
+            let Some(held) = self.held.get_mut(&(request, crash)) else { continue };
+            held.retain(|other| *other != part);
+            if held.is_empty() {
+                self.held.remove(&(request, crash));
+            }
+        }
+    }
+
+    /// Ends the quarantine of the groups that explain a crash.
+    fn reopen(&mut self, crash: Crash) {
+        if let Some(cause) = self.explained.remove(&crash) {
+            cause.groups.iter().for_each(|group| self.dissolve(*group));
+        }
+    }
+
+    /// Ends the quarantine of a group, which then explains no crash.
+    fn dissolve(&mut self, group: GroupKey) {
+        self.groups.remove(group);
+        self.explained.retain(|_, cause| {
+            cause.groups.retain(|other| *other != group);
+            !cause.groups.is_empty()
+        });
+    }
+
+    fn groups_of(&self, cause: &Cause) -> impl Iterator<Item = &Group> {
+        cause.groups.iter().map(|group| &self.groups[*group])
+    }
+
+    /// Whether enough crashes count against a part: those that no group explains, or one with the
+    /// part.
+    fn is_suspect(&self, part: Part) -> bool {
+        let Options { crash_threshold, crashes_per_request, .. } = self.options;
+        let is_open = |crash| {
+            let cause = self.explained.get(&crash);
+            cause.is_none_or(|cause| self.groups_of(cause).any(|group| group.parts.contains(&part)))
         };
-        let case = self.cases.entry(culprit).or_default();
-        case.last_crash_at = case.strikes.iter().map(|strike| strike.at).max();
-        let crashes = case.strikes.iter().map(|strike| strike.crash).collect();
-        Finding { quarantined: Some(culprit), explained: self.explain(culprit, crashes, now) }
-    }
-
-    /// Marks crashes as explained by `part`; returns those that were not explained before.
-    fn explain(&mut self, part: Part, crashes: Vec<Crash>, at: Duration) -> Vec<Crash> {
-        let mut is_new = |crash: &Crash| {
-            let known = self.explained.contains_key(crash);
-            self.explained.entry(*crash).or_insert(Cause { part, at });
-            !known
+        let case = self.cases.get(&part);
+        case.is_some_and(|case| case.evidence(is_open, crashes_per_request) >= crash_threshold)
+    }
+
+    /// The suspects among these parts.
+    fn suspects(&self, parts: &[Part]) -> Vec<Part> {
+        parts.iter().copied().filter(|part| self.is_suspect(*part)).collect()
+    }
+
+    /// Quarantines sorted parts together, in place of the groups that contain them all, as the cause
+    /// of `crashes`. Returns these if there is a request that holds all the parts, and is refused.
+    fn quarantine(
+        &mut self,
+        parts: &[Part],
+        decided_by: Crash,
+        crashes: &[Crash],
+        now: Duration,
+    ) -> Vec<Crash> {
+        let strikes = self.strikes_of(parts);
+        let last_crash_at = strikes.iter().map(|strike| strike.at).max().unwrap_or(now);
+        let group = Group { parts: parts.into(), decided_by, last_crash_at, trials: 0 };
+        let group = self.groups.insert(group);
+        self.explain(group, crashes, now);
+        self.merge_supersets();
+        if strikes.is_empty() { Vec::new() } else { crashes.to_vec() }
+    }
+
+    /// The crashes of requests that hold all of these parts.
+    fn crashes_of(&self, parts: &[Part]) -> Vec<Crash> {
+        self.strikes_of(parts).iter().map(|strike| strike.crash).collect()
+    }
+
+    /// The crashes that a group explains.
+    fn explained_by(&self, group: GroupKey) -> Vec<Crash> {
+        let explained = self.explained.iter().filter(|(_, cause)| cause.groups.contains(&group));
+        explained.map(|(crash, _)| *crash).collect()
+    }
+
+    /// The strikes of requests that hold all of these parts.
+    fn strikes_of(&self, parts: &[Part]) -> Vec<Strike> {
+        let case = parts.first().and_then(|part| self.cases.get(part));
+        let strikes = case.map_or(&[][..], Case::strikes).iter().copied();
+        let holds_all = |strike: &Strike| {
+            let held = self.held.get(&(strike.request, strike.crash));
+            held.is_some_and(|held| is_subset(parts, held))
         };
-        crashes.into_iter().filter(|crash| is_new(crash)).collect()
+        strikes.filter(holds_all).collect()
     }
 
-    /// Whether a quarantined part explains a crash.
+    /// Drops the groups that contain all parts of another one, which refuses more; their crashes
+    /// become those of the other one.
+    fn merge_supersets(&mut self) {
+        let groups: Vec<(GroupKey, Arc<[Part]>)> =
+            self.groups.iter().map(|(key, group)| (key, group.parts.clone())).collect();
+        for (key, parts) in &groups {
+            let is_smaller = |(other, subset): &&(GroupKey, Arc<[Part]>)| {
+                other != key && self.groups.contains_key(*other) && is_subset(subset, parts)
+            };
+            let Some((smaller, _)) = groups.iter().find(is_smaller) else { continue };
+            let Some(dropped) = self.groups.remove(*key) else { continue };
+            let last_crash_at = &mut self.groups[*smaller].last_crash_at;
+            *last_crash_at = dropped.last_crash_at.max(*last_crash_at);
+            for cause in self.explained.values_mut() {
+                let Some(index) = cause.groups.iter().position(|group| group == key) else {
+                    continue;
+                };
+                cause.groups.swap_remove(index);
+                cause.add(*smaller);
+            }
+        }
+    }
+
+    /// Marks crashes as explained by a group.
+    fn explain(&mut self, group: GroupKey, crashes: &[Crash], at: Duration) {
+        for crash in crashes {
+            let cause = self.explained.entry(*crash);
+            cause.or_insert_with(|| Cause { groups: Vec::new(), at }).add(group);
+        }
+    }
+
+    /// Whether a crash is explained by a group for which requests are refused.
     pub fn explains(&self, crash: Crash) -> bool {
-        self.explained.contains_key(&crash)
+        let cause = self.explained.get(&crash);
+        let is_held = |group: &Group| !self.strikes_of(&group.parts).is_empty();
+        cause.is_some_and(|cause| self.groups_of(cause).any(is_held))
     }
 
     /// Removes a crash and its strikes, because the upstream proved to be alive. Parts that are
     /// quarantined without enough other crashes are so no longer.
     pub fn retract(&mut self, crash: Crash) {
-        let Self { options, cases, explained, .. } = self;
-        explained.remove(&crash);
-        let mut released = Vec::new();
-        for (part, case) in cases.iter_mut() {
-            case.strikes.retain(|strike| strike.crash != crash);
-            let is_open = |crash| explained.get(&crash).is_none_or(|cause| cause.part == *part);
-            let evidence = case.evidence(is_open, options.crashes_per_request);
-            if evidence < options.crash_threshold && case.last_crash_at.take().is_some() {
-                case.trials = 0;
-                released.push(*part);
+        self.explained.remove(&crash);
+        for case in self.cases.values_mut() {
+            case.remove(|strike| strike.crash == crash);
+        }
+        self.held.retain(|(_, struck_by), _| *struck_by != crash);
+        self.revise_groups();
+    }
+
+    /// Takes the parts against which not enough crashes are left out of their groups.
+    fn revise_groups(&mut self) {
+        self.cases.retain(|_, case| !case.is_empty());
+        let keys: Vec<GroupKey> = self.groups.keys().collect();
+        for key in keys {
+            let parts = self.groups[key].parts.iter().copied();
+            let left: Arc<[Part]> = parts.filter(|part| self.is_suspect(*part)).collect();
+            if left.is_empty() {
+                self.dissolve(key);
+            } else {
+                self.groups[key].parts = left;
             }
         }
-        cases.retain(|_, case| !case.strikes.is_empty());
-        explained.retain(|_, cause| !released.contains(&cause.part));
+        self.merge_supersets();
     }
 
-    /// Records that a request with these parts has survived, here or at another daemon; returns
-    /// the parts that had strikes, which are removed.
+    /// Records that a request with these parts has survived here; returns the parts that had
+    /// strikes, which are removed. All daemons are to be told that these have survived.
     pub fn clear(&mut self, parts: &[Part], now: Duration) -> Vec<Part> {
-        self.make_room(now);
+        let struck = self.apply_clearance(parts, now);
+        for part in &struck {
+            self.mark_told(*part, now);
+        }
+        struck
+    }
+
+    /// Records that a request with this part survived at another daemon, which has told all; returns
+    /// whether the part had strikes, which are removed.
+    pub fn clear_told(&mut self, part: Part, at: Duration) -> bool {
+        let is_struck = !self.apply_clearance(&[part], at).is_empty();
+        self.mark_told(part, at);
+        is_struck
+    }
+
+    fn apply_clearance(&mut self, parts: &[Part], at: Duration) -> Vec<Part> {
+        self.make_room(at);
+        let options = self.options;
+        let is_pardoned = |strike: &Strike| options.pardons(at, strike.at);
+        let mut struck = Vec::new();
         for part in parts {
-            let cleared_at = self.cleared.entry(*part).or_default();
-            *cleared_at = now.max(*cleared_at);
+            let known = self.cleared.entry(*part).or_insert(Clearance { at, told: None });
+            known.at = at.max(known.at);
+            let case = self.cases.get_mut(part);
+            let removed = case.map(|case| case.remove(is_pardoned)).unwrap_or_default();
+            if !removed.is_empty() {
+                struck.push(*part);
+                self.forget(*part, removed);
+            }
+        }
+        if !struck.is_empty() {
+            self.revise_groups();
         }
-        let struck: Vec<Part> =
-            parts.iter().copied().filter(|part| self.cases.remove(part).is_some()).collect();
-        self.explained.retain(|_, cause| !struck.contains(&cause.part));
         struck
     }
 
+    fn mark_told(&mut self, part: Part, at: Duration) {
+        if let Some(known) = self.cleared.get_mut(&part) {
+            known.told = known.told.max(Some(at));
+        }
+    }
+
+    /// The survivals here, with their times, that pardon parts a strike of time `at`, as far as the
+    /// daemon that recorded it has not been told; from now on it counts as told.
+    pub fn take_untold(&mut self, parts: &[Part], at: Duration) -> Vec<(Part, Duration)> {
+        let options = self.options;
+        let mut untold = Vec::new();
+        for part in parts {
+            let Some(known) = self.cleared.get_mut(part) else { continue };
+            let is_told = known.told.is_some_and(|told| options.pardons(told, at));
+            if !is_told && options.pardons(known.at, at) {
+                known.told = Some(known.at);
+                untold.push((*part, known.at));
+            }
+        }
+        untold
+    }
+
+    /// Whether a survival at `cleared_at` pardons a strike of time `struck_at`.
+    pub fn pardons(&self, cleared_at: Duration, struck_at: Duration) -> bool {
+        self.options.pardons(cleared_at, struck_at)
+    }
+
     /// Whether a request with this part has survived lately.
     pub fn is_cleared(&self, part: Part, now: Duration) -> bool {
-        let clearance = self.options.clearance;
-        self.cleared.get(&part).is_some_and(|at| now.saturating_sub(*at) < clearance)
+        self.cleared.get(&part).is_some_and(|known| self.options.pardons(known.at, now))
     }
 
-    /// Whether requests with this part are refused.
-    pub fn is_quarantined(&self, part: Part, now: Duration) -> bool {
-        let last_crash_at = self.cases.get(&part).and_then(|case| case.last_crash_at);
-        last_crash_at.is_some_and(|at| now.saturating_sub(at) < self.options.lifetime)
+    /// The group for which requests with these parts are refused; `None` if they are not.
+    pub fn find_quarantined(&self, parts: &[Part], now: Duration) -> Option<GroupKey> {
+        let is_current =
+            |group: &Group| now.saturating_sub(group.last_crash_at) < self.options.lifetime;
+        let mut groups = self.groups.iter();
+        groups.find(|(_, group)| group.is_held_by(parts) && is_current(group)).map(|(key, _)| key)
     }
 
-    /// The quarantined parts and the strikes for which they are.
-    pub fn quarantined(&self, now: Duration) -> impl Iterator<Item = (Part, &[Strike])> {
-        let quarantined =
-            self.cases.iter().filter(move |(part, _)| self.is_quarantined(**part, now));
-        quarantined.map(|(part, case)| (*part, &*case.strikes))
+    /// The parts of a quarantined group.
+    pub fn group_parts(&self, group: GroupKey) -> &[Part] {
+        self.groups.get(group).map_or(&[], |group| &group.parts)
     }
 
-    /// Takes the right to run one request with this quarantined part, which clears the part if
-    /// it survives. False if no trial is due.
-    pub fn start_trial(&mut self, part: Part, now: Duration) -> bool {
+    /// The quarantined groups, and the strikes for which they are.
+    pub fn quarantined(&self, now: Duration) -> impl Iterator<Item = (&Group, Vec<Strike>)> {
+        let lifetime = self.options.lifetime;
+        let groups = self.groups.values();
+        let current =
+            groups.filter(move |group| now.saturating_sub(group.last_crash_at) < lifetime);
+        current.map(|group| (group, self.strikes_of(&group.parts)))
+    }
+
+    /// Takes the right to run one request that holds this group, which clears the group if the
+    /// request survives. False if no trial is due.
+    pub fn start_trial(&mut self, group: GroupKey, now: Duration) -> bool {
         let interval = self.options.trial_interval;
-        let Some(case) = self.cases.get_mut(&part) else { return false };
-        let Some(last_crash_at) = case.last_crash_at else { return false };
-        let wait = interval.saturating_mul(1 << case.trials.min(10));
-        let is_due = now.saturating_sub(last_crash_at) >= wait;
+        let Some(group) = self.groups.get_mut(group) else { return false };
+        let wait = interval.saturating_mul(1 << group.trials.min(10));
+        let is_due = now.saturating_sub(group.last_crash_at) >= wait;
         if is_due {
-            case.trials += 1;
+            group.trials += 1;
         }
         is_due
     }
@@ -273,9 +557,9 @@
 
     /// Drops the clearances that no longer count, if there are many.
     fn make_room(&mut self, now: Duration) {
-        let Options { clearance, max_parts, .. } = self.options;
-        if self.cleared.len() >= max_parts {
-            self.cleared.retain(|_, at| now.saturating_sub(*at) < clearance);
+        let options = self.options;
+        if self.cleared.len() >= options.max_parts {
+            self.cleared.retain(|_, known| options.pardons(known.at, now));
         }
     }
 
@@ -284,16 +568,28 @@
     fn expire(&mut self, now: Duration) {
         let Options { lifetime, max_parts, .. } = self.options;
         let is_current = |at: Duration| now.saturating_sub(at) < lifetime;
-        self.explained.retain(|_, cause| is_current(cause.at));
-        for case in self.cases.values_mut().filter(|case| case.last_crash_at.is_none()) {
-            case.strikes.retain(|strike| is_current(strike.at));
-        }
-        self.cases.retain(|_, case| match case.last_crash_at {
-            Some(at) => is_current(at),
-            None => !case.strikes.is_empty(),
+        self.groups.retain(|_, group| is_current(group.last_crash_at));
+        let groups = &self.groups;
+        self.explained.retain(|_, cause| {
+            cause.groups.retain(|group| groups.contains_key(*group));
+            is_current(cause.at) && !cause.groups.is_empty()
         });
-        if self.cases.len() >= max_parts {
-            self.cases.retain(|_, case| case.last_crash_at.is_some());
+        let is_quarantined = |part: &Part| groups.values().any(|group| group.parts.contains(part));
+        let is_full = self.cases.len() >= max_parts;
+        let mut dropped = Vec::new();
+        for (part, case) in self.cases.iter_mut().filter(|(part, _)| !is_quarantined(part)) {
+            dropped.push((*part, case.remove(|strike| is_full || !is_current(strike.at))));
+        }
+        for (part, strikes) in dropped {
+            self.forget(part, strikes);
         }
+        self.cases.retain(|_, case| !case.is_empty());
+    }
+}
+
+impl Options {
+    /// Whether a survival at `cleared_at` pardons a strike of time `struck_at`.
+    fn pardons(&self, cleared_at: Duration, struck_at: Duration) -> bool {
+        struck_at.saturating_sub(cleared_at) < self.clearance
     }
 }
