--- a/crates/winch-relay/src/peer/serve.rs
+++ b/crates/winch-relay/src/peer/serve.rs
@@ -139,10 +139,6 @@
         let now = Instant::now();
         let strikes = node.strikes();
         let mut struck = Vec::new();
-        if self.notices == 0 {
-            // Older notices are not kept.
-            struck = strikes.decisive(now);
-        }
         let (notices, count) = strikes.after(self.notices);
         for notice in notices {
             match notice {
@@ -158,6 +154,11 @@
                 }
             }
         }
+        if self.notices == 0 {
+            // Older notices are not kept. First those with all their parts: earlier releases skip a
+            // strike that they have.
+            struck.extend(strikes.decisive(now));
+        }
         update.strikes = struck.iter().map(|strike| CrashStrike::encode_at(strike, now)).collect();
         self.notices = count;
     }
--- a/crates/winch-relay/src/strikes.rs
+++ b/crates/winch-relay/src/strikes.rs
@@ -140,28 +140,41 @@
         self.disposition(request, &parts, now)
     }
 
-    /// Applies a strike received from another daemon, and returns whether it was new.
+    /// Applies a strike received from another daemon, and returns whether it was new, or names parts
+    /// that were not known to be struck.
     pub fn apply(&mut self, strike: Strike) -> bool {
         let at = self.since_origin(strike.at);
-        let is_same = |notice: &Notice| {
-            let Notice::Struck(known) = notice else { return false };
-            known.request == strike.request && known.crash == strike.crash
-        };
-        if self.recent.iter().any(is_same)
+        if self.is_known(&strike, at)
             || self.is_retracted(strike.crash, strike.at)
             || self.is_completed(strike.request, strike.at)
         {
             return false;
         }
-        self.record_parts(&strike, at);
-        let is_new = self.parts.explains(strike.crash)
-            || self.tracker.record_strike(strike.request, strike.crash, at);
+        let is_part_new = self.record_parts(&strike, at);
+        let is_explained = self.parts.explains(strike.crash);
+        let is_request_new =
+            !is_explained && self.tracker.record_strike(strike.request, strike.crash, at);
+        let is_new = is_part_new || is_explained || is_request_new;
         if is_new {
             self.push_strike(strike, at);
         }
         is_new
     }
 
+    /// Whether this strike is known, with all its parts that have not survived.
+    fn is_known(&self, strike: &Strike, at: Duration) -> bool {
+        let Strike { request, crash, parts, .. } = strike;
+        let is_open = |part: &&Part| !self.parts.is_cleared(**part, at);
+        let is_told = |notice: &Notice| {
+            let Notice::Struck(known) = notice else { return false };
+            (known.request, known.crash) == (*request, *crash)
+                && parts.iter().filter(is_open).all(|part| known.parts.contains(part))
+        };
+        let has_open_part = parts.iter().any(|part| is_open(&part));
+        has_open_part && self.parts.has_strike(*request, *crash, parts, at)
+            || self.recent.iter().any(is_told)
+    }
+
     /// Records a strike against the parts of its request; returns whether it is new to one of them.
     /// Crashes that quarantined parts explain no longer count against whole requests.
     fn record_parts(&mut self, strike: &Strike, at: Duration) -> bool {
