--- a/crates/winch-event/src/lib.rs
+++ b/crates/winch-event/src/lib.rs
@@ -154,6 +154,9 @@
     ConnectionClosed = 1128, Info, "connection of a caller closed";
     /// A request with strikes ran to its end, so that the strikes are removed.
     RequestCleared = 1129, Info, "request cleared, it ran to its end";
+    /// A request with a part of a prompt had survived here before another daemon told a strike
+    /// against the part, so that all daemons are told.
+    SurvivalTold = 1130, Info, "survival of a part told to all daemons";
     /// An order was sent, but its response was lost or did not arrive in time; the order
     /// may have taken effect.
     OrderOutcomeUnknown = 1201, Error, "outcome of an order is unknown";
--- a/crates/winch-relay/src/peer.rs
+++ b/crates/winch-relay/src/peer.rs
@@ -126,10 +126,12 @@
     report(node, Request { strikes, retracted, ..Request::default() }).await;
 }
 
-/// Reports parts of prompts that were cleared to all seeds, as [`report_strike`] does.
-pub async fn report_cleared<P: Protocol>(node: &Node<P>, parts: &[Part]) {
+/// Reports parts of prompts, and when requests with them survived, to all seeds, as [`report_strike`]
+/// does.
+pub async fn report_cleared<P: Protocol>(node: &Node<P>, parts: Vec<(Part, Instant)>) {
     let now = Instant::now();
-    let cleared = parts.iter().map(|part| ClearedPart::encode_at(*part, now, now)).collect();
+    let encode = |(part, at)| ClearedPart::encode_at(part, at, now);
+    let cleared = parts.into_iter().map(encode).collect();
     report(node, Request { cleared, ..Request::default() }).await;
 }
 
--- a/crates/winch-relay/src/peer/follow.rs
+++ b/crates/winch-relay/src/peer/follow.rs
@@ -180,7 +180,7 @@
     /// Why the seed is no longer followed.
     pub async fn run<P: Protocol, S: Store>(
         mut self,
-        node: &Node<P>,
+        node: &Arc<Node<P>>,
         store: &mut S,
     ) -> Result<Infallible, Error> {
         let version = self.pending.last().map_or(0, |update| update.config_version);
@@ -227,7 +227,7 @@
     /// that an earlier one lists may have left since.
     async fn apply<P: Protocol, S: Store>(
         &self,
-        node: &Node<P>,
+        node: &Arc<Node<P>>,
         store: &mut S,
         mut updates: Vec<Update>,
     ) -> Result<(), Error> {
@@ -269,7 +269,7 @@
     /// Applies everything but the list of replicas.
     async fn apply_rest<P: Protocol, S: Store>(
         &self,
-        node: &Node<P>,
+        node: &Arc<Node<P>>,
         store: &mut S,
         mut update: Update,
     ) -> Result<(), Error> {
--- a/crates/winch-relay/src/peer/notice.rs
+++ b/crates/winch-relay/src/peer/notice.rs
@@ -8,7 +8,11 @@
     suspect::{Crash, Fingerprint},
 };
 
-use crate::{counter, prelude::*, strikes::Strike};
+use crate::{
+    counter,
+    prelude::*,
+    strikes::{self, Strike},
+};
 
 /// A [`Strike`] on the wire.
 #[derive(Clone, PartialEq, Message)]
@@ -150,14 +154,14 @@
     }
 
     /// Applies what a peer has told.
-    pub(super) fn apply<P: Protocol>(self, node: &Node<P>) {
+    pub(super) fn apply<P: Protocol>(self, node: &Arc<Node<P>>) {
         if self.is_empty() {
             return;
         }
         let now = Instant::now();
         for cleared in self.cleared {
             let (part, at) = cleared.decode_at(now);
-            node.strikes().clear(&[part], at);
+            node.strikes().apply_clearance(part, at);
         }
         for completed in self.completed {
             let (request, at) = completed.decode_at(now);
@@ -172,6 +176,7 @@
             let (crash, at) = retracted.decode_at(now);
             node.strikes().retract(crash, at);
         }
+        strikes::report_untold(node);
         node.announce_strike();
     }
 }
--- a/crates/winch-relay/src/strikes.rs
+++ b/crates/winch-relay/src/strikes.rs
@@ -16,7 +16,7 @@
 };
 
 pub use self::attribution::{
-    attribute_crash, attribute_crash_later, record_completion, record_survival,
+    attribute_crash, attribute_crash_later, record_completion, record_survival, report_untold,
 };
 use crate::{counter, prelude::*};
 
@@ -80,6 +80,8 @@
     retracted: VecDeque<(Crash, Instant)>,
     /// Requests with strikes that ran to their ends, and when, the oldest first.
     completed: VecDeque<(Fingerprint, Instant)>,
+    /// Survivals here that all daemons are to be told.
+    untold: Vec<(Part, Instant)>,
 }
 
 impl Strikes {
@@ -97,6 +99,7 @@
             is_synced: false,
             retracted: VecDeque::new(),
             completed: VecDeque::new(),
+            untold: Vec::new(),
         }
     }
 
@@ -150,6 +153,7 @@
         {
             return false;
         }
+        self.note_untold(&strike, at);
         let is_part_new = self.record_parts(&strike, at);
         let is_explained = self.parts.explains(strike.crash);
         let is_request_new =
@@ -213,23 +217,58 @@
         }
     }
 
-    /// Records that a request with these parts survived at `at`, here or at another daemon.
-    /// Returns the parts that had strikes, which are removed.
+    /// Records that a request with these parts survived here at `at`. Returns the parts that had
+    /// strikes, which are removed.
     pub fn clear(&mut self, parts: &[Part], at: Instant) -> Vec<Part> {
         let cleared = self.parts.clear(parts, self.since_origin(at));
         for part in &cleared {
-            for notice in &mut self.recent {
-                let Notice::Struck(strike) = notice else { continue };
-                if strike.parts.contains(part) {
-                    strike.parts = strike.parts.iter().copied().filter(|p| p != part).collect();
-                }
-            }
-            emit!(Event::PartCleared, part = format!("{:016x}", part.0));
-            self.push_recent(Notice::Cleared(*part, at));
+            self.forgive(*part, at);
         }
         cleared
     }
 
+    /// Applies a survival that another daemon has told.
+    pub fn apply_clearance(&mut self, part: Part, at: Instant) {
+        if self.parts.clear_told(part, self.since_origin(at)) {
+            self.forgive(part, at);
+        }
+    }
+
+    /// Takes a part out of the strikes in the notices that its survival at `at` pardons, and notes the
+    /// survival.
+    fn forgive(&mut self, part: Part, at: Instant) {
+        let cleared_at = self.since_origin(at);
+        for index in 0..self.recent.len() {
+            let Notice::Struck(strike) = &self.recent[index] else { continue };
+            let is_pardoned = self.parts.pardons(cleared_at, self.since_origin(strike.at));
+            if !is_pardoned || !strike.parts.contains(&part) {
+                continue;
+            }
+            let parts = strike.parts.iter().copied().filter(|other| *other != part).collect();
+            self.recent[index] = Notice::Struck(Strike { parts, ..strike.clone() });
+        }
+        emit!(Event::PartCleared, part = format!("{:016x}", part.0));
+        self.push_recent(Notice::Cleared(part, at));
+    }
+
+    /// Takes the survivals here that pardon parts of strikes from elsewhere, and that all daemons
+    /// have yet to be told: the others count these strikes.
+    pub fn take_untold(&mut self) -> Vec<(Part, Instant)> {
+        std::mem::take(&mut self.untold)
+    }
+
+    /// Notes the survivals here of which the daemon that observed the strike has not been told.
+    fn note_untold(&mut self, strike: &Strike, at: Duration) {
+        for (part, cleared_at) in self.parts.take_untold(&strike.parts, at) {
+            let age = at.saturating_sub(cleared_at);
+            let cleared_at =
+                strike.at.checked_sub(age).unwrap_or(strike.at) + cleared_at.saturating_sub(at);
+            emit!(Event::SurvivalTold, part = format!("{:016x}", part.0));
+            self.push_recent(Notice::Cleared(part, cleared_at));
+            self.untold.push((part, cleared_at));
+        }
+    }
+
     /// Removes the strikes for a crash, because its replica was found alive at `at`, here or by
     /// another daemon. Returns whether that is new.
     pub fn retract(&mut self, crash: Crash, at: Instant) -> bool {
--- a/crates/winch-relay/src/strikes/attribution.rs
+++ b/crates/winch-relay/src/strikes/attribution.rs
@@ -24,13 +24,24 @@
 /// Records that a run of the request has survived, and tells the other daemons if parts of its
 /// prompt had strikes.
 pub fn record_survival<P: Protocol>(node: &Arc<Node<P>>, job: &Job) {
-    let cleared = node.strikes().clear(&job.shared_parts, Instant::now());
+    let now = Instant::now();
+    let cleared = node.strikes().clear(&job.shared_parts, now);
     if cleared.is_empty() {
         return;
     }
     node.announce_strike();
+    let (reporter, cleared) = (node.clone(), cleared.into_iter().map(|part| (part, now)).collect());
+    node.tasks.spawn(async move { peer::report_cleared(&reporter, cleared).await });
+}
+
+/// Tells the other daemons of the survivals here that pardon strikes which they have told.
+pub fn report_untold<P: Protocol>(node: &Arc<Node<P>>) {
+    let untold = node.strikes().take_untold();
+    if untold.is_empty() {
+        return;
+    }
     let reporter = node.clone();
-    node.tasks.spawn(async move { peer::report_cleared(&reporter, &cleared).await });
+    node.tasks.spawn(async move { peer::report_cleared(&reporter, untold).await });
 }
 
 /// Records that a replica has run the request to its end, and tells the other daemons if the request
--- a/crates/winch-relay/src/watch/seeds.rs
+++ b/crates/winch-relay/src/watch/seeds.rs
@@ -44,7 +44,7 @@
 ///
 /// A stale seed is followed until `stale_until`.
 pub(super) async fn follow<P: Protocol, S: Store>(
-    node: &Node<P>,
+    node: &Arc<Node<P>>,
     store: &mut S,
     role: &Role,
     stale_until: Option<Instant>,
@@ -97,7 +97,7 @@
 
 /// Runs a subscription and returns why it has ended.
 async fn run<P: Protocol, S: Store>(
-    node: &Node<P>,
+    node: &Arc<Node<P>>,
     store: &mut S,
     subscription: Subscription,
 ) -> Error {
@@ -107,7 +107,7 @@
 
 /// Runs a subscription that was found while the store was read, until it ends.
 pub(super) async fn run_found<P: Protocol, S: Store>(
-    node: &Node<P>,
+    node: &Arc<Node<P>>,
     store: &mut S,
     subscription: Subscription,
 ) {
