--- a/crates/winch-relay/src/controller.rs
+++ b/crates/winch-relay/src/controller.rs
@@ -47,6 +47,8 @@
 const MAX_DELETES: usize = 80;
 /// Reason in the record of a verdict that was written again.
 const LOST_RECORD_REASON: &str = "the store had lost the record";
+/// Reason in the record of an order for the version that served already.
+const BACK_REASON: &str = "the version served already";
 /// Largest number of rows that a scan of a move reads.
 const MAX_ROWS: usize = 500;
 
@@ -294,11 +296,15 @@
         others: Counts,
         fencing_token: Option<u64>,
     ) -> Option<(Decision, bool)> {
-        let (own, fault) = {
+        let (own, fault, is_back) = {
             let rollouts = self.node.rollouts();
             let rollout = rollouts.get(&spec.service)?;
-            (rollout.counts(Instant::now()), rollout.progress().fault)
+            (rollout.counts(Instant::now()), rollout.progress().fault, rollout.is_back())
         };
+        if is_back && !fault {
+            let end = Decision::End(Verdict::Completed, BACK_REASON);
+            return Some((if fencing_token.is_some() { end } else { Decision::Hold }, false));
+        }
         let active = self.active_move(spec);
         let now = active.age();
         let window = Window { start: 0.0, deadline: spec.within.as_secs_f64() };
--- a/crates/winch-relay/src/moves.rs
+++ b/crates/winch-relay/src/moves.rs
@@ -7,7 +7,10 @@
 //!
 //! Progress comes in from the store and from peers, and results of attempts from this
 //! daemon. For each request the module draws the cohort and returns the [`Rule`] of the
-//! replicas that may serve it.
+//! replicas that may serve it. Versions of former orders that were not established serve no
+//! requests, and their results are no evidence; see [`lineage`].
+
+pub mod lineage;
 
 use std::collections::{BTreeSet, HashMap};
 
@@ -20,6 +23,7 @@
 use winch_roster::position::Position;
 use winch_route::hash;
 
+use self::lineage::{Lineage, Standing};
 use crate::prelude::*;
 
 /// Time for which a stage stays in force after its last confirmation.
@@ -98,28 +102,50 @@
     /// All replicas of the service.
     Any,
     /// Only the replicas with these ids.
-    Only(Vec<Name>),
-    /// All replicas except those of this version.
-    Except(Name),
+    Only {
+        /// The ids.
+        ids: Vec<Name>,
+        /// Versions that are excluded as a whole.
+        excluded: Vec<Name>,
+    },
+    /// All replicas except those of these versions.
+    Except(Vec<Name>),
 }
 
 impl Rule {
-    /// Whether the rule excludes `version` as a whole; [`Rule::Only`] never does, even if it
-    /// contains no replica of that version.
+    fn except(versions: Vec<Name>) -> Self {
+        if versions.is_empty() { Self::Any } else { Self::Except(versions) }
+    }
+
+    /// Whether the rule excludes `version` as a whole; it never does because [`Rule::Only`] contains no
+    /// replica of that version.
     pub fn excludes(&self, version: &str) -> bool {
-        matches!(self, Self::Except(excluded) if **excluded == *version)
+        match self {
+            Self::Any => false,
+            Self::Only { excluded, .. } | Self::Except(excluded) => {
+                excluded.iter().any(|other| **other == *version)
+            }
+        }
     }
 
     /// Whether `replica` may serve the request.
     pub fn allows(&self, replica: &Replica) -> bool {
         match self {
             Self::Any => true,
-            Self::Only(ids) => ids.contains(&replica.id),
-            Self::Except(version) => replica.version != *version,
+            Self::Only { ids, .. } => ids.contains(&replica.id),
+            Self::Except(versions) => !versions.contains(&replica.version),
         }
     }
 }
 
+/// The replicas of a service that may serve while it is moved.
+struct Lineup<'a> {
+    new: Vec<&'a Replica>,
+    old: Vec<&'a Replica>,
+    /// Versions other than the new one that do not serve.
+    excluded: Vec<Name>,
+}
+
 /// This daemon's state of one version move.
 #[derive(Debug)]
 pub struct Rollout {
@@ -129,12 +155,17 @@
     reports: HashMap<Name, (Evidence, Instant)>,
     /// Whether the store may have lost the verdict.
     is_unrecorded: bool,
+    lineage: Lineage,
+    /// See [`Lineage::standing()`].
+    standing: Standing,
 }
 
 impl Rollout {
-    fn new(progress: Progress) -> Self {
+    fn new(progress: Progress, lineage: Lineage) -> Self {
         Self {
             progress,
+            standing: lineage.standing(),
+            lineage,
             observer: Observer::default(),
             reports: HashMap::new(),
             is_unrecorded: false,
@@ -164,8 +195,59 @@
         if fresh && !fault && verdict.is_none() { *stage } else { 0 }
     }
 
-    fn cohort(&self, version: &str) -> Cohort {
-        if *self.progress.spec.to == *version { Cohort::New } else { Cohort::Old }
+    /// The former orders of the service.
+    pub fn lineage(&self) -> &Lineage {
+        &self.lineage
+    }
+
+    /// Changes the lineage; returns whether it has become another one.
+    fn update_lineage(&mut self, update: impl FnOnce(&mut Lineage, &Spec)) -> bool {
+        let before = self.lineage.clone();
+        update(&mut self.lineage, &self.progress.spec);
+        let has_changed = self.lineage != before;
+        if has_changed {
+            self.standing = self.lineage.standing();
+        }
+        has_changed
+    }
+
+    /// Whether the order is for the only version that serves already, so that there is nothing to
+    /// move. It calls off the order before it.
+    pub fn is_back(&self) -> bool {
+        *self.standing.serving == [self.progress.spec.to.clone()]
+    }
+
+    /// The cohort of a version; `None` if it does not serve.
+    fn cohort(&self, version: &str) -> Option<Cohort> {
+        let is_among = |versions: &[Name]| versions.iter().any(|other| **other == *version);
+        let Standing { rejected, replaced, .. } = &self.standing;
+        if *self.progress.spec.to == *version {
+            Some(Cohort::New)
+        } else if is_among(rejected) || is_among(replaced) {
+            None
+        } else {
+            Some(Cohort::Old)
+        }
+    }
+
+    /// Divides the `serving` replicas. A version that was replaced is an old one while there is no
+    /// other.
+    fn lineup<'a>(&self, serving: impl Iterator<Item = &'a Replica>) -> Lineup<'a> {
+        let Standing { rejected, replaced, .. } = &self.standing;
+        let to = &self.progress.spec.to;
+        let (new, others): (Vec<_>, Vec<_>) = serving.partition(|replica| replica.version == *to);
+        let is_excluded =
+            |replica: &&Replica, versions: &[Name]| versions.contains(&replica.version);
+        let others: Vec<_> =
+            others.into_iter().filter(|replica| !is_excluded(replica, rejected)).collect();
+        let mut excluded = rejected.clone();
+        let has_current = others.iter().any(|replica| !is_excluded(replica, replaced));
+        if has_current {
+            excluded.extend(replaced.iter().cloned());
+        }
+        excluded.retain(|version| version != to);
+        let old = others.into_iter().filter(|replica| !is_excluded(replica, &excluded)).collect();
+        Lineup { new, old, excluded }
     }
 
     /// Selects the replicas that may serve a request drawn for `cohort`, among the `serving`
@@ -177,14 +259,15 @@
         now: Instant,
     ) -> Rule {
         let to = &self.progress.spec.to;
-        let (mut new, old): (Vec<&Replica>, Vec<&Replica>) =
-            serving.partition(|replica| replica.version == *to);
+        let Lineup { mut new, old, excluded } = self.lineup(serving);
         let new_count = match self.progress.verdict {
             Some(Verdict::Completed) => new.len(),
-            Some(_) => return Rule::Except(to.clone()),
+            _ if self.is_back() => return Rule::except(excluded),
+            Some(Verdict::TakenBack) => 0,
             // Without replicas of the old version there is nothing to compare with or to
             // fall back to.
-            None if old.is_empty() => return Rule::Any,
+            _ if old.is_empty() => return Rule::except(excluded),
+            Some(_) => 0,
             None => match self.stage(now) {
                 0 => 0,
                 _ if cohort == Cohort::Old => 0,
@@ -192,13 +275,14 @@
             },
         };
         if new_count == 0 || new.is_empty() {
-            return Rule::Except(to.clone());
+            return Rule::Except([excluded, vec![to.clone()]].concat());
         }
         // All daemons choose the same few new replicas, so that these get enough load to show
         // faults that appear only under load.
         let seed = hash::name(&self.progress.spec.service);
         new.sort_by_key(|replica| hash::score(seed, hash::name(&replica.id)));
-        Rule::Only(new.iter().take(new_count).map(|replica| replica.id.clone()).collect())
+        let ids = new.iter().take(new_count).map(|replica| replica.id.clone()).collect();
+        Rule::Only { ids, excluded }
     }
 
     /// Goes on under the revision with which the instruction was written again.
@@ -253,23 +337,55 @@
     /// Applies received progress; returns whether more than the time of the last
     /// confirmation has changed.
     ///
-    /// Progress of an earlier move of the service is ignored.
+    /// Progress of an earlier move of the service is ignored, also if the store has brought its
+    /// order back from a copy.
     pub fn apply(&mut self, progress: Progress) -> bool {
-        match self.0.get_mut(&progress.spec.service) {
-            Some(rollout) if rollout.progress.spec.revision == progress.spec.revision => {
-                rollout.apply(progress)
-            }
-            Some(rollout) if rollout.progress.spec.revision > progress.spec.revision => false,
-            Some(rollout) if progress.spec.repeats(&rollout.progress.spec) => {
-                rollout.repeat(progress.spec.revision);
-                rollout.apply(progress);
-                true
-            }
-            _ => {
-                self.0.insert(progress.spec.service.clone(), Rollout::new(progress));
-                true
-            }
+        let spec = &progress.spec;
+        let Some(rollout) = self.0.get_mut(&spec.service) else {
+            let service = spec.service.clone();
+            self.0.insert(service, Rollout::new(progress, Lineage::default()));
+            return true;
+        };
+        let current = &rollout.progress.spec;
+        if current.revision == spec.revision {
+            return rollout.apply(progress);
+        }
+        if current.revision > spec.revision {
+            return false;
+        }
+        if spec.repeats(current) {
+            rollout.repeat(spec.revision);
+            rollout.apply(progress);
+            return true;
         }
+        if rollout.lineage.has(spec) {
+            return false;
+        }
+        let lineage = rollout.lineage.followed_by(&rollout.progress);
+        *rollout = Rollout::new(progress, lineage);
+        true
+    }
+
+    /// Applies what another daemon or the store has of the orders before the one with this revision;
+    /// returns whether that is new.
+    pub fn apply_lineage(&mut self, service: &str, revision: Position, lineage: &Lineage) -> bool {
+        let rollout = self.0.get_mut(service);
+        let Some(rollout) = rollout.filter(|known| known.progress.spec.revision == revision) else {
+            return false;
+        };
+        rollout.update_lineage(|known, _| known.merge(lineage))
+    }
+
+    /// Learns which versions served before the first order of a service from those that are
+    /// `listed`, if that is not known; returns whether it is now.
+    pub fn learn_base(&mut self, service: &str, listed: impl Iterator<Item = Name>) -> bool {
+        let Some(rollout) = self.0.get_mut(service) else { return false };
+        rollout.update_lineage(|known, spec| known.learn_base(listed, &spec.to))
+    }
+
+    /// Whether it is not known which versions of a service served before its first order.
+    pub fn lacks_base(&self, service: &str) -> bool {
+        self.0.get(service).is_some_and(|rollout| rollout.lineage.base.is_empty())
     }
 
     /// Starts a move; `false` if this or a later move of the service is known.
@@ -334,7 +450,7 @@
         now: Instant,
     ) -> Cohort {
         let Some(rollout) = self.0.get(service) else { return Cohort::Old };
-        let old = serving.filter(|replica| rollout.cohort(&replica.version) == Cohort::Old).count();
+        let old = rollout.lineup(serving).old.len();
         let share = schedule::share(rollout.stage(now), old);
         if schedule::is_in_share(number, share) { Cohort::New } else { Cohort::Old }
     }
@@ -351,10 +467,11 @@
         self.0.get(service).map_or(Rule::Any, |rollout| rollout.rule(cohort, serving, now))
     }
 
-    /// The observer of the open move of the replica's service, and the replica's cohort.
+    /// The observer of the open move of the replica's service, and the replica's cohort; `None` if
+    /// its results are no evidence.
     fn observer(&mut self, replica: &Replica) -> Option<(&mut Observer, Cohort)> {
         let rollout = self.0.get_mut(&replica.service).filter(|rollout| rollout.is_open())?;
-        let cohort = rollout.cohort(&replica.version);
+        let cohort = rollout.cohort(&replica.version)?;
         Some((&mut rollout.observer, cohort))
     }
 
--- /dev/null
+++ b/crates/winch-relay/src/moves/lineage.rs
@@ -0,0 +1,151 @@
+//! The versions of a service before its latest order.
+//!
+//! An order names only the version to which a service is moved. Which of the other versions may
+//! serve follows from the orders before it: one that was not completed has proved nothing for its
+//! version, and a completed one replaces the version that served until then.
+
+use winch_move::verdict::Verdict;
+use winch_roster::position::Position;
+
+use super::{Progress, Spec};
+use crate::prelude::*;
+
+/// Largest number of former orders that are kept.
+const MAX_FORMER: usize = 16;
+
+/// An order that a later one of its service has replaced.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Former {
+    /// See [`Spec::to`].
+    pub to: Name,
+    /// See [`Spec::revision`].
+    pub revision: Position,
+    /// The verdict; `None` if there was none when the order was replaced.
+    pub verdict: Option<Verdict>,
+}
+
+impl Former {
+    fn new(progress: &Progress) -> Self {
+        let Progress { spec: Spec { to, revision, .. }, verdict, .. } = progress;
+        Self { to: to.clone(), revision: *revision, verdict: *verdict }
+    }
+}
+
+/// The former orders of a service.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Lineage {
+    /// The versions that served before the first of these orders; empty if they are not known.
+    pub base: Vec<Name>,
+    /// The orders, from the first to the last.
+    pub former: Vec<Former>,
+    /// Whether the store has it in the record of the latest order.
+    pub is_recorded: bool,
+}
+
+/// What the former orders mean for the versions of a service.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Standing {
+    /// Versions that serve; empty if they are not known.
+    pub serving: Vec<Name>,
+    /// Versions that were ordered, and not established.
+    pub rejected: Vec<Name>,
+    /// Versions that served until another one was established.
+    pub replaced: Vec<Name>,
+}
+
+impl Standing {
+    /// Applies the end of an order.
+    fn apply(&mut self, former: &Former) {
+        let is_other = |version: &Name| *version != former.to;
+        if former.verdict != Some(Verdict::Completed) {
+            if !self.serving.contains(&former.to) && !self.rejected.contains(&former.to) {
+                self.rejected.push(former.to.clone());
+            }
+            return;
+        }
+        self.replaced.append(&mut self.serving);
+        self.replaced.retain(is_other);
+        self.rejected.retain(is_other);
+        self.serving.push(former.to.clone());
+    }
+}
+
+impl Lineage {
+    /// The lineage of the order that follows `progress`.
+    pub fn followed_by(&self, progress: &Progress) -> Self {
+        let mut next = Self { is_recorded: false, ..self.clone() };
+        next.insert(Former::new(progress));
+        next
+    }
+
+    /// Adds an order, or the verdict of a known one.
+    pub fn insert(&mut self, former: Former) {
+        match self.former.binary_search_by_key(&former.revision, |known| known.revision) {
+            Ok(index) => {
+                let verdict = &mut self.former[index].verdict;
+                *verdict = verdict.or(former.verdict);
+            }
+            Err(index) => self.former.insert(index, former),
+        }
+        if self.former.len() > MAX_FORMER {
+            let first = self.former.remove(0);
+            if first.verdict == Some(Verdict::Completed) {
+                self.base = vec![first.to];
+            }
+        }
+    }
+
+    /// Merges the lineage of the same order that another daemon, or the store, has. What the store
+    /// has replaces the rest.
+    pub fn merge(&mut self, other: &Self) {
+        match (self.is_recorded, other.is_recorded) {
+            (true, false) => {}
+            (false, true) => {
+                let base = std::mem::take(&mut self.base);
+                *self = other.clone();
+                if self.base.is_empty() {
+                    self.base = base;
+                }
+            }
+            (true, true) | (false, false) => {
+                if self.base.is_empty() {
+                    self.base.clone_from(&other.base);
+                }
+                other.former.iter().cloned().for_each(|former| self.insert(former));
+            }
+        }
+    }
+
+    /// Whether `spec` is a former order, which the store has again after it came back from a copy:
+    /// its version of before, in a new era.
+    pub fn has(&self, spec: &Spec) -> bool {
+        let Position { era, version } = spec.revision;
+        self.former.iter().any(|former| {
+            let known = former.revision;
+            former.to == spec.to && known.version == version && known.era < era
+        })
+    }
+
+    /// Learns the versions that served before the first order from those that are `listed`, if they
+    /// are not known. `to` is the version of the latest order.
+    pub fn learn_base(&mut self, listed: impl Iterator<Item = Name>, to: &Name) {
+        if !self.base.is_empty() {
+            return;
+        }
+        let was_ordered = |version: &Name| self.former.iter().any(|former| former.to == *version);
+        // Replicas of the latest order may have started before it.
+        let mut base: Vec<Name> =
+            listed.filter(|version| version != to && !was_ordered(version)).collect();
+        base.sort();
+        base.dedup();
+        self.base = base;
+    }
+
+    /// What the orders mean for the versions of the service.
+    pub fn standing(&self) -> Standing {
+        let serving = self.base.clone();
+        let mut standing = Standing { serving, ..Standing::default() };
+        self.former.iter().for_each(|former| standing.apply(former));
+        standing
+    }
+}
--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -28,6 +28,7 @@
 };
 use tokio_util::task::TaskTracker;
 use winch_move::evidence::Cohort;
+use winch_roster::position::Position;
 use winch_roster::roster::Roster;
 use winch_route::overload::Gate;
 
@@ -40,7 +41,7 @@
     fleet::Fleet,
     forward::Running,
     memory::MAX_BLOCKS,
-    moves::{Progress, Rollouts, Rule, Spec},
+    moves::{Progress, Rollouts, Rule, Spec, lineage::Lineage},
     pool::Pool,
     prelude::*,
     pulse::Pulse,
@@ -224,10 +225,44 @@
         let (service, to, revision) = (spec.service.clone(), spec.to.clone(), spec.revision);
         if self.rollouts().start(spec) {
             emit!(Event::MoveRequested, name = service, to = to, revision = revision);
+            self.learn_base(&service);
             self.changed.send_replace(());
         }
     }
 
+    /// Learns which versions of a service served before its first order, if that is not known.
+    pub fn learn_base(&self, service: &str) {
+        let mut rollouts = self.rollouts();
+        if !rollouts.lacks_base(service) {
+            return;
+        }
+        let catalog = self.catalog();
+        let versions = catalog.serving(service).map(|(_, entry)| entry.replica.version.clone());
+        let has_changed = rollouts.learn_base(service, versions);
+        drop((rollouts, catalog));
+        if has_changed {
+            self.changed.send_replace(());
+        }
+    }
+
+    /// Applies what another daemon or the store has of the orders before the one with this revision.
+    pub fn apply_lineage(&self, service: &str, revision: Position, lineage: &Lineage) {
+        if self.rollouts().apply_lineage(service, revision, lineage) {
+            let rejected = self.rejected_versions(service);
+            emit!(Event::MoveLineage, name = service, rejected = rejected.join(","));
+            self.changed.send_replace(());
+        }
+    }
+
+    /// The versions of a service that were ordered, and not established.
+    fn rejected_versions(&self, service: &str) -> Vec<Name> {
+        let rollouts = self.rollouts();
+        rollouts
+            .get(service)
+            .map(|rollout| rollout.lineage().standing().rejected)
+            .unwrap_or_default()
+    }
+
     /// Applies progress of a version move that was read from the store, received from a peer
     /// or found by this daemon.
     pub fn apply_progress(&self, progress: Progress) {
