--- a/crates/winch-relay/src/controller.rs
+++ b/crates/winch-relay/src/controller.rs
@@ -191,6 +191,7 @@
             // A later move of the service has replaced this one; its spec has not arrived yet.
             return Ok(());
         }
+        self.learn_lineage(&spec, &stored);
         let stored = Some(stored).filter(|stored| stored.position() == spec.revision);
         let stored = stored.unwrap_or_default();
         self.active_move(&spec).apply_age(stored.age_s);
--- a/crates/winch-relay/src/controller/rows.rs
+++ b/crates/winch-relay/src/controller/rows.rs
@@ -1,10 +1,15 @@
 //! Rows of a move in the platform's store, and their keys.
 
 use serde::{Deserialize, Serialize};
-use winch_move::{evidence::Tally, verdict::Record};
+use winch_move::{
+    evidence::Tally,
+    verdict::{Record, Verdict},
+};
 use winch_platform::table::Row;
 use winch_roster::position::Position;
 
+use crate::moves::lineage::{Former, Lineage};
+
 /// The row with the record of a move.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(super) struct RecordRow {
@@ -16,6 +21,13 @@
     /// Age of the move when the row was written, in seconds.
     pub(super) age_s: f64,
     pub(super) record: Record,
+    /// Version to which the service is moved; empty in rows of earlier releases.
+    #[serde(default)]
+    pub(super) to: String,
+    /// The orders before this one; rows of earlier releases have none, and a row that such a release
+    /// has written again, neither.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) lineage: Option<LineageRow>,
 }
 
 impl RecordRow {
@@ -25,6 +37,52 @@
     }
 }
 
+/// A [`Lineage`] in a [`RecordRow`].
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct LineageRow {
+    base: Vec<String>,
+    former: Vec<FormerRow>,
+}
+
+/// A [`Former`] order in a [`RecordRow`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct FormerRow {
+    to: String,
+    era: u64,
+    revision: u64,
+    verdict: Option<Verdict>,
+}
+
+impl From<&Lineage> for LineageRow {
+    fn from(lineage: &Lineage) -> Self {
+        let former = lineage.former.iter().map(|former| FormerRow {
+            to: former.to.to_string(),
+            era: former.revision.era,
+            revision: former.revision.version,
+            verdict: former.verdict,
+        });
+        Self {
+            base: lineage.base.iter().map(ToString::to_string).collect(),
+            former: former.collect(),
+        }
+    }
+}
+
+impl From<LineageRow> for Lineage {
+    fn from(row: LineageRow) -> Self {
+        let former = row.former.into_iter().map(|former| Former {
+            to: former.to.into(),
+            revision: Position { era: former.era, version: former.revision },
+            verdict: former.verdict,
+        });
+        Self {
+            base: row.base.into_iter().map(Into::into).collect(),
+            former: former.collect(),
+            is_recorded: true,
+        }
+    }
+}
+
 /// The row with the counts of one daemon and its followers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct CountsRow {
--- a/crates/winch-relay/src/peer/follow.rs
+++ b/crates/winch-relay/src/peer/follow.rs
@@ -16,6 +16,7 @@
 };
 use crate::{
     edition::Edition,
+    moves::lineage::Lineage,
     node::{Node, Reading},
     prelude::*,
     running_time::{Budget, timeout},
@@ -287,8 +288,14 @@
             node.strikes().mark_synced();
             node.announce_strike();
         }
-        for moving in std::mem::take(&mut update.moving) {
-            node.apply_progress(moving.decode_at(self.received_at));
+        for mut moving in std::mem::take(&mut update.moving) {
+            let lineage = moving.lineage.take().map(Lineage::from);
+            let progress = moving.decode_at(self.received_at);
+            let (service, revision) = (progress.spec.service.clone(), progress.spec.revision);
+            node.apply_progress(progress);
+            if let Some(lineage) = lineage {
+                node.apply_lineage(&service, revision, &lineage);
+            }
         }
         if let Some(speeds) = update.speeds.take() {
             node.speeds().apply(&speeds.into());
--- a/crates/winch-relay/src/peer/progress.rs
+++ b/crates/winch-relay/src/peer/progress.rs
@@ -7,7 +7,10 @@
 
 use super::notice::millis;
 use crate::{
-    moves::{Counts, Evidence, Progress, Spec},
+    moves::{
+        Counts, Evidence, Progress, Rollout, Spec,
+        lineage::{Former, Lineage},
+    },
     prelude::*,
 };
 
@@ -41,12 +44,97 @@
     /// Era of the revision.
     #[prost(uint64, tag = "9")]
     pub era: u64,
+    /// The orders before it; unset by earlier releases, which skip it.
+    #[prost(message, optional, tag = "10")]
+    pub lineage: Option<MoveLineage>,
+}
+
+/// A [`Lineage`] on the wire.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct MoveLineage {
+    /// See [`Lineage::base`].
+    #[prost(string, repeated, tag = "1")]
+    pub base: Vec<String>,
+    /// See [`Lineage::former`].
+    #[prost(message, repeated, tag = "2")]
+    pub former: Vec<FormerMove>,
+    /// See [`Lineage::is_recorded`].
+    #[prost(bool, tag = "3")]
+    pub recorded: bool,
+}
+
+/// A [`Former`] order on the wire.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct FormerMove {
+    /// See [`Former::to`].
+    #[prost(string, tag = "1")]
+    pub to: String,
+    /// Version of [`Former::revision`].
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// Era of the revision.
+    #[prost(uint64, tag = "3")]
+    pub era: u64,
+    /// As [`MoveProgress::verdict`].
+    #[prost(uint32, tag = "4")]
+    pub verdict: u32,
+}
+
+impl From<&Lineage> for MoveLineage {
+    fn from(lineage: &Lineage) -> Self {
+        let former = lineage.former.iter().map(|former| FormerMove {
+            to: former.to.to_string(),
+            revision: former.revision.version,
+            era: former.revision.era,
+            verdict: encode_verdict(former.verdict),
+        });
+        Self {
+            base: lineage.base.iter().map(ToString::to_string).collect(),
+            former: former.collect(),
+            recorded: lineage.is_recorded,
+        }
+    }
+}
+
+impl From<MoveLineage> for Lineage {
+    fn from(lineage: MoveLineage) -> Self {
+        let former = lineage.former.into_iter().map(|former| Former {
+            to: former.to.into(),
+            revision: Position { era: former.era, version: former.revision },
+            verdict: decode_verdict(former.verdict),
+        });
+        Self {
+            base: lineage.base.into_iter().map(Into::into).collect(),
+            former: former.collect(),
+            is_recorded: lineage.recorded,
+        }
+    }
+}
+
+fn encode_verdict(verdict: Option<Verdict>) -> u32 {
+    match verdict {
+        None => 0,
+        Some(Verdict::Completed) => 1,
+        Some(Verdict::TakenBack) => 2,
+        Some(Verdict::Expired) => 3,
+        Some(Verdict::Cancelled) => 4,
+    }
+}
+
+fn decode_verdict(verdict: u32) -> Option<Verdict> {
+    match verdict {
+        1 => Some(Verdict::Completed),
+        2 => Some(Verdict::TakenBack),
+        3 => Some(Verdict::Expired),
+        4 => Some(Verdict::Cancelled),
+        _ => None,
+    }
 }
 
 impl MoveProgress {
-    /// Encodes the progress, with its age at `now`.
-    pub(super) fn encode_at(progress: &Progress, now: Instant) -> Self {
-        let Progress { spec, stage, confirmed_at, fault, verdict } = progress;
+    /// Encodes the progress of a move and the orders before it, with its age at `now`.
+    pub(super) fn encode_at(rollout: &Rollout, now: Instant) -> Self {
+        let Progress { spec, stage, confirmed_at, fault, verdict } = rollout.progress();
         Self {
             service: spec.service.to_string(),
             to: spec.to.to_string(),
@@ -56,13 +144,8 @@
             stage: *stage,
             age_ms: confirmed_at.map(|at| millis(now.saturating_duration_since(at))),
             fault: *fault,
-            verdict: match verdict {
-                None => 0,
-                Some(Verdict::Completed) => 1,
-                Some(Verdict::TakenBack) => 2,
-                Some(Verdict::Expired) => 3,
-                Some(Verdict::Cancelled) => 4,
-            },
+            verdict: encode_verdict(*verdict),
+            lineage: Some(rollout.lineage().into()),
         }
     }
 
@@ -79,13 +162,7 @@
             stage: self.stage,
             confirmed_at: self.age_ms.and_then(|age| now.checked_sub(Duration::from_millis(age))),
             fault: self.fault,
-            verdict: match self.verdict {
-                1 => Some(Verdict::Completed),
-                2 => Some(Verdict::TakenBack),
-                3 => Some(Verdict::Expired),
-                4 => Some(Verdict::Cancelled),
-                _ => None,
-            },
+            verdict: decode_verdict(self.verdict),
         }
     }
 }
--- a/crates/winch-relay/src/peer/serve.rs
+++ b/crates/winch-relay/src/peer/serve.rs
@@ -131,8 +131,7 @@
     fn add_moves<P: Protocol>(&self, node: &Node<P>, update: &mut Update) {
         let now = Instant::now();
         let rollouts = node.rollouts();
-        update.moving =
-            rollouts.iter().map(|r| MoveProgress::encode_at(r.progress(), now)).collect();
+        update.moving = rollouts.iter().map(|r| MoveProgress::encode_at(r, now)).collect();
     }
 
     fn add_notices<P: Protocol>(&mut self, node: &Node<P>, update: &mut Update) {
--- a/crates/wisteriawinch/tests/move_assignment.rs
+++ b/crates/wisteriawinch/tests/move_assignment.rs
@@ -93,3 +93,32 @@
     let rollouts = rollouts(&[verdict(Verdict::TakenBack), verdict(Verdict::Completed)]);
     assert_eq!(version(&rollouts, SELECTED, NOW, false), "v1");
 }
+
+// Guards against a version that was taken back and serves again with the next move: a move names the
+// version that it comes from.
+#[test]
+fn next_move_skips_rejected() {
+    let deadline = unix_now() + 1_000;
+    let spec = |name: &str, to: &str| Move {
+        name: name.into(),
+        route: "layout".into(),
+        from: "v1".into(),
+        to: to.into(),
+        start: unix_now() - 10,
+        deadline,
+        cancelled: false,
+    };
+    let (first, second) = (spec("m", "v2"), spec("n", "v3"));
+    let mut rollouts = Rollouts::default();
+    rollouts.sync([&first].into_iter());
+    assert!(rollouts.apply(&verdict(Verdict::TakenBack), NOW));
+    rollouts.sync([&first, &second].into_iter());
+    assert_eq!(version(&rollouts, SELECTED, NOW, false), "v1");
+    assert!(rollouts.apply(&grant_fact("n", 3, "entry-1", 4), NOW));
+    for request in [SELECTED, u64::MAX / 8, u64::MAX / 2, u64::MAX] {
+        assert_ne!(version(&rollouts, request, NOW, false), "v2");
+    }
+    rollouts.record_success("v2", Duration::from_millis(5), Duration::from_millis(1));
+    let (new, old) = rollouts.get_mut("n").expect("configured").pooled();
+    assert_eq!((new.good, old.good), (0, 0), "nor are its results evidence");
+}
