--- a/crates/winch-relay/src/strikes.rs
+++ b/crates/winch-relay/src/strikes.rs
@@ -7,6 +7,7 @@
 //! before it is sent to a replica.
 
 mod attribution;
+mod log;
 
 use std::collections::VecDeque;
 
@@ -18,10 +19,10 @@
 pub use self::attribution::{
     attribute_crash, attribute_crash_later, record_completion, record_survival, report_untold,
 };
+use self::log::Log;
+pub use self::log::Notice;
 use crate::{counter, prelude::*};
 
-/// Number of recent notices that are kept for sending to other daemons.
-const MAX_RECENT_NOTICES: usize = 256;
 /// Number of strikes of this daemon's own that are kept for telling them again.
 const MAX_OBSERVED: usize = 64;
 /// Number of retracted crashes that are remembered, so that late strikes for them do not count.
@@ -47,20 +48,6 @@
     pub at: Instant,
 }
 
-/// What daemons tell each other about crashes.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Notice {
-    /// A request got a strike.
-    Struck(Strike),
-    /// A request with this part survived at this time, which removes the strikes against the
-    /// part.
-    Cleared(Part, Instant),
-    /// The replica of this crash was found alive at this time, which removes the strikes for it.
-    Retracted(Crash, Instant),
-    /// This request ran to its end at this time, which removes the strikes against it from before.
-    Completed(Fingerprint, Instant),
-}
-
 /// All strikes known to this daemon.
 #[derive(Debug)]
 pub struct Strikes {
@@ -68,12 +55,10 @@
     parts: Ledger,
     /// When the daemon started.
     origin: Instant,
-    /// The newest notices, oldest first. Their strikes name no part that was cleared.
-    recent: VecDeque<Notice>,
+    /// The newest notices. Their strikes name no part that was cleared.
+    recent: Log,
     /// The newest strikes that this daemon has observed itself, the oldest first.
     observed: VecDeque<Strike>,
-    /// Number of notices that were removed from `recent`.
-    dropped: usize,
     /// Whether what was refused before this daemon's start has been read or told.
     is_synced: bool,
     /// Crashes that were retracted, and when, the oldest first.
@@ -93,9 +78,8 @@
             tracker,
             parts,
             origin,
-            recent: VecDeque::new(),
+            recent: Log::default(),
             observed: VecDeque::new(),
-            dropped: 0,
             is_synced: false,
             retracted: VecDeque::new(),
             completed: VecDeque::new(),
@@ -121,8 +105,7 @@
     /// The time that the tracker and the ledger use; strikes from before the start of this daemon
     /// have one, too.
     fn since_origin(&self, at: Instant) -> Duration {
-        let uptime = at.saturating_duration_since(self.origin);
-        (MAX_AGE + uptime).saturating_sub(self.origin.saturating_duration_since(at))
+        since_origin(self.origin, at)
     }
 
     /// Records a crash that this daemon has observed, and returns whether and how the request
@@ -169,14 +152,13 @@
     fn is_known(&self, strike: &Strike, at: Duration) -> bool {
         let Strike { request, crash, parts, .. } = strike;
         let is_open = |part: &&Part| !self.parts.is_cleared(**part, at);
-        let is_told = |notice: &Notice| {
-            let Notice::Struck(known) = notice else { return false };
+        let is_told = |known: &Strike| {
             (known.request, known.crash) == (*request, *crash)
                 && parts.iter().filter(is_open).all(|part| known.parts.contains(part))
         };
         let has_open_part = parts.iter().any(|part| is_open(&part));
         has_open_part && self.parts.has_strike(*request, *crash, parts, at)
-            || self.recent.iter().any(is_told)
+            || self.recent.strikes().any(is_told)
     }
 
     /// Records a strike against the parts of its request; returns whether it is new to one of them.
@@ -199,7 +181,7 @@
     fn push_strike(&mut self, mut strike: Strike, at: Duration) {
         let is_suspect = |part: &Part| !self.parts.is_cleared(*part, at);
         strike.parts = strike.parts.iter().copied().filter(is_suspect).collect();
-        self.push_recent(Notice::Struck(strike));
+        self.recent.push(Notice::Struck(strike));
     }
 
     fn push_observed(&mut self, strike: Strike) {
@@ -209,14 +191,6 @@
         }
     }
 
-    fn push_recent(&mut self, notice: Notice) {
-        self.recent.push_back(notice);
-        if self.recent.len() > MAX_RECENT_NOTICES {
-            self.recent.pop_front();
-            self.dropped += 1;
-        }
-    }
-
     /// Records that a request with these parts survived here at `at`. Returns the parts that had
     /// strikes, which are removed.
     pub fn clear(&mut self, parts: &[Part], at: Instant) -> Vec<Part> {
@@ -237,18 +211,12 @@
     /// Takes a part out of the strikes in the notices that its survival at `at` pardons, and notes the
     /// survival.
     fn forgive(&mut self, part: Part, at: Instant) {
-        let cleared_at = self.since_origin(at);
-        for index in 0..self.recent.len() {
-            let Notice::Struck(strike) = &self.recent[index] else { continue };
-            let is_pardoned = self.parts.pardons(cleared_at, self.since_origin(strike.at));
-            if !is_pardoned || !strike.parts.contains(&part) {
-                continue;
-            }
-            let parts = strike.parts.iter().copied().filter(|other| *other != part).collect();
-            self.recent[index] = Notice::Struck(Strike { parts, ..strike.clone() });
-        }
+        let (parts, origin) = (&self.parts, self.origin);
+        let cleared_at = since_origin(origin, at);
+        self.recent
+            .take_out(part, |strike| parts.pardons(cleared_at, since_origin(origin, strike.at)));
         emit!(Event::PartCleared, part = format!("{:016x}", part.0));
-        self.push_recent(Notice::Cleared(part, at));
+        self.recent.push(Notice::Cleared(part, at));
     }
 
     /// Takes the survivals here that pardon parts of strikes from elsewhere, and that all daemons
@@ -264,7 +232,7 @@
             let cleared_at =
                 strike.at.checked_sub(age).unwrap_or(strike.at) + cleared_at.saturating_sub(at);
             emit!(Event::SurvivalTold, part = format!("{:016x}", part.0));
-            self.push_recent(Notice::Cleared(part, cleared_at));
+            self.recent.push(Notice::Cleared(part, cleared_at));
             self.untold.push((part, cleared_at));
         }
     }
@@ -281,13 +249,8 @@
         }
         self.tracker.retract(crash);
         self.parts.retract(crash);
-        // A notice is emptied, not removed: followers count notices.
-        for notice in &mut self.recent {
-            if matches!(notice, Notice::Struck(strike) if strike.crash == crash) {
-                *notice = Notice::Retracted(crash, at);
-            }
-        }
-        self.push_recent(Notice::Retracted(crash, at));
+        self.recent.retract(crash, at);
+        self.recent.push(Notice::Retracted(crash, at));
         true
     }
 
@@ -356,7 +319,7 @@
         if self.completed.len() > MAX_COMPLETED {
             self.completed.pop_front();
         }
-        self.push_recent(Notice::Completed(request, at));
+        self.recent.push(Notice::Completed(request, at));
     }
 
     /// Whether a strike of time `at` against this request no longer counts, because the request ran
@@ -415,9 +378,7 @@
     /// The notices that followed the first `count` ones, as far as they are kept, and the
     /// number of all notices so far; the next call takes this number as its `count`.
     pub fn after(&self, count: usize) -> (Vec<Notice>, usize) {
-        let skipped = count.saturating_sub(self.dropped);
-        let notices = self.recent.iter().skip(skipped).cloned().collect();
-        (notices, self.dropped + self.recent.len())
+        self.recent.after(count)
     }
 }
 
@@ -434,6 +395,12 @@
     suspect::fingerprint(team.map_or("", |team| team), &call.target, &body)
 }
 
+/// The time that the tracker and the ledger of a daemon that started at `origin` use.
+fn since_origin(origin: Instant, at: Instant) -> Duration {
+    let uptime = at.saturating_duration_since(origin);
+    (MAX_AGE + uptime).saturating_sub(origin.saturating_duration_since(at))
+}
+
 /// The hashes of parts for the log.
 fn label_parts(parts: &[Part]) -> String {
     parts.iter().map(|part| format!("{:016x}", part.0)).collect::<Vec<_>>().join(",")
--- a/crates/winch-relay/tests/move_lineage.rs
+++ b/crates/winch-relay/tests/move_lineage.rs
@@ -1,7 +1,10 @@
 //! The versions that may serve after several orders for one service, and whose results count.
 
+mod common;
+
 use std::{sync::Arc, time::Duration};
 
+use common::replica;
 use tokio::time::Instant;
 use winch_move::{evidence::Cohort, verdict::Verdict};
 use winch_relay::{
@@ -14,19 +17,6 @@
 };
 use winch_roster::position::Position;
 
-fn replica(number: u16, version: &str) -> Replica {
-    Replica {
-        id: format!("{version}-{number}").into(),
-        service: "s".into(),
-        address: ([127, 0, 0, 1], number).into(),
-        dc: "a".into(),
-        version: version.into(),
-        slots: 6,
-        draining: false,
-        started_at_ms: None,
-    }
-}
-
 /// Ten replicas of each of these versions.
 fn replicas(versions: &[&str]) -> Vec<Replica> {
     versions.iter().flat_map(|version| (0..10).map(|number| replica(number, version))).collect()
--- a/crates/winch-relay/tests/move_rules.rs
+++ b/crates/winch-relay/tests/move_rules.rs
@@ -1,8 +1,11 @@
 //! The replicas that may serve requests while a service is moved to another version, and the
 //! counts of attempts on both versions.
 
+mod common;
+
 use std::{sync::Arc, time::Duration};
 
+use common::replica;
 use proptest::{prelude::*, test_runner::RngSeed};
 use tokio::time::Instant;
 use winch_move::{
@@ -15,19 +18,6 @@
 };
 use winch_roster::position::Position;
 
-fn replica(number: u16, version: &str) -> Replica {
-    Replica {
-        id: format!("i-{number}").into(),
-        service: "s".into(),
-        address: ([127, 0, 0, 1], number).into(),
-        dc: "a".into(),
-        version: version.into(),
-        slots: 6,
-        draining: false,
-        started_at_ms: None,
-    }
-}
-
 /// Ten replicas of the old version and ten of the new one.
 fn both_versions() -> Vec<Replica> {
     (1..=20).map(|number| replica(number, if number <= 10 { "v1" } else { "v2" })).collect()
--- a/crates/winch-route/src/quarantine.rs
+++ b/crates/winch-route/src/quarantine.rs
@@ -8,13 +8,15 @@
 //! they survive. Each crash of a request without one of the parts narrows the group down, too.
 //! A crash that a group explains counts against no other part.
 
+mod blame;
 mod case;
+mod clearance;
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use slotmap::{SlotMap, new_key_type};
 
-use self::case::Case;
+use self::{case::Case, clearance::Clearances};
 use crate::{
     hash,
     suspect::{Crash, Fingerprint},
@@ -124,14 +126,6 @@
     }
 }
 
-/// The last survival of a request with a part.
-#[derive(Clone, Copy, Debug)]
-struct Clearance {
-    at: Duration,
-    /// The last one that all daemons were told.
-    told: Option<Duration>,
-}
-
 /// The strikes against all parts.
 #[derive(Debug)]
 pub struct Ledger {
@@ -139,7 +133,7 @@
     cases: HashMap<Part, Case>,
     /// The parts with a strike of each request and crash, sorted.
     held: HashMap<(Fingerprint, Crash), Vec<Part>>,
-    cleared: HashMap<Part, Clearance>,
+    clearances: Clearances,
     groups: SlotMap<GroupKey, Group>,
     /// Crashes that quarantined groups explain.
     explained: HashMap<Crash, Cause>,
@@ -163,7 +157,7 @@
             options,
             cases: HashMap::new(),
             held: HashMap::new(),
-            cleared: HashMap::new(),
+            clearances: Clearances::new(options.clearance, options.max_parts),
             groups: SlotMap::with_key(),
             explained: HashMap::new(),
         }
@@ -195,68 +189,6 @@
         Finding { is_new, quarantined, explained }
     }
 
-    /// Finds what explains a crash that struck a request with these parts, of which it has `held`
-    /// strikes. Returns the parts that are quarantined because of it, and the crashes that they
-    /// explain.
-    fn blame(
-        &mut self,
-        crash: Crash,
-        parts: &[Part],
-        held: &[Part],
-        now: Duration,
-    ) -> (Vec<Part>, Vec<Crash>) {
-        if let Some(cause) = self.explained.get(&crash) {
-            let mut groups = cause.groups.iter().copied();
-            return match groups.find(|group| self.groups[*group].decided_by == crash) {
-                Some(group) => self.blame_rival(group, held, now),
-                None => Default::default(),
-            };
-        }
-        if let Some(group) = self.find_quarantined(&[parts, held].concat(), now) {
-            let last_crash_at = &mut self.groups[group].last_crash_at;
-            *last_crash_at = now.max(*last_crash_at);
-            self.explain(group, &[crash], now);
-            return (Vec::new(), vec![crash]);
-        }
-        let suspects = self.suspects(held);
-        if suspects.is_empty() {
-            return Default::default();
-        }
-        let crashes = self.crashes_of(&suspects);
-        let explained = self.quarantine(&suspects, crash, &crashes, now);
-        (suspects, explained)
-    }
-
-    /// Weighs the request with the `held` parts, that the crash has struck with which `group` was
-    /// found, against the request for which it was found. Either may be the cause, so only requests
-    /// with the suspect parts of both are refused, until many crashes speak against each.
-    fn blame_rival(
-        &mut self,
-        group: GroupKey,
-        held: &[Part],
-        now: Duration,
-    ) -> (Vec<Part>, Vec<Crash>) {
-        let crash = self.groups[group].decided_by;
-        let found = self.groups[group].parts.clone();
-        let mut crashes: Vec<Crash> = self.explained_by(group);
-        self.dissolve(group);
-        let suspects = self.suspects(held);
-        crashes.extend(self.crashes_of(&suspects));
-        crashes.sort_unstable();
-        crashes.dedup();
-        let mut both = [&found[..], &suspects].concat();
-        both.sort_unstable();
-        both.dedup();
-        let is_decided = crashes.len() >= self.options.rival_threshold;
-        if is_decided && both.len() > found.len().max(suspects.len()) {
-            self.quarantine(&found, crash, &crashes, now);
-            let explained = self.quarantine(&suspects, crash, &crashes, now);
-            return (suspects, explained);
-        }
-        let explained = self.quarantine(&both, crash, &crashes, now);
-        if both.len() > found.len() { (both, explained) } else { Default::default() }
-    }
-
     /// Whether this strike is known, with all these parts but those that a survival pardons.
     pub fn has_strike(
         &self,
@@ -302,114 +234,6 @@
         }
     }
 
-    /// Ends the quarantine of the groups that explain a crash.
-    fn reopen(&mut self, crash: Crash) {
-        if let Some(cause) = self.explained.remove(&crash) {
-            cause.groups.iter().for_each(|group| self.dissolve(*group));
-        }
-    }
-
-    /// Ends the quarantine of a group, which then explains no crash.
-    fn dissolve(&mut self, group: GroupKey) {
-        self.groups.remove(group);
-        self.explained.retain(|_, cause| {
-            cause.groups.retain(|other| *other != group);
-            !cause.groups.is_empty()
-        });
-    }
-
-    fn groups_of(&self, cause: &Cause) -> impl Iterator<Item = &Group> {
-        cause.groups.iter().map(|group| &self.groups[*group])
-    }
-
-    /// Whether enough crashes count against a part: those that no group explains, or one with the
-    /// part.
-    fn is_suspect(&self, part: Part) -> bool {
-        let Options { crash_threshold, crashes_per_request, .. } = self.options;
-        let is_open = |crash| {
-            let cause = self.explained.get(&crash);
-            cause.is_none_or(|cause| self.groups_of(cause).any(|group| group.parts.contains(&part)))
-        };
-        let case = self.cases.get(&part);
-        case.is_some_and(|case| case.evidence(is_open, crashes_per_request) >= crash_threshold)
-    }
-
-    /// The suspects among these parts.
-    fn suspects(&self, parts: &[Part]) -> Vec<Part> {
-        parts.iter().copied().filter(|part| self.is_suspect(*part)).collect()
-    }
-
-    /// Quarantines sorted parts together, in place of the groups that contain them all, as the cause
-    /// of `crashes`. Returns these if there is a request that holds all the parts, and is refused.
-    fn quarantine(
-        &mut self,
-        parts: &[Part],
-        decided_by: Crash,
-        crashes: &[Crash],
-        now: Duration,
-    ) -> Vec<Crash> {
-        let strikes = self.strikes_of(parts);
-        let last_crash_at = strikes.iter().map(|strike| strike.at).max().unwrap_or(now);
-        let group = Group { parts: parts.into(), decided_by, last_crash_at, trials: 0 };
-        let group = self.groups.insert(group);
-        self.explain(group, crashes, now);
-        self.merge_supersets();
-        if strikes.is_empty() { Vec::new() } else { crashes.to_vec() }
-    }
-
-    /// The crashes of requests that hold all of these parts.
-    fn crashes_of(&self, parts: &[Part]) -> Vec<Crash> {
-        self.strikes_of(parts).iter().map(|strike| strike.crash).collect()
-    }
-
-    /// The crashes that a group explains.
-    fn explained_by(&self, group: GroupKey) -> Vec<Crash> {
-        let explained = self.explained.iter().filter(|(_, cause)| cause.groups.contains(&group));
-        explained.map(|(crash, _)| *crash).collect()
-    }
-
-    /// The strikes of requests that hold all of these parts.
-    fn strikes_of(&self, parts: &[Part]) -> Vec<Strike> {
-        let case = parts.first().and_then(|part| self.cases.get(part));
-        let strikes = case.map_or(&[][..], Case::strikes).iter().copied();
-        let holds_all = |strike: &Strike| {
-            let held = self.held.get(&(strike.request, strike.crash));
-            held.is_some_and(|held| is_subset(parts, held))
-        };
-        strikes.filter(holds_all).collect()
-    }
-
-    /// Drops the groups that contain all parts of another one, which refuses more; their crashes
-    /// become those of the other one.
-    fn merge_supersets(&mut self) {
-        let groups: Vec<(GroupKey, Arc<[Part]>)> =
-            self.groups.iter().map(|(key, group)| (key, group.parts.clone())).collect();
-        for (key, parts) in &groups {
-            let is_smaller = |(other, subset): &&(GroupKey, Arc<[Part]>)| {
-                other != key && self.groups.contains_key(*other) && is_subset(subset, parts)
-            };
-            let Some((smaller, _)) = groups.iter().find(is_smaller) else { continue };
-            let Some(dropped) = self.groups.remove(*key) else { continue };
-            let last_crash_at = &mut self.groups[*smaller].last_crash_at;
-            *last_crash_at = dropped.last_crash_at.max(*last_crash_at);
-            for cause in self.explained.values_mut() {
-                let Some(index) = cause.groups.iter().position(|group| group == key) else {
-                    continue;
-                };
-                cause.groups.swap_remove(index);
-                cause.add(*smaller);
-            }
-        }
-    }
-
-    /// Marks crashes as explained by a group.
-    fn explain(&mut self, group: GroupKey, crashes: &[Crash], at: Duration) {
-        for crash in crashes {
-            let cause = self.explained.entry(*crash);
-            cause.or_insert_with(|| Cause { groups: Vec::new(), at }).add(group);
-        }
-    }
-
     /// Whether a crash is explained by a group for which requests are refused.
     pub fn explains(&self, crash: Crash) -> bool {
         let cause = self.explained.get(&crash);
@@ -428,28 +252,12 @@
         self.revise_groups();
     }
 
-    /// Takes the parts against which not enough crashes are left out of their groups.
-    fn revise_groups(&mut self) {
-        self.cases.retain(|_, case| !case.is_empty());
-        let keys: Vec<GroupKey> = self.groups.keys().collect();
-        for key in keys {
-            let parts = self.groups[key].parts.iter().copied();
-            let left: Arc<[Part]> = parts.filter(|part| self.is_suspect(*part)).collect();
-            if left.is_empty() {
-                self.dissolve(key);
-            } else {
-                self.groups[key].parts = left;
-            }
-        }
-        self.merge_supersets();
-    }
-
     /// Records that a request with these parts has survived here; returns the parts that had
     /// strikes, which are removed. All daemons are to be told that these have survived.
     pub fn clear(&mut self, parts: &[Part], now: Duration) -> Vec<Part> {
         let struck = self.apply_clearance(parts, now);
         for part in &struck {
-            self.mark_told(*part, now);
+            self.clearances.mark_told(*part, now);
         }
         struck
     }
@@ -458,20 +266,17 @@
     /// whether the part had strikes, which are removed.
     pub fn clear_told(&mut self, part: Part, at: Duration) -> bool {
         let is_struck = !self.apply_clearance(&[part], at).is_empty();
-        self.mark_told(part, at);
+        self.clearances.mark_told(part, at);
         is_struck
     }
 
     fn apply_clearance(&mut self, parts: &[Part], at: Duration) -> Vec<Part> {
-        self.make_room(at);
-        let options = self.options;
-        let is_pardoned = |strike: &Strike| options.pardons(at, strike.at);
         let mut struck = Vec::new();
         for part in parts {
-            let known = self.cleared.entry(*part).or_insert(Clearance { at, told: None });
-            known.at = at.max(known.at);
-            let case = self.cases.get_mut(part);
-            let removed = case.map(|case| case.remove(is_pardoned)).unwrap_or_default();
+            self.clearances.add(*part, at);
+            let Some(case) = self.cases.get_mut(part) else { continue };
+            let clearances = &self.clearances;
+            let removed = case.remove(|strike| clearances.pardons(at, strike.at));
             if !removed.is_empty() {
                 struck.push(*part);
                 self.forget(*part, removed);
@@ -483,36 +288,20 @@
         struck
     }
 
-    fn mark_told(&mut self, part: Part, at: Duration) {
-        if let Some(known) = self.cleared.get_mut(&part) {
-            known.told = known.told.max(Some(at));
-        }
-    }
-
     /// The survivals here, with their times, that pardon parts a strike of time `at`, as far as the
     /// daemon that recorded it has not been told; from now on it counts as told.
     pub fn take_untold(&mut self, parts: &[Part], at: Duration) -> Vec<(Part, Duration)> {
-        let options = self.options;
-        let mut untold = Vec::new();
-        for part in parts {
-            let Some(known) = self.cleared.get_mut(part) else { continue };
-            let is_told = known.told.is_some_and(|told| options.pardons(told, at));
-            if !is_told && options.pardons(known.at, at) {
-                known.told = Some(known.at);
-                untold.push((*part, known.at));
-            }
-        }
-        untold
+        self.clearances.take_untold(parts, at)
     }
 
     /// Whether a survival at `cleared_at` pardons a strike of time `struck_at`.
     pub fn pardons(&self, cleared_at: Duration, struck_at: Duration) -> bool {
-        self.options.pardons(cleared_at, struck_at)
+        self.clearances.pardons(cleared_at, struck_at)
     }
 
     /// Whether a request with this part has survived lately.
     pub fn is_cleared(&self, part: Part, now: Duration) -> bool {
-        self.cleared.get(&part).is_some_and(|known| self.options.pardons(known.at, now))
+        self.clearances.covers(part, now)
     }
 
     /// The group for which requests with these parts are refused; `None` if they are not.
@@ -555,14 +344,6 @@
         self.cases.is_empty()
     }
 
-    /// Drops the clearances that no longer count, if there are many.
-    fn make_room(&mut self, now: Duration) {
-        let options = self.options;
-        if self.cleared.len() >= options.max_parts {
-            self.cleared.retain(|_, known| options.pardons(known.at, now));
-        }
-    }
-
     /// Drops strikes and quarantines that no longer count. If there are still too many parts, it
     /// drops those that are not quarantined.
     fn expire(&mut self, now: Duration) {
@@ -586,10 +367,3 @@
         self.cases.retain(|_, case| !case.is_empty());
     }
 }
-
-impl Options {
-    /// Whether a survival at `cleared_at` pardons a strike of time `struck_at`.
-    fn pardons(&self, cleared_at: Duration, struck_at: Duration) -> bool {
-        struck_at.saturating_sub(cleared_at) < self.clearance
-    }
-}
