--- a/crates/winch-relay/src/controller/rows.rs
+++ b/crates/winch-relay/src/controller/rows.rs
@@ -41,6 +41,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct LineageRow {
     base: Vec<String>,
+    base_era: u64,
+    base_revision: u64,
     former: Vec<FormerRow>,
 }
 
@@ -63,6 +65,8 @@
         });
         Self {
             base: lineage.base.iter().map(ToString::to_string).collect(),
+            base_era: lineage.base_revision.era,
+            base_revision: lineage.base_revision.version,
             former: former.collect(),
         }
     }
@@ -79,6 +83,7 @@
             base: row.base.into_iter().map(Into::into).collect(),
             former: former.collect(),
             is_recorded: true,
+            base_revision: Position { era: row.base_era, version: row.base_revision },
         }
     }
 }
--- a/crates/winch-relay/src/moves.rs
+++ b/crates/winch-relay/src/moves.rs
@@ -340,7 +340,7 @@
     /// `listed`, if that is not known; returns whether it is now.
     pub fn learn_base(&mut self, service: &str, listed: impl Iterator<Item = Name>) -> bool {
         let Some(rollout) = self.0.get_mut(service) else { return false };
-        rollout.update_lineage(|known, spec| known.learn_base(listed, &spec.to))
+        rollout.update_lineage(|known, spec| known.learn_base(listed, spec))
     }
 
     /// Whether it is not known which versions of a service served before its first order.
--- a/crates/winch-relay/src/moves/lineage.rs
+++ b/crates/winch-relay/src/moves/lineage.rs
@@ -34,8 +34,11 @@
 /// The former orders of a service.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Lineage {
-    /// The versions that served before the first of these orders; empty if they are not known.
+    /// The versions that were listed before the order with `base_revision`; empty if they are not
+    /// known.
     pub base: Vec<Name>,
+    /// See `base`. A version that was ordered earlier does not serve just because it was listed then.
+    pub base_revision: Position,
     /// The orders, from the first to the last.
     pub former: Vec<Former>,
     /// Whether the store has it in the record of the latest order.
@@ -90,27 +93,26 @@
         if self.former.len() > MAX_FORMER {
             let first = self.former.remove(0);
             if first.verdict == Some(Verdict::Completed) {
-                self.base = vec![first.to];
+                (self.base, self.base_revision) = (vec![first.to], first.revision);
             }
         }
     }
 
-    /// Merges the lineage of the same order that another daemon, or the store, has. What the store
-    /// has replaces the rest.
+    /// Merges the lineage of the same order that another daemon, or the store, has. The orders that
+    /// the store has replace the others.
     pub fn merge(&mut self, other: &Self) {
+        let is_older = !other.base.is_empty() && other.base_revision < self.base_revision;
+        if self.base.is_empty() || is_older {
+            self.base.clone_from(&other.base);
+            self.base_revision = other.base_revision;
+        }
         match (self.is_recorded, other.is_recorded) {
             (true, false) => {}
             (false, true) => {
-                let base = std::mem::take(&mut self.base);
-                *self = other.clone();
-                if self.base.is_empty() {
-                    self.base = base;
-                }
+                self.former.clone_from(&other.former);
+                self.is_recorded = true;
             }
             (true, true) | (false, false) => {
-                if self.base.is_empty() {
-                    self.base.clone_from(&other.base);
-                }
                 other.former.iter().cloned().for_each(|former| self.insert(former));
             }
         }
@@ -127,24 +129,28 @@
     }
 
     /// Learns the versions that served before the first order from those that are `listed`, if they
-    /// are not known. `to` is the version of the latest order.
-    pub fn learn_base(&mut self, listed: impl Iterator<Item = Name>, to: &Name) {
+    /// are not known. `latest` is the latest order.
+    pub fn learn_base(&mut self, listed: impl Iterator<Item = Name>, latest: &Spec) {
         if !self.base.is_empty() {
             return;
         }
         let was_ordered = |version: &Name| self.former.iter().any(|former| former.to == *version);
         // Replicas of the latest order may have started before it.
         let mut base: Vec<Name> =
-            listed.filter(|version| version != to && !was_ordered(version)).collect();
+            listed.filter(|version| *version != latest.to && !was_ordered(version)).collect();
         base.sort();
         base.dedup();
-        self.base = base;
+        (self.base, self.base_revision) = (base, latest.revision);
     }
 
     /// What the orders mean for the versions of the service.
     pub fn standing(&self) -> Standing {
-        let serving = self.base.clone();
-        let mut standing = Standing { serving, ..Standing::default() };
+        let is_ordered_before = |version: &Name| {
+            let mut former = self.former.iter();
+            former.any(|former| former.to == *version && former.revision < self.base_revision)
+        };
+        let serving = self.base.iter().filter(|version| !is_ordered_before(version));
+        let mut standing = Standing { serving: serving.cloned().collect(), ..Standing::default() };
         self.former.iter().for_each(|former| standing.apply(former));
         standing
     }
--- a/crates/winch-relay/src/peer/progress.rs
+++ b/crates/winch-relay/src/peer/progress.rs
@@ -61,6 +61,12 @@
     /// See [`Lineage::is_recorded`].
     #[prost(bool, tag = "3")]
     pub recorded: bool,
+    /// Version of [`Lineage::base_revision`].
+    #[prost(uint64, tag = "4")]
+    pub base_revision: u64,
+    /// Era of that revision.
+    #[prost(uint64, tag = "5")]
+    pub base_era: u64,
 }
 
 /// A [`Former`] order on the wire.
@@ -92,6 +98,8 @@
             base: lineage.base.iter().map(ToString::to_string).collect(),
             former: former.collect(),
             recorded: lineage.is_recorded,
+            base_revision: lineage.base_revision.version,
+            base_era: lineage.base_revision.era,
         }
     }
 }
@@ -107,6 +115,7 @@
             base: lineage.base.into_iter().map(Into::into).collect(),
             former: former.collect(),
             is_recorded: lineage.recorded,
+            base_revision: Position { era: lineage.base_era, version: lineage.base_revision },
         }
     }
 }
--- a/crates/winch-relay/tests/move_lineage.rs
+++ b/crates/winch-relay/tests/move_lineage.rs
@@ -200,8 +200,8 @@
         Former { to: to.into(), revision, verdict }
     };
     let (open, ended) = (former("v2", 1, None), former("v2", 1, Some(Verdict::Completed)));
-    let known = Lineage { base: names(&["v1"]), former: vec![open], is_recorded: false };
-    let told = Lineage { base: names(&[]), former: vec![ended], is_recorded: false };
+    let known = Lineage { base: names(&["v1"]), former: vec![open], ..Lineage::default() };
+    let told = Lineage { former: vec![ended], ..Lineage::default() };
     for (mut own, other) in [(known.clone(), &told), (told.clone(), &known)] {
         own.merge(other);
         let standing = own.standing();
@@ -217,6 +217,22 @@
     assert_eq!(own.former.len(), 1, "what the store has stays");
 }
 
+// Guards against a daemon that starts after an order, and takes what is listed then for what serves.
+#[test]
+fn listed_version_unproven() {
+    let mut rollouts = Rollouts::default();
+    rollouts.start(spec_in(1, "v3", 2));
+    rollouts.learn_base("s", names(&["v2", "v1"]).into_iter());
+    let revision = Position { era: 1, version: 1 };
+    let former = Former { to: "v2".into(), revision, verdict: Some(Verdict::TakenBack) };
+    let told = Lineage { former: vec![former], ..Lineage::default() };
+    for is_recorded in [false, true] {
+        let told = Lineage { is_recorded, ..told.clone() };
+        rollouts.apply_lineage("s", Position { era: 1, version: 2 }, &told);
+        assert_eq!(served_by(&rollouts, &replicas(&["v1", "v2", "v3"])), names(&["v1"]));
+    }
+}
+
 #[test]
 fn many_orders_bounded() {
     let mut lineage = Lineage { base: names(&["v0"]), ..Lineage::default() };
