--- a/crates/winch-relay/src/moves.rs
+++ b/crates/winch-relay/src/moves.rs
@@ -253,8 +253,8 @@
         self.reports.clear();
     }
 
-    /// Merges `received` into the current progress; returns whether more than the time of
-    /// the last confirmation has changed.
+    /// Merges `received` into the current progress; returns whether it is the first confirmation, or
+    /// more than the time of the last one has changed.
     fn apply(&mut self, received: Progress) -> bool {
         let current = &mut self.progress;
         let before = current.clone();
@@ -272,7 +272,8 @@
         current.fault |= received.fault;
         current.verdict = current.verdict.or(received.verdict);
         let same = |a: &Progress, b: &Progress| {
-            (a.stage, a.fault, a.verdict) == (b.stage, b.fault, b.verdict)
+            (a.stage, a.fault, a.verdict, a.confirmed_at.is_some())
+                == (b.stage, b.fault, b.verdict, b.confirmed_at.is_some())
         };
         !same(&before, current)
     }
@@ -383,6 +384,11 @@
         self.0.values().any(Rollout::is_open)
     }
 
+    /// Whether the record of each move was read, or its progress told, since this daemon has started.
+    pub fn are_confirmed(&self) -> bool {
+        self.0.values().all(|rollout| rollout.progress.confirmed_at.is_some())
+    }
+
     /// Moves that the controller has to look after: those without a verdict, and those whose verdict
     /// the store may have lost.
     pub fn unfinished(&self) -> Vec<Spec> {
--- a/crates/winch-relay/src/node.rs
+++ b/crates/winch-relay/src/node.rs
@@ -368,14 +368,15 @@
         lock(&self.config).is_some() && !self.catalog().is_empty()
     }
 
-    /// Waits until the daemon has a configuration, at least one replica and the strikes of before,
-    /// but only for a short time after its start.
+    /// Waits until the daemon has a configuration, at least one replica, what is known of its version
+    /// moves and the strikes of before, but only for a short time after its start.
     pub async fn wait_initialized(&self) {
         let startup_end = self.started_at + STARTUP_WAIT;
         if Instant::now() >= startup_end {
             return;
         }
-        self.wait_for(startup_end, Self::is_initialized).await;
+        self.wait_for(startup_end, |node| node.is_initialized() && node.rollouts().are_confirmed())
+            .await;
         let deadline = startup_end.min(Instant::now() + STRIKES_WAIT);
         self.wait_for(deadline, |node| node.strikes().is_synced()).await;
     }
