--- a/crates/winch-route/tests/quarantined_parts.rs
+++ b/crates/winch-route/tests/quarantined_parts.rs
@@ -156,14 +156,17 @@
 
 #[test]
 fn explained_crash_counts_once() {
-    let (other, mut ledger) = (Part(3), quarantined());
-    for number in 4..20 {
-        strike(&mut ledger, number, &[FIRST, BAD], at(number));
-        // Another request was at the same engine.
-        let parts = [FIRST, other];
-        ledger.record_strike(Fingerprint(100 + number), Crash(number), &parts, at(number));
+    let other = Part(3);
+    for shared in [&[FIRST][..], &[FIRST, other]] {
+        let mut ledger = quarantined();
+        for number in 4..20 {
+            strike(&mut ledger, number, &[FIRST, BAD], at(number));
+            // Another request was at the same engine.
+            let bystander = Fingerprint(100 + number);
+            ledger.record_strike(bystander, Crash(number), shared, at(number));
+        }
+        assert!(!refuses(&ledger, shared, at(20)), "{shared:?}");
     }
-    assert!(!refuses(&ledger, &[FIRST, other], at(20)));
 }
 
 #[test]
@@ -193,6 +196,20 @@
     assert!(!refuses(&ledger, &[FIRST, later], at(5)));
 }
 
+#[test]
+fn culprit_left_by_survivor() {
+    let (later, mut ledger) = (Part(3), Ledger::new(Options::default()));
+    for number in 1..=3 {
+        strike(&mut ledger, number, &[FIRST, BAD, later], at(number));
+    }
+    assert!(refuses(&ledger, &[FIRST, BAD, later], at(3)));
+    ledger.clear(&[FIRST, later], at(4));
+    assert!(refuses(&ledger, &[BAD], at(4)), "the earlier crashes count against it alone");
+    strike(&mut ledger, 4, &[FIRST, BAD, later], at(5));
+    assert!(refuses(&ledger, &[BAD], at(5)));
+    assert!(!refuses(&ledger, &[FIRST, later], at(5)));
+}
+
 #[test]
 fn lone_request_spares_parts() {
     let mut ledger = Ledger::new(Options::default());
