--- a/crates/winch-relay/src/quarantine.rs
+++ b/crates/winch-relay/src/quarantine.rs
@@ -277,6 +277,8 @@
 fn is_settled(strikes: &Strikes, subject: Subject, row: &QuarantineRow, now: Instant) -> bool {
     let parts = subject.parts(row);
     match subject {
+        // A row of another writer.
+        Subject::Group(_) if parts.is_empty() => true,
         Subject::Part(_) | Subject::Group(_) => {
             has_survivor(strikes, &parts, now) || strikes.find_quarantined(&parts, now).is_some()
         }
