--- a/crates/winch-bench/src/model.rs
+++ b/crates/winch-bench/src/model.rs
@@ -6,7 +6,7 @@
 
 use std::collections::VecDeque;
 
-/// Id of a call, chosen by the experiment.
+/// Id of a call, unique in one experiment.
 pub type Id = usize;
 
 /// Speed and capacity of an engine.
--- a/crates/winch-event/src/lib.rs
+++ b/crates/winch-event/src/lib.rs
@@ -192,9 +192,9 @@
     MoveRequested = 1505, Info, "version move requested";
     /// Progress of a version move was received.
     MoveUpdated = 1506, Info, "version move progress received";
-    /// What is known of the orders before the latest one of a service has changed; `rejected` names
-    /// the versions that were ordered, and not established.
-    MoveLineage = 1507, Info, "former orders of a service received";
+    /// What is known of the instructions before the latest one of a service has changed; `rejected` names
+    /// the versions that were requested, and not established.
+    MoveHistory = 1507, Info, "former instructions for a service received";
 }
 
 /// Logs an event with `key = value` pairs, unless its rate limit is reached.
--- a/crates/winch-relay/src/controller.rs
+++ b/crates/winch-relay/src/controller.rs
@@ -47,8 +47,8 @@
 const MAX_DELETES: usize = 80;
 /// Reason in the record of a verdict that was written again.
 const LOST_RECORD_REASON: &str = "the store had lost the record";
-/// Reason in the record of an order for the version that served already.
-const BACK_REASON: &str = "the version served already";
+/// Reason in the record of an instruction for the version that served already.
+const ESTABLISHED_REASON: &str = "the version served already";
 /// Largest number of rows that a scan of a move reads.
 const MAX_ROWS: usize = 500;
 
@@ -191,7 +191,7 @@
             // A later move of the service has replaced this one; its spec has not arrived yet.
             return Ok(());
         }
-        self.learn_lineage(&spec, &stored);
+        self.learn_history(&spec, &stored);
         let stored = Some(stored).filter(|stored| stored.position() == spec.revision);
         let stored = stored.unwrap_or_default();
         self.active_move(&spec).apply_age(stored.age_s);
@@ -297,13 +297,13 @@
         others: Counts,
         fencing_token: Option<u64>,
     ) -> Option<(Decision, bool)> {
-        let (own, fault, is_back) = {
+        let (own, fault, is_established) = {
             let rollouts = self.node.rollouts();
             let rollout = rollouts.get(&spec.service)?;
-            (rollout.counts(Instant::now()), rollout.progress().fault, rollout.is_back())
+            (rollout.counts(Instant::now()), rollout.progress().fault, rollout.is_established())
         };
-        if is_back && !fault {
-            let end = Decision::End(Verdict::Completed, BACK_REASON);
+        if is_established && !fault {
+            let end = Decision::End(Verdict::Completed, ESTABLISHED_REASON);
             return Some((if fencing_token.is_some() { end } else { Decision::Hold }, false));
         }
         let active = self.active_move(spec);
--- a/crates/winch-relay/src/controller/record.rs
+++ b/crates/winch-relay/src/controller/record.rs
@@ -5,13 +5,13 @@
 
 use super::{
     Controller, LOST_RECORD_REASON, MAX_DELETES, State,
-    rows::{LineageRow, RecordRow, counts_prefix, encode, record_key},
+    rows::{HistoryRow, RecordRow, counts_prefix, encode, record_key},
 };
 use crate::{
     counter,
     moves::{
         Progress, Spec,
-        lineage::{Former, Lineage},
+        history::{Former, History},
     },
     prelude::*,
 };
@@ -42,36 +42,36 @@
         Ok(())
     }
 
-    /// Learns of the orders before a move, from its own record or from that of the order before it,
+    /// Learns of the instructions before a move, from its own record or from that of the instruction before it,
     /// which is there until the first record of the move is written.
-    pub(super) fn learn_lineage(&self, spec: &Spec, stored: &RecordRow) {
-        self.node.learn_base(&spec.service);
-        let mut lineage = stored.lineage.clone().map(Lineage::from).unwrap_or_default();
+    pub(super) fn learn_history(&self, spec: &Spec, stored: &RecordRow) {
+        self.node.learn_initial(&spec.service);
+        let mut history = stored.history.clone().map(History::from).unwrap_or_default();
         if stored.position() != spec.revision {
-            lineage.is_recorded = false;
-            if let Some(to) = self.ordered_version(spec, stored) {
+            history.is_recorded = false;
+            if let Some(to) = self.requested_version(spec, stored) {
                 let (revision, verdict) = (stored.position(), stored.record.verdict);
-                lineage.insert(Former { to, revision, verdict });
+                history.insert(Former { to, revision, verdict });
             }
         }
-        self.node.apply_lineage(&spec.service, spec.revision, &lineage);
+        self.node.apply_history(&spec.service, spec.revision, &history);
     }
 
-    /// The version of the order to which a record belongs. Earlier releases do not state it.
-    fn ordered_version(&self, spec: &Spec, stored: &RecordRow) -> Option<Name> {
+    /// The version of the instruction to which a record belongs. Earlier releases do not state it.
+    fn requested_version(&self, spec: &Spec, stored: &RecordRow) -> Option<Name> {
         if !stored.to.is_empty() {
             return Some(stored.to.as_str().into());
         }
         let rollouts = self.node.rollouts();
-        let former = &rollouts.get(&spec.service)?.lineage().former;
+        let former = &rollouts.get(&spec.service)?.history().former;
         let known = former.iter().find(|former| former.revision == stored.position());
         known.map(|former| former.to.clone())
     }
 
-    /// The orders before a move, as its record states them.
-    fn lineage_row(&self, spec: &Spec) -> Option<LineageRow> {
+    /// The instructions before a move, as its record states them.
+    fn history_row(&self, spec: &Spec) -> Option<HistoryRow> {
         let rollouts = self.node.rollouts();
-        rollouts.get(&spec.service).map(|rollout| rollout.lineage().into())
+        rollouts.get(&spec.service).map(|rollout| rollout.history().into())
     }
 
     /// Applies the record of a move to the progress that this daemon keeps.
@@ -101,7 +101,7 @@
             age_s: self.active_move(spec).age(),
             record: next.clone(),
             to: spec.to.to_string(),
-            lineage: self.lineage_row(spec),
+            history: self.history_row(spec),
         };
         let state = next.verdict.map_or(State::Running, State::from);
         let status = self.node.protocol.encode_move_status(&spec.service, &spec.to, state);
--- a/crates/winch-relay/src/controller/rows.rs
+++ b/crates/winch-relay/src/controller/rows.rs
@@ -8,7 +8,7 @@
 use winch_platform::table::Row;
 use winch_roster::position::Position;
 
-use crate::moves::lineage::{Former, Lineage};
+use crate::moves::history::{Former, History};
 
 /// The row with the record of a move.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -24,10 +24,10 @@
     /// Version to which the service is moved; empty in rows of earlier releases.
     #[serde(default)]
     pub(super) to: String,
-    /// The orders before this one; rows of earlier releases have none, and a row that such a release
+    /// The instructions before this one; rows of earlier releases have none, and a row that such a release
     /// has written again, neither.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub(super) lineage: Option<LineageRow>,
+    pub(super) history: Option<HistoryRow>,
 }
 
 impl RecordRow {
@@ -37,16 +37,16 @@
     }
 }
 
-/// A [`Lineage`] in a [`RecordRow`].
+/// A [`History`] in a [`RecordRow`].
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(super) struct LineageRow {
-    base: Vec<String>,
-    base_era: u64,
-    base_revision: u64,
+pub(super) struct HistoryRow {
+    initial: Vec<String>,
+    initial_era: u64,
+    initial_revision: u64,
     former: Vec<FormerRow>,
 }
 
-/// A [`Former`] order in a [`RecordRow`].
+/// A [`Former`] instruction in a [`RecordRow`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct FormerRow {
     to: String,
@@ -55,35 +55,35 @@
     verdict: Option<Verdict>,
 }
 
-impl From<&Lineage> for LineageRow {
-    fn from(lineage: &Lineage) -> Self {
-        let former = lineage.former.iter().map(|former| FormerRow {
+impl From<&History> for HistoryRow {
+    fn from(history: &History) -> Self {
+        let former = history.former.iter().map(|former| FormerRow {
             to: former.to.to_string(),
             era: former.revision.era,
             revision: former.revision.version,
             verdict: former.verdict,
         });
         Self {
-            base: lineage.base.iter().map(ToString::to_string).collect(),
-            base_era: lineage.base_revision.era,
-            base_revision: lineage.base_revision.version,
+            initial: history.initial.iter().map(ToString::to_string).collect(),
+            initial_era: history.initial_revision.era,
+            initial_revision: history.initial_revision.version,
             former: former.collect(),
         }
     }
 }
 
-impl From<LineageRow> for Lineage {
-    fn from(row: LineageRow) -> Self {
+impl From<HistoryRow> for History {
+    fn from(row: HistoryRow) -> Self {
         let former = row.former.into_iter().map(|former| Former {
             to: former.to.into(),
             revision: Position { era: former.era, version: former.revision },
             verdict: former.verdict,
         });
         Self {
-            base: row.base.into_iter().map(Into::into).collect(),
+            initial: row.initial.into_iter().map(Into::into).collect(),
             former: former.collect(),
             is_recorded: true,
-            base_revision: Position { era: row.base_era, version: row.base_revision },
+            initial_revision: Position { era: row.initial_era, version: row.initial_revision },
         }
     }
 }
--- a/crates/winch-relay/src/moves.rs
+++ b/crates/winch-relay/src/moves.rs
@@ -7,10 +7,11 @@
 //!
 //! Progress comes in from the store and from peers, and results of attempts from this
 //! daemon. For each request the module draws the cohort and returns the [`Rule`] of the
-//! replicas that may serve it. Versions of former orders that were not established serve no
-//! requests, and their results are no evidence; see [`lineage`].
+//! replicas that may serve it. Versions of former instructions that were not established serve no
+//! requests, and their results are no evidence; see [`history`].
 
-pub mod lineage;
+pub mod history;
+mod rollout;
 mod rule;
 
 use std::collections::{BTreeSet, HashMap};
@@ -24,8 +25,8 @@
 use winch_roster::position::Position;
 use winch_route::hash;
 
-use self::lineage::{Lineage, Standing};
-pub use self::rule::Rule;
+use self::history::History;
+pub use self::{rollout::Rollout, rule::Rule};
 use crate::prelude::*;
 
 /// Time for which a stage stays in force after its last confirmation.
@@ -98,198 +99,6 @@
     pub counts: Counts,
 }
 
-/// The replicas of a service that may serve while it is moved.
-struct Lineup<'a> {
-    new: Vec<&'a Replica>,
-    old: Vec<&'a Replica>,
-    /// Versions other than the new one that do not serve.
-    excluded: Vec<Name>,
-}
-
-/// This daemon's state of one version move.
-#[derive(Debug)]
-pub struct Rollout {
-    progress: Progress,
-    observer: Observer,
-    /// The last report of each follower, by its name, and when it arrived.
-    reports: HashMap<Name, (Evidence, Instant)>,
-    /// Whether the store may have lost the verdict.
-    is_unrecorded: bool,
-    lineage: Lineage,
-    /// See [`Lineage::standing()`].
-    standing: Standing,
-}
-
-impl Rollout {
-    fn new(progress: Progress, lineage: Lineage) -> Self {
-        Self {
-            progress,
-            standing: lineage.standing(),
-            lineage,
-            observer: Observer::default(),
-            reports: HashMap::new(),
-            is_unrecorded: false,
-        }
-    }
-
-    /// Progress of the move.
-    pub fn progress(&self) -> &Progress {
-        &self.progress
-    }
-
-    /// Whether the move has no verdict yet.
-    pub fn is_open(&self) -> bool {
-        self.progress.verdict.is_none()
-    }
-
-    /// Whether the store may have lost the verdict, so that it has to be written again.
-    pub fn is_unrecorded(&self) -> bool {
-        self.is_unrecorded
-    }
-
-    /// The stage in force at `now`; zero if none was confirmed recently, and after a fault or
-    /// verdict.
-    pub fn stage(&self, now: Instant) -> u32 {
-        let Progress { stage, confirmed_at, fault, verdict, .. } = &self.progress;
-        let fresh = confirmed_at.is_some_and(|at| now < at + STAGE_TTL);
-        if fresh && !fault && verdict.is_none() { *stage } else { 0 }
-    }
-
-    /// The former orders of the service.
-    pub fn lineage(&self) -> &Lineage {
-        &self.lineage
-    }
-
-    /// Changes the lineage; returns whether it has become another one.
-    fn update_lineage(&mut self, update: impl FnOnce(&mut Lineage, &Spec)) -> bool {
-        let before = self.lineage.clone();
-        update(&mut self.lineage, &self.progress.spec);
-        let has_changed = self.lineage != before;
-        if has_changed {
-            self.standing = self.lineage.standing();
-        }
-        has_changed
-    }
-
-    /// Whether the order is for the only version that serves already, so that there is nothing to
-    /// move. It calls off the order before it.
-    pub fn is_back(&self) -> bool {
-        *self.standing.serving == [self.progress.spec.to.clone()]
-    }
-
-    /// The cohort of a version; `None` if it does not serve.
-    fn cohort(&self, version: &str) -> Option<Cohort> {
-        let is_among = |versions: &[Name]| versions.iter().any(|other| **other == *version);
-        let Standing { rejected, replaced, .. } = &self.standing;
-        if *self.progress.spec.to == *version {
-            Some(Cohort::New)
-        } else if is_among(rejected) || is_among(replaced) {
-            None
-        } else {
-            Some(Cohort::Old)
-        }
-    }
-
-    /// Divides the `serving` replicas. A version that was replaced is an old one while there is no
-    /// other.
-    fn lineup<'a>(&self, serving: impl Iterator<Item = &'a Replica>) -> Lineup<'a> {
-        let Standing { rejected, replaced, .. } = &self.standing;
-        let to = &self.progress.spec.to;
-        let (new, others): (Vec<_>, Vec<_>) = serving.partition(|replica| replica.version == *to);
-        let is_excluded =
-            |replica: &&Replica, versions: &[Name]| versions.contains(&replica.version);
-        let others: Vec<_> =
-            others.into_iter().filter(|replica| !is_excluded(replica, rejected)).collect();
-        let mut excluded = rejected.clone();
-        let has_current = others.iter().any(|replica| !is_excluded(replica, replaced));
-        if has_current {
-            excluded.extend(replaced.iter().cloned());
-        }
-        excluded.retain(|version| version != to);
-        let old = others.into_iter().filter(|replica| !is_excluded(replica, &excluded)).collect();
-        Lineup { new, old, excluded }
-    }
-
-    /// Selects the replicas that may serve a request drawn for `cohort`, among the `serving`
-    /// ones.
-    fn rule<'a>(
-        &self,
-        cohort: Cohort,
-        serving: impl Iterator<Item = &'a Replica>,
-        now: Instant,
-    ) -> Rule {
-        let to = &self.progress.spec.to;
-        let Lineup { mut new, old, excluded } = self.lineup(serving);
-        let new_count = match self.progress.verdict {
-            Some(Verdict::Completed) => new.len(),
-            _ if self.is_back() => return Rule::except(excluded),
-            Some(Verdict::TakenBack) => 0,
-            // Without replicas of the old version there is nothing to compare with or to
-            // fall back to.
-            _ if old.is_empty() => return Rule::except(excluded),
-            Some(_) => 0,
-            None => match self.stage(now) {
-                0 => 0,
-                _ if cohort == Cohort::Old => 0,
-                stage => schedule::replica_count(stage, old.len(), new.len()),
-            },
-        };
-        if new_count == 0 || new.is_empty() {
-            return Rule::Except([excluded, vec![to.clone()]].concat());
-        }
-        // All daemons choose the same few new replicas, so that these get enough load to show
-        // faults that appear only under load.
-        let seed = hash::name(&self.progress.spec.service);
-        new.sort_by_key(|replica| hash::score(seed, hash::name(&replica.id)));
-        let ids = new.iter().take(new_count).map(|replica| replica.id.clone()).collect();
-        Rule::Only { ids, excluded }
-    }
-
-    /// Goes on under the revision with which the instruction was written again.
-    fn repeat(&mut self, revision: Position) {
-        self.progress.spec.revision = revision;
-        self.is_unrecorded = !self.is_open();
-        // They name the former revision.
-        self.reports.clear();
-    }
-
-    /// Merges `received` into the current progress; returns whether it is the first confirmation, or
-    /// more than the time of the last one has changed.
-    fn apply(&mut self, received: Progress) -> bool {
-        let current = &mut self.progress;
-        let before = current.clone();
-        let is_latest = received
-            .confirmed_at
-            .is_some_and(|at| current.confirmed_at.is_none_or(|last| at >= last));
-        if is_latest {
-            if current.stage != received.stage {
-                self.observer.collector.reset();
-                self.reports.clear();
-            }
-            current.stage = received.stage;
-            current.confirmed_at = received.confirmed_at;
-        }
-        current.fault |= received.fault;
-        current.verdict = current.verdict.or(received.verdict);
-        let same = |a: &Progress, b: &Progress| {
-            (a.stage, a.fault, a.verdict, a.confirmed_at.is_some())
-                == (b.stage, b.fault, b.verdict, b.confirmed_at.is_some())
-        };
-        !same(&before, current)
-    }
-
-    /// Counts in the current stage by this daemon and by those that have reported to it
-    /// within [`REPORT_TTL`].
-    pub fn counts(&self, now: Instant) -> Counts {
-        let own = &self.observer.collector;
-        let own = Counts { new: own.new, old: own.old };
-        let stage = self.progress.stage;
-        let reports = self.reports.values();
-        let fresh = reports.filter(|(report, at)| report.stage == stage && now < *at + REPORT_TTL);
-        fresh.fold(own, |sum, (report, _)| sum.plus(report.counts))
-    }
-}
-
 /// The latest move of each service.
 #[derive(Debug, Default)]
 pub struct Rollouts(HashMap<Name, Rollout>);
@@ -299,12 +108,12 @@
     /// confirmation has changed.
     ///
     /// Progress of an earlier move of the service is ignored, also if the store has brought its
-    /// order back from a copy.
+    /// instruction back from a copy.
     pub fn apply(&mut self, progress: Progress) -> bool {
         let spec = &progress.spec;
         let Some(rollout) = self.0.get_mut(&spec.service) else {
             let service = spec.service.clone();
-            self.0.insert(service, Rollout::new(progress, Lineage::default()));
+            self.0.insert(service, Rollout::new(progress, History::default()));
             return true;
         };
         let current = &rollout.progress.spec;
@@ -319,34 +128,34 @@
             rollout.apply(progress);
             return true;
         }
-        if rollout.lineage.has(spec) {
+        if rollout.history.has(spec) {
             return false;
         }
-        let lineage = rollout.lineage.followed_by(&rollout.progress);
-        *rollout = Rollout::new(progress, lineage);
+        let history = rollout.history.followed_by(&rollout.progress);
+        *rollout = Rollout::new(progress, history);
         true
     }
 
-    /// Applies what another daemon or the store has of the orders before the one with this revision;
+    /// Applies what another daemon or the store has of the instructions before the one with this revision;
     /// returns whether that is new.
-    pub fn apply_lineage(&mut self, service: &str, revision: Position, lineage: &Lineage) -> bool {
+    pub fn apply_history(&mut self, service: &str, revision: Position, history: &History) -> bool {
         let rollout = self.0.get_mut(service);
         let Some(rollout) = rollout.filter(|known| known.progress.spec.revision == revision) else {
             return false;
         };
-        rollout.update_lineage(|known, _| known.merge(lineage))
+        rollout.update_history(|known, _| known.merge(history))
     }
 
-    /// Learns which versions served before the first order of a service from those that are
+    /// Learns which versions served before the first instruction of a service from those that are
     /// `listed`, if that is not known; returns whether it is now.
-    pub fn learn_base(&mut self, service: &str, listed: impl Iterator<Item = Name>) -> bool {
+    pub fn learn_initial(&mut self, service: &str, listed: impl Iterator<Item = Name>) -> bool {
         let Some(rollout) = self.0.get_mut(service) else { return false };
-        rollout.update_lineage(|known, spec| known.learn_base(listed, spec))
+        rollout.update_history(|known, spec| known.learn_initial(listed, spec))
     }
 
-    /// Whether it is not known which versions of a service served before its first order.
-    pub fn lacks_base(&self, service: &str) -> bool {
-        self.0.get(service).is_some_and(|rollout| rollout.lineage.base.is_empty())
+    /// Whether it is not known which versions of a service served before its first instruction.
+    pub fn lacks_initial(&self, service: &str) -> bool {
+        self.0.get(service).is_some_and(|rollout| rollout.history.initial.is_empty())
     }
 
     /// Starts a move; `false` if this or a later move of the service is known.
--- a/crates/winch-relay/src/peer/follow.rs
+++ b/crates/winch-relay/src/peer/follow.rs
@@ -16,7 +16,7 @@
 };
 use crate::{
     edition::Edition,
-    moves::lineage::Lineage,
+    moves::history::History,
     node::{Node, Reading},
     prelude::*,
     running_time::{Budget, timeout},
@@ -289,12 +289,12 @@
             node.announce_strike();
         }
         for mut moving in std::mem::take(&mut update.moving) {
-            let lineage = moving.lineage.take().map(Lineage::from);
+            let history = moving.history.take().map(History::from);
             let progress = moving.decode_at(self.received_at);
             let (service, revision) = (progress.spec.service.clone(), progress.spec.revision);
             node.apply_progress(progress);
-            if let Some(lineage) = lineage {
-                node.apply_lineage(&service, revision, &lineage);
+            if let Some(history) = history {
+                node.apply_history(&service, revision, &history);
             }
         }
         if let Some(speeds) = update.speeds.take() {
--- a/crates/winch-relay/src/peer/progress.rs
+++ b/crates/winch-relay/src/peer/progress.rs
@@ -9,7 +9,7 @@
 use crate::{
     moves::{
         Counts, Evidence, Progress, Rollout, Spec,
-        lineage::{Former, Lineage},
+        history::{Former, History},
     },
     prelude::*,
 };
@@ -44,32 +44,32 @@
     /// Era of the revision.
     #[prost(uint64, tag = "9")]
     pub era: u64,
-    /// The orders before it; unset by earlier releases, which skip it.
+    /// The instructions before it; unset by earlier releases, which skip it.
     #[prost(message, optional, tag = "10")]
-    pub lineage: Option<MoveLineage>,
+    pub history: Option<MoveHistory>,
 }
 
-/// A [`Lineage`] on the wire.
+/// A [`History`] on the wire.
 #[derive(Clone, PartialEq, Message)]
-pub(super) struct MoveLineage {
-    /// See [`Lineage::base`].
+pub(super) struct MoveHistory {
+    /// See [`History::initial`].
     #[prost(string, repeated, tag = "1")]
-    pub base: Vec<String>,
-    /// See [`Lineage::former`].
+    pub initial: Vec<String>,
+    /// See [`History::former`].
     #[prost(message, repeated, tag = "2")]
     pub former: Vec<FormerMove>,
-    /// See [`Lineage::is_recorded`].
+    /// See [`History::is_recorded`].
     #[prost(bool, tag = "3")]
     pub recorded: bool,
-    /// Version of [`Lineage::base_revision`].
+    /// Version of [`History::initial_revision`].
     #[prost(uint64, tag = "4")]
-    pub base_revision: u64,
+    pub initial_revision: u64,
     /// Era of that revision.
     #[prost(uint64, tag = "5")]
-    pub base_era: u64,
+    pub initial_era: u64,
 }
 
-/// A [`Former`] order on the wire.
+/// A [`Former`] instruction on the wire.
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct FormerMove {
     /// See [`Former::to`].
@@ -86,36 +86,39 @@
     pub verdict: u32,
 }
 
-impl From<&Lineage> for MoveLineage {
-    fn from(lineage: &Lineage) -> Self {
-        let former = lineage.former.iter().map(|former| FormerMove {
+impl From<&History> for MoveHistory {
+    fn from(history: &History) -> Self {
+        let former = history.former.iter().map(|former| FormerMove {
             to: former.to.to_string(),
             revision: former.revision.version,
             era: former.revision.era,
             verdict: encode_verdict(former.verdict),
         });
         Self {
-            base: lineage.base.iter().map(ToString::to_string).collect(),
+            initial: history.initial.iter().map(ToString::to_string).collect(),
             former: former.collect(),
-            recorded: lineage.is_recorded,
-            base_revision: lineage.base_revision.version,
-            base_era: lineage.base_revision.era,
+            recorded: history.is_recorded,
+            initial_revision: history.initial_revision.version,
+            initial_era: history.initial_revision.era,
         }
     }
 }
 
-impl From<MoveLineage> for Lineage {
-    fn from(lineage: MoveLineage) -> Self {
-        let former = lineage.former.into_iter().map(|former| Former {
+impl From<MoveHistory> for History {
+    fn from(history: MoveHistory) -> Self {
+        let former = history.former.into_iter().map(|former| Former {
             to: former.to.into(),
             revision: Position { era: former.era, version: former.revision },
             verdict: decode_verdict(former.verdict),
         });
         Self {
-            base: lineage.base.into_iter().map(Into::into).collect(),
+            initial: history.initial.into_iter().map(Into::into).collect(),
             former: former.collect(),
-            is_recorded: lineage.recorded,
-            base_revision: Position { era: lineage.base_era, version: lineage.base_revision },
+            is_recorded: history.recorded,
+            initial_revision: Position {
+                era: history.initial_era,
+                version: history.initial_revision,
+            },
         }
     }
 }
@@ -141,7 +144,7 @@
 }
 
 impl MoveProgress {
-    /// Encodes the progress of a move and the orders before it, with its age at `now`.
+    /// Encodes the progress of a move and the instructions before it, with its age at `now`.
     pub(super) fn encode_at(rollout: &Rollout, now: Instant) -> Self {
         let Progress { spec, stage, confirmed_at, fault, verdict } = rollout.progress();
         Self {
@@ -154,7 +157,7 @@
             age_ms: confirmed_at.map(|at| millis(now.saturating_duration_since(at))),
             fault: *fault,
             verdict: encode_verdict(*verdict),
-            lineage: Some(rollout.lineage().into()),
+            history: Some(rollout.history().into()),
         }
     }
 
--- a/crates/winch-relay/src/pulse.rs
+++ b/crates/winch-relay/src/pulse.rs
@@ -38,7 +38,7 @@
 
 #[derive(Debug, Default)]
 struct State {
-    /// Sum of the lags that were measured.
+    /// Sum of the lags so far.
     lost: Duration,
     last_pause: Option<Pause>,
     /// When the next measurement is due; `None` before the first one.
--- a/crates/winch-relay/src/strikes.rs
+++ b/crates/winch-relay/src/strikes.rs
@@ -7,20 +7,24 @@
 //! before it is sent to a replica.
 
 mod attribution;
+mod identity;
 mod log;
 
 use std::collections::VecDeque;
 
 use winch_route::{
     quarantine::{self, GroupKey, Ledger, Part},
-    suspect::{self, Crash, Disposition, Fingerprint, Options, Tracker},
+    suspect::{Crash, Disposition, Fingerprint, Options, Tracker},
 };
 
 pub use self::attribution::{
     attribute_crash, attribute_crash_later, record_completion, record_survival, report_untold,
 };
 use self::log::Log;
-pub use self::log::Notice;
+pub use self::{
+    identity::{fingerprint, shared_parts},
+    log::Notice,
+};
 use crate::{counter, prelude::*};
 
 /// Number of strikes of this daemon's own that are kept for telling them again.
@@ -171,7 +175,7 @@
         }
         if !finding.quarantined.is_empty() {
             let crashes = finding.explained.len();
-            let parts = label_parts(&finding.quarantined);
+            let parts = label_hashes(&finding.quarantined);
             emit!(Event::PartQuarantined, part = parts, crashes = crashes);
             counter::part_quarantined();
         }
@@ -196,7 +200,7 @@
     pub fn clear(&mut self, parts: &[Part], at: Instant) -> Vec<Part> {
         let cleared = self.parts.clear(parts, self.since_origin(at));
         for part in &cleared {
-            self.forgive(*part, at);
+            self.record_clearance(*part, at);
         }
         cleared
     }
@@ -204,22 +208,22 @@
     /// Applies a survival that another daemon has told.
     pub fn apply_clearance(&mut self, part: Part, at: Instant) {
         if self.parts.clear_told(part, self.since_origin(at)) {
-            self.forgive(part, at);
+            self.record_clearance(part, at);
         }
     }
 
-    /// Takes a part out of the strikes in the notices that its survival at `at` pardons, and notes the
+    /// Takes a part out of the strikes in the notices that its survival at `at` cancels, and notes the
     /// survival.
-    fn forgive(&mut self, part: Part, at: Instant) {
+    fn record_clearance(&mut self, part: Part, at: Instant) {
         let (parts, origin) = (&self.parts, self.origin);
         let cleared_at = since_origin(origin, at);
         self.recent
-            .take_out(part, |strike| parts.pardons(cleared_at, since_origin(origin, strike.at)));
+            .take_out(part, |strike| parts.cancels(cleared_at, since_origin(origin, strike.at)));
         emit!(Event::PartCleared, part = format!("{:016x}", part.0));
         self.recent.push(Notice::Cleared(part, at));
     }
 
-    /// Takes the survivals here that pardon parts of strikes from elsewhere, and that all daemons
+    /// Takes the survivals here that cancel strikes from elsewhere, and that all daemons
     /// have yet to be told: the others count these strikes.
     pub fn take_untold(&mut self) -> Vec<(Part, Instant)> {
         std::mem::take(&mut self.untold)
@@ -382,19 +386,6 @@
     }
 }
 
-/// The parts that the prompt of a request for `service` may share with other requests: all but
-/// the last one, which is the request's own.
-pub fn shared_parts(call: &Call, service: &str) -> Arc<[Part]> {
-    let shared = call.prompt.split_last().map_or(&[][..], |(_, shared)| shared);
-    shared.iter().map(|part| Part::new(service, &part.id)).collect()
-}
-
-/// The fingerprint of a request, which is the same when its caller sends it again.
-pub fn fingerprint(call: &Call, team: Option<&Name>) -> Fingerprint {
-    let body = String::from_utf8_lossy(&call.body);
-    suspect::fingerprint(team.map_or("", |team| team), &call.target, &body)
-}
-
 /// The time that the tracker and the ledger of a daemon that started at `origin` use.
 fn since_origin(origin: Instant, at: Instant) -> Duration {
     let uptime = at.saturating_duration_since(origin);
@@ -402,6 +393,6 @@
 }
 
 /// The hashes of parts for the log.
-fn label_parts(parts: &[Part]) -> String {
+fn label_hashes(parts: &[Part]) -> String {
     parts.iter().map(|part| format!("{:016x}", part.0)).collect::<Vec<_>>().join(",")
 }
--- a/crates/winch-relay/src/strikes/attribution.rs
+++ b/crates/winch-relay/src/strikes/attribution.rs
@@ -34,7 +34,7 @@
     node.tasks.spawn(async move { peer::report_cleared(&reporter, cleared).await });
 }
 
-/// Tells the other daemons of the survivals here that pardon strikes which they have told.
+/// Tells the other daemons of the survivals here that cancel strikes which they have told.
 pub fn report_untold<P: Protocol>(node: &Arc<Node<P>>) {
     let untold = node.strikes().take_untold();
     if untold.is_empty() {
--- a/crates/winch-relay/src/strikes/log.rs
+++ b/crates/winch-relay/src/strikes/log.rs
@@ -52,11 +52,11 @@
         })
     }
 
-    /// Takes a part out of the strikes that are pardoned.
-    pub(super) fn take_out(&mut self, part: Part, is_pardoned: impl Fn(&Strike) -> bool) {
+    /// Takes a part out of the strikes that are cancelled for it.
+    pub(super) fn take_out(&mut self, part: Part, is_cancelled: impl Fn(&Strike) -> bool) {
         for notice in &mut self.notices {
             let Notice::Struck(strike) = notice else { continue };
-            if strike.parts.contains(&part) && is_pardoned(strike) {
+            if strike.parts.contains(&part) && is_cancelled(strike) {
                 strike.parts = strike.parts.iter().copied().filter(|p| *p != part).collect();
             }
         }
--- a/crates/winch-route/src/backlog.rs
+++ b/crates/winch-route/src/backlog.rs
@@ -9,8 +9,8 @@
 /// Weight of the newest interval in the moving average.
 const INTERVAL_WEIGHT: f64 = 0.3;
 
-/// The waiting requests of one daemon for one service. Times are measured from an origin of the
-/// user's choice.
+/// The waiting requests of one daemon for one service. All times have the
+/// same origin.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Backlog {
     waiting: u32,
--- a/crates/winch-route/src/candidate.rs
+++ b/crates/winch-route/src/candidate.rs
@@ -33,7 +33,7 @@
     Cancelled,
 }
 
-/// One upstream with its measured load and health.
+/// One upstream with its load and health.
 #[derive(Clone, Debug)]
 pub struct Candidate {
     /// Its configuration.
--- a/crates/winch-route/src/quarantine.rs
+++ b/crates/winch-route/src/quarantine.rs
@@ -8,8 +8,8 @@
 //! they survive. Each crash of a request without one of the parts narrows the group down, too.
 //! A crash that a group explains counts against no other part.
 
-mod blame;
 mod case;
+mod cause;
 mod clearance;
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
@@ -185,11 +185,11 @@
         }
         let known = self.held.get(&(request, crash));
         let held: Arc<[Part]> = known.map(|held| held[..].into()).unwrap_or_default();
-        let (quarantined, explained) = self.blame(crash, parts, &held, now);
+        let (quarantined, explained) = self.find_cause(crash, parts, &held, now);
         Finding { is_new, quarantined, explained }
     }
 
-    /// Whether this strike is known, with all these parts but those that a survival pardons.
+    /// Whether this strike is known, with all these parts but those that a survival cancels.
     pub fn has_strike(
         &self,
         request: Fingerprint,
@@ -204,7 +204,7 @@
         held.is_some_and(|held| parts.iter().all(|part| is_known(part, held)))
     }
 
-    /// Adds a strike against those of the parts that no survival pardons; returns whether one of
+    /// Adds a strike against those of the parts that no survival cancels; returns whether one of
     /// them had it not.
     fn add(&mut self, strike: Strike, parts: &[Part]) -> bool {
         let key = (strike.request, strike.crash);
@@ -276,7 +276,7 @@
             self.clearances.add(*part, at);
             let Some(case) = self.cases.get_mut(part) else { continue };
             let clearances = &self.clearances;
-            let removed = case.remove(|strike| clearances.pardons(at, strike.at));
+            let removed = case.remove(|strike| clearances.cancels(at, strike.at));
             if !removed.is_empty() {
                 struck.push(*part);
                 self.forget(*part, removed);
@@ -288,15 +288,15 @@
         struck
     }
 
-    /// The survivals here, with their times, that pardon parts a strike of time `at`, as far as the
+    /// The survivals here, with their times, that cancel a strike against these parts of time `at`, as far as the
     /// daemon that recorded it has not been told; from now on it counts as told.
     pub fn take_untold(&mut self, parts: &[Part], at: Duration) -> Vec<(Part, Duration)> {
         self.clearances.take_untold(parts, at)
     }
 
-    /// Whether a survival at `cleared_at` pardons a strike of time `struck_at`.
-    pub fn pardons(&self, cleared_at: Duration, struck_at: Duration) -> bool {
-        self.clearances.pardons(cleared_at, struck_at)
+    /// Whether a survival at `cleared_at` cancels a strike of time `struck_at`.
+    pub fn cancels(&self, cleared_at: Duration, struck_at: Duration) -> bool {
+        self.clearances.cancels(cleared_at, struck_at)
     }
 
     /// Whether a request with this part has survived lately.
--- a/crates/winch-route/src/quarantine/blame.rs
+++ b/crates/winch-route/src/quarantine/cause.rs
@@ -9,7 +9,7 @@
     /// Finds what explains a crash that struck a request with these parts, of which it has `held`
     /// strikes. Returns the parts that are quarantined because of it, and the crashes that they
     /// explain.
-    pub(super) fn blame(
+    pub(super) fn find_cause(
         &mut self,
         crash: Crash,
         parts: &[Part],
@@ -19,7 +19,7 @@
         if let Some(cause) = self.explained.get(&crash) {
             let mut groups = cause.groups.iter().copied();
             return match groups.find(|group| self.groups[*group].decided_by == crash) {
-                Some(group) => self.blame_rival(group, held, now),
+                Some(group) => self.weigh_rival(group, held, now),
                 None => Default::default(),
             };
         }
@@ -41,7 +41,7 @@
     /// Weighs the request with the `held` parts, that the crash has struck with which `group` was
     /// found, against the request for which it was found. Either may be the cause, so only requests
     /// with the suspect parts of both are refused, until many crashes speak against each.
-    fn blame_rival(
+    fn weigh_rival(
         &mut self,
         group: GroupKey,
         held: &[Part],
--- a/crates/winch-route/src/quarantine/clearance.rs
+++ b/crates/winch-route/src/quarantine/clearance.rs
@@ -15,9 +15,9 @@
 /// The last survivals by part.
 #[derive(Debug)]
 pub(super) struct Clearances {
-    /// How long a survival pardons later strikes.
+    /// How long a survival cancels later strikes.
     lifetime: Duration,
-    /// Number of parts at which those that pardon nothing any more are dropped.
+    /// Number of parts at which those that cancel nothing any more are dropped.
     max_parts: usize,
     survivals: HashMap<Part, Clearance>,
 }
@@ -27,14 +27,14 @@
         Self { lifetime, max_parts, survivals: HashMap::new() }
     }
 
-    /// Whether a survival at `cleared_at` pardons a strike of time `struck_at`.
-    pub(super) fn pardons(&self, cleared_at: Duration, struck_at: Duration) -> bool {
+    /// Whether a survival at `cleared_at` cancels a strike of time `struck_at`.
+    pub(super) fn cancels(&self, cleared_at: Duration, struck_at: Duration) -> bool {
         struck_at.saturating_sub(cleared_at) < self.lifetime
     }
 
-    /// Whether a survival pardons `part` a strike of time `struck_at`.
+    /// Whether a survival cancels `part` a strike of time `struck_at`.
     pub(super) fn covers(&self, part: Part, struck_at: Duration) -> bool {
-        self.survivals.get(&part).is_some_and(|known| self.pardons(known.at, struck_at))
+        self.survivals.get(&part).is_some_and(|known| self.cancels(known.at, struck_at))
     }
 
     /// Adds a survival.
@@ -54,7 +54,7 @@
         }
     }
 
-    /// The survivals that pardon these parts a strike of time `struck_at`, unless one that does was
+    /// The survivals that cancel a strike of time `struck_at` against these parts, unless one that does was
     /// told; they count as told from now on.
     pub(super) fn take_untold(
         &mut self,
@@ -64,8 +64,8 @@
         let mut untold = Vec::new();
         for part in parts.iter().copied() {
             let Some(Clearance { at, told }) = self.survivals.get(&part).copied() else { continue };
-            let is_told = told.is_some_and(|told| self.pardons(told, struck_at));
-            if !is_told && self.pardons(at, struck_at) {
+            let is_told = told.is_some_and(|told| self.cancels(told, struck_at));
+            if !is_told && self.cancels(at, struck_at) {
                 self.mark_told(part, at);
                 untold.push((part, at));
             }
--- a/crates/winch-route/tests/quarantined_parts.rs
+++ b/crates/winch-route/tests/quarantined_parts.rs
@@ -242,14 +242,14 @@
 
 // Guards against a quarantine that ends by a survival from long before its crashes.
 #[test]
-fn late_clearance_pardons_earlier() {
+fn late_clearance_cancels_earlier() {
     let mut ledger = Ledger::new(Options::default());
     for number in 41..=43 {
         strike(&mut ledger, number, &[BAD], at(number));
     }
     assert!(!ledger.clear_told(BAD, at(5)), "it is told late");
     assert!(refuses(&ledger, &[BAD], at(43)));
-    assert!(ledger.clear_told(BAD, at(13)), "it pardons two of the three");
+    assert!(ledger.clear_told(BAD, at(13)), "it cancels two of the three");
     assert!(!refuses(&ledger, &[BAD], at(43)));
     strike(&mut ledger, 44, &[BAD], at(44));
     strike(&mut ledger, 45, &[BAD], at(45));
--- a/crates/wisteriawinch/tests/fault_soak.rs
+++ b/crates/wisteriawinch/tests/fault_soak.rs
@@ -1,28 +1,20 @@
 //! Runs daemons as separate processes and injects random faults from outside.
 //!
-//! A seed determines a series of faults and the choices of the callers. The test
-//! fails if an order runs twice, an order or stream runs after a refusal, a stream has a gap, a
-//! success is not signed by a replica, an order gets no word before its caller stops waiting, an answer belongs to another request, a daemon exits
-//! by itself or a graceful stop fails, or if a daemon does not serve again after the
-//! faults. In two last series without faults of the network, in which sound replicas are silent, a
-//! begun stream that is cut fails it too; in the one with planned stops and changes also a request
-//! without an answer, and a lookup that a sound replica could have answered.
+//! A seed determines a series of faults and the choices of the callers. `guarantees_hold` fails if
 //!
-//! A second test, `hop_guarantees_hold`, lets one daemon lose its paths to the replicas while others
-//! keep theirs, with a fleet of its own. It fails also if an order begins long after its caller
-//! was told its end.
+//! - an order runs twice, or an order or stream runs after a refusal;
+//! - a stream has a gap, a success has no signature, or an answer belongs to another request;
+//! - an order gets no word before its caller stops waiting;
+//! - a daemon exits by itself, does not stop when told, or does not serve after the faults;
+//! - in the two last series, without faults of the network, a begun stream is cut; in the one with
+//!   planned stops and changes also if a request has no answer, or a lookup that a sound replica
+//!   could have answered fails.
 //!
-//! Beside the faults, and in the series of planned work, the daemons are replaced one after the
-//! other. `SOAK_FORMER` is the absolute path of the program of another build: the daemons start
-//! with it, are replaced by those of this build and back, and at last by those of this build.
+//! `hop_guarantees_hold` lets one daemon lose its paths to the replicas while others keep theirs. It
+//! fails also if an order begins long after its caller was told its end.
 //!
-//! `SOAK_SIZE=users` runs these two series alone, with 12 daemons, 27 replicas and more streams than
-//! places, beside pauses of a daemon, of all daemons and of the whole machine; `SOAK_PAUSES` adds
-//! the pauses to the small size. `SOAK_PROGRAM` is the program of the build that is tested in place
-//! of this one.
-//!
-//! `SOAK_SEED` selects one seed, `SOAK_SEEDS` a range such as `1..51`; without
-//! either, the seeds of `soak/regression.txt` and [`FIXED_SEEDS`] are run.
+//! docs/developers.md tells the variables that select seeds, sizes and programs. Without any, the
+//! seeds of `soak/regression.txt` and [`FIXED_SEEDS`] are run.
 
 #[path = "soak/caller.rs"]
 mod caller;
